--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+GO ?= go
+BIN := bin
+
+.PHONY: build demo test check fmt generate capacity
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Main job with real processes on loopback; exits non-zero when a check fails.
+demo: build
+	$(BIN)/rattanfield-demo -bin $(BIN)
+
+test:
+	./.ci/test
+
+check:
+	@unformatted="$$($(GO) tool gofumpt -l $$(git ls-files '*.go' ':!gen/'))"; \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) build ./...
+	$(MAKE) test
+
+fmt:
+	$(GO) tool gofumpt -w $$(git ls-files '*.go' ':!gen/')
+
+generate:
+	$(GO) tool -modfile=tools/go.mod buf lint
+	$(GO) tool -modfile=tools/go.mod buf generate
+
+# Measures the slopes of docs/CAPACITY.md.
+capacity: build
+	$(BIN)/rattanfield-capacity -out docs/results
--- /dev/null
+++ b/adapters/rpc/client.go
@@ -0,0 +1,132 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 90 * time.Second
+	// A silent partition leaves connections open; pings find that out.
+	pingAfterIdle = 2 * time.Second
+	pingTimeout   = 2 * time.Second
+)
+
+// Topology classifies a destination (IP:port) as seen from this process.
+type Topology interface {
+	LinkTo(address string) ports.Link
+}
+
+// Options of a Client.
+type Options struct {
+	Topology Topology
+	// LocalIP is the source address of connections; nil lets the system choose.
+	LocalIP net.IP
+	// Delay is added to each request to an address; nil adds none. Tests use it for the region link.
+	Delay func(address string) time.Duration
+	// Blocked reports a destination that is cut off; nil blocks none. Tests use it for partitions.
+	Blocked func(address string) bool
+}
+
+// LinkBytes counts the bytes of one link class.
+type LinkBytes struct {
+	Sent, Received atomic.Uint64
+}
+
+// Client makes HTTP clients for connect and counts their bytes per link class.
+type Client struct {
+	options Options
+	http    *http.Client
+	bytes   [ports.LinkCount]LinkBytes
+}
+
+// NewClient returns a client whose connections are shared by all connect clients of a process.
+func NewClient(options Options) *Client {
+	c := &Client{options: options}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		DialContext:     c.dial,
+		Protocols:       protocols,
+		IdleConnTimeout: idleConnTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
+	}
+	c.http = &http.Client{Transport: &delayTransport{base: transport, options: options}}
+	return c
+}
+
+// HTTP is the client to give to connect constructors, with the URL from URL.
+func (c *Client) HTTP() *http.Client { return c.http }
+
+// URL of a peer address (IP:port) for connect constructors.
+func URL(address string) string { return "http://" + address }
+
+// Bytes counted so far for one link class.
+func (c *Client) Bytes(l ports.Link) *LinkBytes { return &c.bytes[l] }
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.options.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.options.LocalIP}
+	}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	link := ports.LinkDomain
+	if c.options.Topology != nil {
+		link = c.options.Topology.LinkTo(address)
+	}
+	return &countingConn{Conn: conn, bytes: &c.bytes[link]}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *LinkBytes
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Sent.Add(uint64(n))
+	return n, err
+}
+
+type delayTransport struct {
+	base    http.RoundTripper
+	options Options
+}
+
+// RoundTrip adds the delay once per request, which is the round trip of the link.
+func (t *delayTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.options.Blocked != nil && t.options.Blocked(r.URL.Host) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	if t.options.Delay != nil {
+		if d := t.options.Delay(r.URL.Host); d > 0 {
+			timer := time.NewTimer(d)
+			defer timer.Stop()
+			select {
+			case <-timer.C:
+			case <-r.Context().Done():
+				return nil, r.Context().Err()
+			}
+		}
+	}
+	return t.base.RoundTrip(r)
+}
