--- a/ports/consensus.go
+++ b/ports/consensus.go
@@ -19,6 +19,8 @@
 type Leadership interface {
 	// IsLeader reports a leader that holds a valid lease.
 	IsLeader() bool
+	// Leader returns id and peer address of the known leader; both are empty when none is known.
+	Leader() (id, address string)
 }
 
 // QuorumReader confirms with a quorum that applied state is current.
