--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,122 @@
+package retry
+
+import "time"
+
+const (
+	// MaxDepth bounds the layers of nested calls.
+	MaxDepth = 28
+	// MaxAttempts bounds the attempts of one call, the first one included.
+	MaxAttempts = 3
+	// MaxRedirects bounds how often a call moves on, outside the budget, from an
+	// endpoint that accepted no request at all. Such an endpoint is avoided at
+	// once, so that these attempts do not add load to it.
+	MaxRedirects = 4
+
+	defaultPercent = 10
+	// minPerSecond lets a service with few calls retry at all.
+	minPerSecond = 1.0
+	// burst bounds the tokens that a quiet time saves up.
+	burst = 20.0
+)
+
+// Budget limits retries to a share of the calls of one service. It is not safe
+// for concurrent use.
+type Budget struct {
+	percent float64
+	tokens  float64
+	last    time.Time
+}
+
+// NewBudget returns a budget in percent of calls; 0 selects the default.
+func NewBudget(percent uint32) *Budget {
+	b := &Budget{}
+	b.SetPercent(percent)
+	return b
+}
+
+// SetPercent changes the share of calls that may be repeated; 0 selects the default.
+func (b *Budget) SetPercent(percent uint32) {
+	if percent == 0 {
+		percent = defaultPercent
+	}
+	b.percent = float64(percent)
+}
+
+// Call counts one call of a caller.
+func (b *Budget) Call(now time.Time) {
+	b.refill(now)
+	b.tokens = min(b.tokens+b.percent/100, burst)
+}
+
+// Take uses one retry if the budget has one.
+func (b *Budget) Take(now time.Time) bool {
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) refill(now time.Time) {
+	if b.last.IsZero() {
+		b.last, b.tokens = now, minPerSecond
+		return
+	}
+	if d := now.Sub(b.last); d > 0 {
+		b.tokens = min(b.tokens+d.Seconds()*minPerSecond, burst)
+		b.last = now
+	}
+}
+
+// Attempt is a failed attempt as the decision needs it.
+type Attempt struct {
+	Number    int // 1 for the first
+	Redirects int // attempts so far that no endpoint accepted
+	// NotRun is true when it is certain that no upstream got a byte of the request.
+	NotRun bool
+	// Unreached is true when the endpoint took no request: it is leaving, closed or refuses connections.
+	Unreached bool
+	// FailedBelow is true when the failure comes from a deeper layer.
+	FailedBelow bool
+	// Overload is true for a rejection by a limit.
+	Overload   bool
+	Idempotent bool
+	// Terminal is true when another endpoint would answer the same, for example
+	// because the request is too large or crashes upstreams.
+	Terminal  bool
+	Remaining time.Duration
+}
+
+// Verdict of a failed attempt.
+type Verdict uint8
+
+// Verdicts.
+const (
+	GiveUp   Verdict = iota
+	Redirect         // try another endpoint outside the budget
+	Repeat           // try again if the budget has a retry
+)
+
+// minRemaining is the least time that makes another attempt worthwhile.
+const minRemaining = 2 * time.Millisecond
+
+// Decide judges a failed attempt.
+func Decide(a Attempt) Verdict {
+	if a.Terminal || a.FailedBelow || a.Remaining < minRemaining {
+		return GiveUp
+	}
+	if a.NotRun && a.Unreached {
+		if a.Redirects < MaxRedirects {
+			return Redirect
+		}
+		return GiveUp
+	}
+	if !a.NotRun && !a.Idempotent {
+		return GiveUp
+	}
+	if a.Number-a.Redirects >= MaxAttempts {
+		return GiveUp
+	}
+	return Repeat
+}
