settings, telemetry: add checked settings and the admin listener

Cause: the daemons need settings with one report of all problems, a view of the links between failure domains, a logger, metrics and an admin listener. Change: settings decodes JSON with comments by itself, because the report needs the line of every key; validator/v10 checks values. Topology maps addresses to failure domains through the networks that the site lists. Telemetry holds logger, metrics of rings and links, and /healthz, /readyz, /metrics, /v1/status. Measured: go test -race ./adapters/settings ./adapters/telemetry passes.

--- /dev/null
+++ b/adapters/settings/check.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+)
+
+const maxNameLength = 64
+
+var newValidator = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	register := func(tag string, valid func(string) bool) {
+		check := func(f validator.FieldLevel) bool { return valid(f.Field().String()) }
+		if err := v.RegisterValidation(tag, check); err != nil {
+			panic("settings: validation " + tag + ": " + err.Error()) // a mistake in this package
+		}
+	}
+	if err := v.RegisterValidation("up_to", isUpTo); err != nil {
+		panic("settings: validation up_to: " + err.Error()) // a mistake in this package
+	}
+	register("name", isName)
+	register("ip_port", isHostAddress)
+	return v
+})
+
+// isUpTo checks a Duration, whose type the library's own min and max do not parse.
+func isUpTo(f validator.FieldLevel) bool {
+	limit, err := time.ParseDuration(f.Param())
+	return err == nil && f.Field().Int() >= 0 && f.Field().Int() <= int64(limit)
+}
+
+func isName(s string) bool {
+	return s != "" && len(s) <= maxNameLength && !strings.ContainsAny(s, " \t\r\n/\"'")
+}
+
+// isHostAddress rejects wildcards: peers must be able to use the address.
+func isHostAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
+var expectations = map[string]string{
+	"required": "a value",
+	"name":     fmt.Sprintf("a name of 1 to %d characters without space, slash or quote", maxNameLength),
+	"ip_port":  "IP:port with an IP number of this host and a port from 1 to 65535, such as 127.1.1.1:7000",
+	"cidr":     "an IP network, such as 127.1.1.0/24",
+}
+
+// check runs the validations of the struct tags and reports what they find.
+func (d *document) check(target any) {
+	var found validator.ValidationErrors
+	if !errors.As(newValidator().Struct(target), &found) {
+		return
+	}
+	for _, f := range found {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		if !d.isBad(path) {
+			d.add(path, foundText(f), expectedText(f))
+		}
+	}
+}
+
+func foundText(f validator.FieldError) string {
+	v := reflect.ValueOf(f.Value())
+	switch {
+	case f.Tag() == "required":
+		return "nothing"
+	case f.Type() == durationType:
+		return fmt.Sprintf("%q", v.Interface().(Duration).Std())
+	case v.Kind() == reflect.Slice:
+		return fmt.Sprintf("%d entries", v.Len())
+	case v.Kind() == reflect.String:
+		return fmt.Sprintf("%q", v.String())
+	default:
+		return fmt.Sprint(f.Value())
+	}
+}
+
+func expectedText(f validator.FieldError) string {
+	if text, ok := expectations[f.Tag()]; ok {
+		return text
+	}
+	switch f.Tag() {
+	case "oneof":
+		return "one of " + strings.Join(strings.Fields(f.Param()), ", ")
+	case "up_to":
+		return "a duration from 0s to " + f.Param()
+	case "min":
+		return "at least " + f.Param()
+	case "max":
+		return "at most " + f.Param()
+	default:
+		return f.Tag() + " " + f.Param()
+	}
+}
--- /dev/null
+++ b/adapters/settings/types.go
@@ -0,0 +1,164 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// ExitStatus is the exit status of a program whose settings are not valid.
+const ExitStatus = 2
+
+// Bounds of settings.
+const (
+	MaxControlHosts  = 7
+	MaxBatchInterval = 2 * time.Second // leaves 4 s of the 6 s in which a change must be in force
+	MaxLinkDelay     = time.Second
+)
+
+// Values of Site.Compression.
+const (
+	CompressionNone = "none"
+	CompressionZstd = "zstd"
+)
+
+// Values of Site.Urgency.
+const (
+	// UrgencyUrgent answers waiting nodes as soon as a change is applied.
+	UrgencyUrgent = "urgent"
+	// UrgencyBatched collects changes for BatchInterval; changes of version shares are not held back.
+	UrgencyBatched = "batched"
+)
+
+// Values of Site.Risk, the default for services that do not set their own.
+const (
+	RiskCautious = "cautious"
+	RiskPunctual = "punctual"
+)
+
+// Duration is a time.Duration that is written as text, for example "250ms".
+type Duration time.Duration
+
+// Std returns the duration as the type of the standard library.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText writes the form that settings use.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Site is what all processes of a deployment share.
+type Site struct {
+	Name          string        `json:"name" validate:"required,name"`
+	Regions       []Region      `json:"regions" validate:"required,min=1,dive"`
+	ControlHosts  []ControlHost `json:"control_hosts" validate:"required,min=1,max=7,dive"`
+	Urgency       string        `json:"urgency" validate:"required,oneof=urgent batched"`
+	BatchInterval Duration      `json:"batch_interval" validate:"up_to=2s"`
+	Compression   string        `json:"compression" validate:"required,oneof=none zstd"`
+	Risk          string        `json:"risk" validate:"required,oneof=cautious punctual"`
+	// LinkDelays add latency to requests between processes; only for tests and demos.
+	LinkDelays LinkDelays `json:"link_delays"`
+}
+
+// Region is a group of failure domains that are joined by fast links.
+type Region struct {
+	Name           string          `json:"name" validate:"required,name"`
+	FailureDomains []FailureDomain `json:"failure_domains" validate:"required,min=1,dive"`
+}
+
+// FailureDomain lists the IP networks of its hosts.
+type FailureDomain struct {
+	Name     string   `json:"name" validate:"required,name"`
+	Networks []string `json:"networks" validate:"required,min=1,dive,cidr"`
+}
+
+// ControlHost is one member of the replicated log and the relay of its failure domain.
+type ControlHost struct {
+	ID            string `json:"id" validate:"required,name"`
+	Address       string `json:"address" validate:"required,ip_port"` // peer listener
+	FailureDomain string `json:"failure_domain" validate:"required"`
+}
+
+// LinkDelays are round-trip times that stand for the links between failure domains.
+type LinkDelays struct {
+	Region Duration `json:"region" validate:"up_to=1s"`
+	Remote Duration `json:"remote" validate:"up_to=1s"`
+}
+
+// Node holds the settings of rattanfield-node.
+type Node struct {
+	ID            string        `json:"id" validate:"required,name"`
+	FailureDomain string        `json:"failure_domain" validate:"required"`
+	Addresses     NodeAddresses `json:"addresses"`
+	// EntryServices are the services that callers of this entry use, besides those of the local upstream.
+	EntryServices []string `json:"entry_services" validate:"dive,required,name"`
+	// Seeds are peer addresses of some nodes of the failure domain, asked when no control host answers.
+	Seeds    []string `json:"seeds" validate:"dive,ip_port"`
+	LogLevel string   `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	SiteFile string   `json:"site_file"` // relative to the folder of this file
+	Site     *Site    `json:"site"`      // exactly one of site_file and site
+}
+
+// NodeAddresses are the listeners of a node.
+type NodeAddresses struct {
+	Entry string `json:"entry" validate:"required,ip_port"`
+	Gate  string `json:"gate" validate:"required,ip_port"`
+	Peer  string `json:"peer" validate:"required,ip_port"`
+	Admin string `json:"admin" validate:"required,ip_port"`
+}
+
+// Control holds the settings of rattanfield-control.
+type Control struct {
+	ID            string           `json:"id" validate:"required,name"`
+	FailureDomain string           `json:"failure_domain" validate:"required"`
+	Addresses     ControlAddresses `json:"addresses"`
+	DataDirectory string           `json:"data_directory" validate:"required"` // relative to the folder of this file
+	LogLevel      string           `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	SiteFile      string           `json:"site_file"`
+	Site          *Site            `json:"site"`
+}
+
+// ControlAddresses are the listeners of a control host.
+type ControlAddresses struct {
+	Peer  string `json:"peer" validate:"required,ip_port"`
+	Admin string `json:"admin" validate:"required,ip_port"`
+}
+
+// Control returns the entry of control_hosts with this id.
+func (s *Site) Control(id string) (ControlHost, bool) {
+	for _, h := range s.ControlHosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return ControlHost{}, false
+}
+
+// RegionOf returns the region of a failure domain, empty when there is none.
+func (s *Site) RegionOf(failureDomain string) string {
+	for _, r := range s.Regions {
+		for _, d := range r.FailureDomains {
+			if d.Name == failureDomain {
+				return r.Name
+			}
+		}
+	}
+	return ""
+}
+
+// FailureDomainNames returns all failure domains in the order of the file.
+func (s *Site) FailureDomainNames() []string {
+	var names []string
+	for _, r := range s.Regions {
+		for _, d := range r.FailureDomains {
+			names = append(names, d.Name)
+		}
+	}
+	return names
+}
+
+func (d *FailureDomain) contains(ip netip.Addr) bool {
+	for _, n := range d.Networks {
+		if p, err := netip.ParsePrefix(n); err == nil && p.Contains(ip) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/adapters/telemetry/metrics.go
@@ -0,0 +1,44 @@
+package telemetry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// Gauger is what AddRing reads; every ring.Ring implements it.
+type Gauger interface {
+	Depth() int
+	Capacity() int
+	Dropped() uint64
+}
+
+// AddRing registers depth, capacity and drops of a ring under its name.
+func AddRing(set *metrics.Set, name string, r Gauger) {
+	gauge := func(metric string, read func() float64) {
+		set.NewGauge(fmt.Sprintf("%s{ring=%q}", metric, name), read)
+	}
+	gauge("rattanfield_ring_depth", func() float64 { return float64(r.Depth()) })
+	gauge("rattanfield_ring_capacity", func() float64 { return float64(r.Capacity()) })
+	gauge("rattanfield_ring_dropped_total", func() float64 { return float64(r.Dropped()) })
+}
+
+// AddLinks registers the bytes of a client per link class and direction.
+func AddLinks(set *metrics.Set, c *rpc.Client) {
+	for l := range ports.Link(ports.LinkCount) {
+		bytes := c.Bytes(l)
+		set.NewGauge(fmt.Sprintf("rattanfield_link_bytes_total{link=%q,direction=%q}", l, "sent"),
+			func() float64 { return float64(bytes.Sent.Load()) })
+		set.NewGauge(fmt.Sprintf("rattanfield_link_bytes_total{link=%q,direction=%q}", l, "received"),
+			func() float64 { return float64(bytes.Received.Load()) })
+	}
+}
+
+// addBuild registers a constant that names program and version.
+func addBuild(set *metrics.Set, program string) {
+	set.NewGauge(fmt.Sprintf("rattanfield_build_info{program=%q,version=%q}", program, Version()),
+		func() float64 { return 1 })
+}
