ledger: claim idempotency keys by majority, with recovery

Cause: a request that is sent again through another node ran twice. Change: members remember claims and responses; a gate needs a majority (of both groups after a change).

--- a/adapters/httpproxy/announce.go
+++ b/adapters/httpproxy/announce.go
@@ -19,7 +19,7 @@
 	watchInterval   = 250 * time.Millisecond
 	// leaveWait is how long a leave request waits for the drain before it answers
 	// "still draining"; the upstream then asks again.
-	leaveWait = 5 * time.Second
+	leaveWait = 800 * time.Millisecond
 	leavePoll = 5 * time.Millisecond
 )
 
--- a/adapters/httpproxy/call.go
+++ b/adapters/httpproxy/call.go
@@ -75,6 +75,12 @@
 		p.bad = name
 		return ""
 	}
+	for _, b := range v {
+		if b < ' ' || b > '~' {
+			p.bad = name // other bytes would not survive messages and metrics
+			return ""
+		}
+	}
 	return string(v)
 }
 
--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -84,7 +84,11 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
+	draining := s.draining
 	s.mu.Unlock()
+	if draining {
+		return l.Close() // Shutdown came first
+	}
 	return s.http.Serve(&drainListener{Listener: l, server: s})
 }
 
@@ -104,11 +108,19 @@
 	for s.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
-			return s.http.ShutdownWithContext(ctx)
+			return s.shutdownHTTP(ctx)
 		case <-ticker.C:
 		}
 	}
-	return s.http.ShutdownWithContext(ctx)
+	return s.shutdownHTTP(ctx)
+}
+
+func (s *Server) shutdownHTTP(ctx context.Context) error {
+	// The listener is closed already, which fasthttp reports as an error.
+	if err := s.http.ShutdownWithContext(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // closeIdle starts to close idle connections and returns how many are open.
--- /dev/null
+++ b/app/calls/calls.go
@@ -0,0 +1,149 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/httpproxy"
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/ledger"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// Options of the calls of one node.
+type Options struct {
+	NodeID        string
+	Region        string
+	FailureDomain string
+	Incarnation   int64     // start time of the node, Unix nanoseconds
+	Started       time.Time // start of the process
+	LocalIP       net.IP    // source address of connections; nil lets the system choose
+	Seed          uint64
+	// RemoteBytesPerSecond bounds calls to another region; 0 keeps calls in the region.
+	RemoteBytesPerSecond float64
+	MaxQueue             int           // 0 selects the default
+	LedgerRetention      time.Duration // 0 selects the value of the design
+}
+
+// Dependencies are the parts of the node that calls need.
+type Dependencies struct {
+	Configuration ports.ConfigurationReader
+	Endpoints     ports.EndpointReader
+	Local         ports.LocalEndpoint
+	Outcomes      ports.OutcomeRecorder // may be nil
+	Versions      ports.VersionPicker   // may be nil
+	// Suspects spreads with the endpoint exchange, in addition to the push; may be nil.
+	Suspects ports.SuspectSpreader
+	// Peers finds members of ledger groups; nil selects the endpoint table.
+	Peers   ports.PeerResolver
+	HTTP    connect.HTTPClient // of rpc.Client
+	Metrics *metrics.Set       // may be nil
+}
+
+// Calls are entry and gate of one node with their duties.
+type Calls struct {
+	entry       *httpproxy.Entry
+	gate        *httpproxy.Gate
+	entryServer *httpproxy.Server
+	gateServer  *httpproxy.Server
+	ledger      *ledger.Service
+	keeper      *ledger.Keeper
+	recovery    *ledger.Recovery
+
+	duties sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+// New wires the calls of a node; Start opens them.
+func New(o Options, d Dependencies) *Calls {
+	lo := ledger.Options{NodeID: o.NodeID, Incarnation: o.Incarnation, Started: o.Started, Retention: o.LedgerRetention}
+	peers := d.Peers
+	if peers == nil {
+		peers = ledger.NewEndpointResolver(d.Endpoints, func() []string { return serviceNames(d.Configuration) })
+	}
+	clients := ledger.NewClients(d.HTTP, peers)
+	below := httpproxy.NewBelowMarks()
+	c := &Calls{keeper: ledger.NewKeeper(lo, clients)}
+	c.gate = httpproxy.NewGate(
+		httpproxy.GateOptions{LocalIP: o.LocalIP, MaxQueue: o.MaxQueue, Metrics: d.Metrics},
+		httpproxy.GateDependencies{
+			Configuration: d.Configuration, Local: d.Local, Claims: c.keeper,
+			Suspects: NewSpreader(o.NodeID, d.Endpoints, clients, d.Suspects), Below: below,
+		})
+	c.entry = httpproxy.NewEntry(
+		httpproxy.EntryOptions{
+			Region: o.Region, FailureDomain: o.FailureDomain, LocalIP: o.LocalIP, Seed: o.Seed,
+			RemoteBytesPerSecond: o.RemoteBytesPerSecond, Metrics: d.Metrics,
+		},
+		httpproxy.EntryDependencies{
+			Configuration: d.Configuration, Endpoints: d.Endpoints, Outcomes: d.Outcomes, Versions: d.Versions, Below: below,
+		})
+	c.entryServer = httpproxy.NewServer(c.entry.Handler())
+	c.gateServer = httpproxy.NewServer(c.gate.Handler())
+	c.ledger = ledger.NewService(lo, d.Configuration, c.gate)
+	c.recovery = ledger.NewRecovery(c.ledger, clients)
+	return c
+}
+
+func serviceNames(c ports.ConfigurationReader) []string {
+	p := c.Projection()
+	if p == nil {
+		return nil
+	}
+	var names []string
+	for _, s := range p.Configuration.GetServices() {
+		names = append(names, s.GetName())
+	}
+	return names
+}
+
+// Handler is the connect handler for the peer listener of the node.
+func (c *Calls) Handler() rpc.Handler {
+	return rpc.NewHandler(rattanfieldv1connect.NewCallServiceHandler(c.ledger))
+}
+
+// AnnounceHandler serves /v1/announce and /v1/leave on the admin listener.
+func (c *Calls) AnnounceHandler() fasthttp.RequestHandler {
+	return httpproxy.NewAnnounceHandler(c.gate)
+}
+
+// Gate of the node.
+func (c *Calls) Gate() *httpproxy.Gate { return c.gate }
+
+// Ledger is the ledger service of the node.
+func (c *Calls) Ledger() *ledger.Service { return c.ledger }
+
+// Start serves both listeners and runs the duties until Shutdown.
+func (c *Calls) Start(entry, gate net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.duties.Go(func() { _ = c.entryServer.Serve(entry) })
+	c.duties.Go(func() { _ = c.gateServer.Serve(gate) })
+	c.duties.Go(func() { c.keeper.Run(ctx) })
+	c.duties.Go(func() { c.recovery.Run(ctx) })
+}
+
+// Shutdown is a planned stop. The gate leaves and finishes first, because its
+// upstream may call other services through the entry until then.
+func (c *Calls) Shutdown(ctx context.Context) error {
+	err := errors.Join(
+		c.gate.Shutdown(ctx),
+		c.keeper.Flush(ctx),
+		c.gateServer.Shutdown(ctx),
+		c.entryServer.Shutdown(ctx),
+		c.entry.Shutdown(ctx),
+	)
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.duties.Wait()
+	return err
+}
--- /dev/null
+++ b/app/calls/cluster_test.go
@@ -0,0 +1,271 @@
+package calls
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/rattanfield/rattanfield/adapters/httpproxy"
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/core/config"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+func TestMain(m *testing.M) {
+	// fasthttp keeps these goroutines for the life of the process.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// cluster is a few nodes with real listeners and one shared endpoint table.
+type cluster struct {
+	t          testing.TB
+	projection atomic.Pointer[config.Projection]
+	mu         sync.Mutex
+	version    uint64
+	records    map[string]*pb.EndpointRecord
+	nodes      map[string]*testNode
+	blocked    sync.Map // "node>peer address"
+}
+
+type testNode struct {
+	*Calls
+	cluster   *cluster
+	id        string
+	entryAddr string
+	gateAddr  string
+	peerAddr  string
+	peer      *rpc.Server
+	client    *rpc.Client
+	delay     atomic.Int64 // ns, of each message to other nodes
+	upstream  *ledgerUpstream
+}
+
+// service names a first ledger group long after the nodes started, so that members are ready at once.
+func (c *cluster) service(s *pb.Service) {
+	p, problems := config.NewProjection(&pb.Configuration{Revision: 1, Services: []*pb.Service{s}, Routes: []*pb.Route{
+		{Name: "fares", PathPrefix: "/fares", Service: "tills"},
+		{Name: "climb", PathPrefix: "/climb", Service: "tills", Idempotent: true},
+	}})
+	if len(problems) > 0 {
+		c.t.Fatal(problems)
+	}
+	c.projection.Store(p)
+}
+
+func tills() *pb.Service {
+	return &pb.Service{
+		Name: "tills", ActiveVersion: "v1", Limits: &pb.Limits{Slots: 9, MaxQueue: 64, TimeoutMs: 1500},
+		LedgerMembers: []string{"n1", "n2", "n3"}, LedgerChangedUnixMs: time.Now().UnixMilli(),
+	}
+}
+
+func newCluster(t testing.TB, n int) *cluster {
+	c := &cluster{t: t, records: make(map[string]*pb.EndpointRecord), nodes: make(map[string]*testNode)}
+	c.service(tills())
+	for i := range n {
+		c.start(fmt.Sprint("n", i+1), time.Now().Add(-time.Hour))
+	}
+	t.Cleanup(func() {
+		for id := range c.nodes {
+			c.stop(id)
+		}
+	})
+	return c
+}
+
+func (c *cluster) Projection() *config.Projection { return c.projection.Load() }
+func (c *cluster) FloorKnown() bool               { return true }
+
+func (c *cluster) Endpoints(string) (list []*pb.EndpointRecord, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.records {
+		if r.GetState() == pb.EndpointState_ENDPOINT_STATE_SERVING {
+			list = append(list, r)
+		}
+	}
+	return list, c.version
+}
+
+func (c *cluster) PeerAddress(id string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[id]
+	if n == nil {
+		return "", false
+	}
+	return n.peerAddr, true
+}
+
+func (n *testNode) Publish(state pb.EndpointState, u ports.Upstream) {
+	c := n.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	c.records[n.id] = &pb.EndpointRecord{
+		NodeId: n.id, GateAddress: n.gateAddr, PeerAddress: n.peerAddr, State: state,
+		Service: u.Service, Version: u.Version, Slots: uint32(u.Slots),
+	}
+}
+
+func listen(t testing.TB) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// start runs a node; started tells its ledger member when the process began.
+func (c *cluster) start(id string, started time.Time) *testNode {
+	el, gl, pl := listen(c.t), listen(c.t), listen(c.t)
+	n := &testNode{cluster: c, id: id, entryAddr: el.Addr().String(), gateAddr: gl.Addr().String(), peerAddr: pl.Addr().String()}
+	n.client = rpc.NewClient(rpc.Options{Blocked: func(a string) bool {
+		_, cut := c.blocked.Load(id + ">" + a)
+		return cut
+	}, Delay: func(string) time.Duration { return time.Duration(n.delay.Load()) }})
+	n.Calls = New(
+		Options{NodeID: id, Incarnation: started.UnixNano(), Started: started, Seed: 7},
+		Dependencies{Configuration: c, Endpoints: c, Local: n, Peers: c, HTTP: n.client.HTTP()},
+	)
+	n.Start(el, gl)
+	n.peer = rpc.NewServer(n.Handler())
+	go func() { _ = n.peer.Serve(pl) }()
+	c.mu.Lock()
+	c.nodes[id] = n
+	c.mu.Unlock()
+	return n
+}
+
+func (c *cluster) stop(id string) {
+	n := c.nodes[id]
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_ = n.Shutdown(ctx)
+	_ = n.peer.Close()
+	n.client.Close()
+}
+
+// crash ends a node without finishing anything.
+func (c *cluster) crash(id string) {
+	n := c.nodes[id]
+	_ = n.peer.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.Shutdown(ctx)
+	n.client.Close()
+}
+
+func (c *cluster) cut(from string, to ...string) {
+	for _, id := range to {
+		c.blocked.Store(from+">"+c.nodes[id].peerAddr, true)
+	}
+}
+
+// ledgerUpstream is an upstream that renews its announcement.
+type ledgerUpstream struct {
+	server *httpproxy.Server
+	ports.Upstream
+	renew *time.Timer
+}
+
+// executions counts how often each body was run, over all upstreams.
+type executions struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (e *executions) add(what string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs == nil {
+		e.runs = make(map[string]int)
+	}
+	e.runs[what]++
+	return e.runs[what]
+}
+
+func (e *executions) of(what string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[what]
+}
+
+func (n *testNode) announce(handler fasthttp.RequestHandler) *ledgerUpstream {
+	l := listen(n.cluster.t)
+	u := &ledgerUpstream{server: httpproxy.NewServer(handler), Upstream: ports.Upstream{
+		Service: "tills", Version: "v1", Address: l.Addr().String(), Slots: 9, Instance: l.Addr().String(),
+	}}
+	go func() { _ = u.server.Serve(l) }()
+	n.upstream = u
+	n.cluster.t.Cleanup(u.stop)
+	n.Gate().Announce(u.Upstream)
+	u.renew = time.AfterFunc(time.Hour, func() {
+		n.Gate().Announce(u.Upstream)
+		u.renew.Reset(time.Second)
+	})
+	u.renew.Reset(time.Second)
+	return u
+}
+
+func (u *ledgerUpstream) stop() {
+	u.renew.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = u.server.Shutdown(ctx)
+}
+
+type reply struct {
+	status      int
+	ran, reason string
+	body        string
+	replayed    bool
+	err         error
+}
+
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+
+// send is one call of a caller; on new connections the client never resends.
+func send(address, path, key, body string) reply {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	if key != "" {
+		req.Header.Set(httpproxy.HeaderIdempotencyKey, key)
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	h := resp.Header
+	return reply{
+		status: resp.StatusCode, ran: h.Get(httpproxy.HeaderRan), reason: h.Get(httpproxy.HeaderReason),
+		body: string(b), replayed: h.Get(httpproxy.HeaderReplayed) != "", err: err,
+	}
+}
+
+// resend repeats a call while its outcome is on its way to the ledger.
+func resend(address, path, key, body string) reply {
+	for range 100 {
+		if r := send(address, path, key, body); r.status != 409 {
+			return r
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return send(address, path, key, body)
+}
--- /dev/null
+++ b/app/ledger/clients.go
@@ -0,0 +1,79 @@
+package ledger
+
+import (
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// ErrUnknownNode is returned for a node whose peer address is not known.
+var ErrUnknownNode = eris.New("ledger: peer address of the node is not known")
+
+// Clients are the connect clients to other nodes, by node id.
+type Clients struct {
+	http    connect.HTTPClient
+	resolve ports.PeerResolver
+
+	mu        sync.Mutex
+	byAddress map[string]rattanfieldv1connect.CallServiceClient
+}
+
+// NewClients returns clients over one HTTP client (see rpc.Client.HTTP).
+func NewClients(http connect.HTTPClient, r ports.PeerResolver) *Clients {
+	return &Clients{http: http, resolve: r, byAddress: make(map[string]rattanfieldv1connect.CallServiceClient)}
+}
+
+func (c *Clients) get(nodeID string) (rattanfieldv1connect.CallServiceClient, error) {
+	address, ok := c.resolve.PeerAddress(nodeID)
+	if !ok {
+		return nil, eris.Wrap(ErrUnknownNode, nodeID)
+	}
+	return c.At(address), nil
+}
+
+// At returns the client of a peer address.
+func (c *Clients) At(address string) rattanfieldv1connect.CallServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client := c.byAddress[address]
+	if client == nil {
+		client = rattanfieldv1connect.NewCallServiceClient(c.http, rpc.URL(address))
+		c.byAddress[address] = client
+	}
+	return client
+}
+
+// EndpointResolver finds peer addresses in the endpoint table. It remembers
+// the last address of a node, because a member of a ledger group may not serve
+// calls at the moment.
+type EndpointResolver struct {
+	endpoints ports.EndpointReader
+	services  func() []string
+
+	mu    sync.Mutex
+	known map[string]string
+}
+
+// NewEndpointResolver returns a resolver over the endpoints of the named services.
+func NewEndpointResolver(e ports.EndpointReader, services func() []string) *EndpointResolver {
+	return &EndpointResolver{endpoints: e, services: services, known: make(map[string]string)}
+}
+
+// PeerAddress of a node.
+func (r *EndpointResolver) PeerAddress(nodeID string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services() {
+		records, _ := r.endpoints.Endpoints(s)
+		for _, e := range records {
+			r.known[e.GetNodeId()] = e.GetPeerAddress()
+		}
+	}
+	address, ok := r.known[nodeID]
+	return address, ok
+}
--- /dev/null
+++ b/app/ledger/keeper.go
@@ -0,0 +1,268 @@
+package ledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	core "github.com/rattanfield/rattanfield/core/ledger"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+	"github.com/rattanfield/rattanfield/ring"
+)
+
+const (
+	// maxTries of a claim whose votes were divided among gates.
+	maxTries = 4
+	// splitBackoff spreads the next tries of these gates.
+	splitBackoff = 20 * time.Millisecond
+
+	noticeCapacity = 4096
+	noticeWorkers  = 4
+	noticeTries    = 4
+	noticeTimeout  = time.Second
+	noticeBackoff  = 50 * time.Millisecond
+	downTime       = time.Second
+)
+
+// Keeper claims keys for the gate of this node.
+type Keeper struct {
+	options Options
+	clients *Clients
+	attempt atomic.Uint64
+	notices *ring.Ring[notice]
+	pending atomic.Int64
+	dropped atomic.Uint64
+
+	mu     sync.Mutex
+	random *rand.Rand
+	down   map[string]time.Time // members that did not take a notice
+}
+
+var _ ports.ClaimKeeper = (*Keeper)(nil)
+
+// notice is the end of a claim on its way to the members.
+type notice struct {
+	claim   *pb.Claim
+	members []string
+}
+
+// NewKeeper returns a keeper; Run must send its notices.
+func NewKeeper(o Options, c *Clients) *Keeper {
+	o = o.withDefaults()
+	seed := uint64(o.Incarnation)
+	return &Keeper{
+		options: o, clients: c, notices: ring.New[notice](noticeCapacity),
+		random: rand.New(rand.NewPCG(seed, seed+1)), down: make(map[string]time.Time),
+	}
+}
+
+// Acquire asks the ledger group for the claim of a key.
+func (k *Keeper) Acquire(ctx context.Context, s *pb.Service, key ports.ClaimKey) ports.ClaimResult {
+	for try := range maxTries {
+		claim := &pb.Claim{
+			Service: key.Service, Tenant: key.Tenant, Key: key.Key, Fingerprint: key.Fingerprint,
+			Owner: k.options.NodeID, OwnerIncarnation: k.options.Incarnation, Attempt: k.attempt.Add(1),
+			State: pb.ClaimState_CLAIM_STATE_CLAIMED,
+		}
+		decision, current := k.collect(ctx, s, claim)
+		if decision == core.Granted {
+			return ports.ClaimResult{Status: ports.ClaimGranted, Claim: claim}
+		}
+		k.Release(s, claim)
+		switch decision {
+		case core.Answered:
+			return ports.ClaimResult{Status: ports.ClaimAnswered, Answer: current.GetAnswer()}
+		case core.Reused:
+			return ports.ClaimResult{Status: ports.ClaimReused}
+		case core.Claimed:
+			return ports.ClaimResult{Status: ports.ClaimPending}
+		case core.Split:
+			if !k.backOff(ctx, try) {
+				return ports.ClaimResult{Status: ports.ClaimUnreachable}
+			}
+		default:
+			return ports.ClaimResult{Status: ports.ClaimUnreachable}
+		}
+	}
+	return ports.ClaimResult{Status: ports.ClaimUnreachable}
+}
+
+func (k *Keeper) backOff(ctx context.Context, try int) bool {
+	k.mu.Lock()
+	d := time.Duration(k.random.Int64N(int64(splitBackoff << try)))
+	k.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+type vote struct {
+	member   string
+	response *pb.ClaimResponse
+}
+
+// collect asks all members at once and returns as soon as the decision is certain.
+func (k *Keeper) collect(ctx context.Context, s *pb.Service, claim *pb.Claim) (core.Decision, *pb.Claim) {
+	started := k.options.Now()
+	groups := core.Groups(s, started)
+	attempt := core.NewAttempt(started, claim, groups)
+	members := core.Union(groups)
+	votes := make(chan vote, len(members))
+	for _, m := range members {
+		go func() { votes <- vote{member: m, response: k.ask(ctx, m, s, claim)} }()
+	}
+	for range members {
+		var v vote
+		select {
+		case v = <-votes:
+		case <-ctx.Done():
+			return core.Unreachable, nil
+		}
+		d := attempt.Vote(k.options.Now(), v.member, v.response.GetOutcome(), v.response.GetCurrent())
+		if d != core.Waiting {
+			return d, attempt.Current()
+		}
+	}
+	return core.Unreachable, nil
+}
+
+// ask returns nil when the member did not answer. It goes on after a decision,
+// so that the third member learns of the claim as well.
+func (k *Keeper) ask(ctx context.Context, member string, s *pb.Service, claim *pb.Claim) *pb.ClaimResponse {
+	client, err := k.clients.get(member)
+	if err != nil {
+		return nil
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), core.ClaimWindow)
+	defer cancel()
+	resp, err := client.Claim(call, connect.NewRequest(&pb.ClaimRequest{Claim: claim, GroupEpoch: s.GetLedgerChangedUnixMs()}))
+	if err != nil {
+		return nil
+	}
+	return resp.Msg
+}
+
+// Complete stores the response of a request that has run.
+func (k *Keeper) Complete(s *pb.Service, c *pb.Claim, a *pb.StoredAnswer) {
+	k.notify(s, ending(c, pb.ClaimState_CLAIM_STATE_ANSWERED, a))
+}
+
+// Release gives up a claim whose request was not run.
+func (k *Keeper) Release(s *pb.Service, c *pb.Claim) {
+	k.notify(s, ending(c, pb.ClaimState_CLAIM_STATE_RELEASED, nil))
+}
+
+func ending(c *pb.Claim, state pb.ClaimState, a *pb.StoredAnswer) *pb.Claim {
+	return &pb.Claim{
+		Service: c.GetService(), Tenant: c.GetTenant(), Key: c.GetKey(), Fingerprint: c.GetFingerprint(),
+		Owner: c.GetOwner(), OwnerIncarnation: c.GetOwnerIncarnation(), Attempt: c.GetAttempt(),
+		State: state, Answer: a,
+	}
+}
+
+// notify drops the notice when too many wait. The claim then stays open, so
+// that resent requests are rejected as unknown, which is true.
+func (k *Keeper) notify(s *pb.Service, c *pb.Claim) {
+	k.pending.Add(1)
+	if !k.notices.TryPush(notice{claim: c, members: core.Union(core.Groups(s, k.options.Now()))}) {
+		k.pending.Add(-1)
+		k.dropped.Add(1)
+	}
+}
+
+// Run sends notices to the members until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	for range noticeWorkers {
+		workers.Go(func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case n := <-k.notices.Items():
+					k.send(ctx, n)
+					k.pending.Add(-1)
+				}
+			}
+		})
+	}
+	workers.Wait()
+}
+
+// Flush waits until all notices were sent, so that a planned stop loses no stored response.
+func (k *Keeper) Flush(ctx context.Context) error {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for k.pending.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Dropped counts notices that were given up.
+func (k *Keeper) Dropped() uint64 { return k.dropped.Load() }
+
+func (k *Keeper) send(ctx context.Context, n notice) {
+	var sending sync.WaitGroup
+	for _, m := range n.members {
+		sending.Go(func() { k.sendTo(ctx, m, n.claim) })
+	}
+	sending.Wait()
+}
+
+func (k *Keeper) sendTo(ctx context.Context, member string, c *pb.Claim) {
+	for try := range noticeTries {
+		if k.isDown(member) {
+			break
+		}
+		if k.deliver(ctx, member, c) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(noticeBackoff << try):
+		}
+	}
+	k.dropped.Add(1)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.now().Before(k.down[member]) {
+		k.down[member] = k.now().Add(downTime)
+	}
+}
+
+func (k *Keeper) now() time.Time { return k.options.Now() }
+
+// isDown reports a member that did not take the last notice. Waiting for it
+// would hold up the notices to the other members.
+func (k *Keeper) isDown(member string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now().Before(k.down[member])
+}
+
+func (k *Keeper) deliver(ctx context.Context, member string, c *pb.Claim) bool {
+	client, err := k.clients.get(member)
+	if err != nil {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	_, err = client.Complete(call, connect.NewRequest(&pb.CompleteRequest{Claim: c}))
+	return err == nil
+}
--- /dev/null
+++ b/core/ledger/model_test.go
@@ -0,0 +1,275 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// model runs gates and members over a network that delays, reorders,
+// duplicates and loses messages, while members and gates restart and the group
+// changes. It checks that no key runs twice within the retention.
+type model struct {
+	t       *rapid.T
+	now     time.Time
+	members map[string]*modelMember
+	old     []string
+	new     []string
+	changed time.Time // zero: not yet
+	gates   [3]*modelGate
+	network []modelMessage
+	runs    map[string]modelRun
+	ran     int
+}
+
+type modelMember struct {
+	*Member
+	incarnation int
+	pulled      map[string]bool
+}
+
+type modelGate struct {
+	incarnation int64
+	attempts    uint64
+	fresh       bool // has the new configuration
+	open        map[uint64]*modelAttempt
+}
+
+type modelAttempt struct {
+	*Attempt
+	claim *pb.Claim
+}
+
+type modelRun struct {
+	attemptStart time.Time
+	claim        *pb.Claim
+}
+
+type modelMessage struct {
+	deliver func()
+	what    string
+}
+
+var modelKeys = []string{"k1", "k2"}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: time.Unix(1_000_000, 0), members: make(map[string]*modelMember), runs: make(map[string]modelRun),
+		old: []string{"m1", "m2", "m3"}, new: []string{"m3", "m4", "m5"},
+	}
+	for _, id := range append(m.old, m.new...) {
+		if m.members[id] == nil {
+			m.members[id] = &modelMember{Member: NewMember(m.now, Retention)}
+			m.members[id].Recovered() // no earlier claim exists
+		}
+	}
+	for i := range m.gates {
+		m.gates[i] = &modelGate{open: make(map[uint64]*modelAttempt)}
+	}
+	return m
+}
+
+func (m *model) service(fresh bool) *pb.Service {
+	if m.changed.IsZero() || !fresh {
+		return &pb.Service{LedgerMembers: m.old}
+	}
+	return &pb.Service{LedgerMembers: m.new, PreviousLedgerMembers: m.old, LedgerChangedUnixMs: m.changed.UnixMilli()}
+}
+
+func (m *model) send(what string, f func()) {
+	m.network = append(m.network, modelMessage{deliver: f, what: what})
+}
+
+// start lets a gate claim a key; it learns of a group change within the margin of GroupWindow.
+func (m *model) start() {
+	i := rapid.IntRange(0, len(m.gates)-1).Draw(m.t, "gate")
+	g := m.gates[i]
+	if !m.changed.IsZero() && (m.now.Sub(m.changed) > 50*time.Second || rapid.Bool().Draw(m.t, "learn")) {
+		g.fresh = true
+	}
+	g.attempts++
+	c := &pb.Claim{
+		Key: rapid.SampledFrom(modelKeys).Draw(m.t, "key"), Owner: fmt.Sprint("g", i), OwnerIncarnation: g.incarnation,
+		Attempt: g.attempts, State: pb.ClaimState_CLAIM_STATE_CLAIMED,
+	}
+	a := &modelAttempt{Attempt: NewAttempt(m.now, c, Groups(m.service(g.fresh), m.now)), claim: c}
+	g.open[g.attempts] = a
+	for _, id := range Union(a.groups) {
+		m.send("claim", func() {
+			outcome, current := m.members[id].Claim(m.now, proto.CloneOf(c))
+			m.send("vote", func() { m.vote(g, a, id, outcome, current) })
+		})
+	}
+}
+
+func (m *model) vote(g *modelGate, a *modelAttempt, member string, o pb.ClaimOutcome, current *pb.Claim) {
+	if g.open[a.claim.GetAttempt()] != a || g.incarnation != a.claim.GetOwnerIncarnation() {
+		return // the gate has decided or restarted
+	}
+	d := a.Vote(m.now, member, o, current)
+	if d == Waiting {
+		return
+	}
+	delete(g.open, a.claim.GetAttempt())
+	if d == Granted {
+		m.run(a)
+		return
+	}
+	m.finish(a, pb.ClaimState_CLAIM_STATE_RELEASED)
+}
+
+func (m *model) run(a *modelAttempt) {
+	key := a.claim.GetKey()
+	if before, ok := m.runs[key]; ok && m.now.Before(before.attemptStart.Add(Retention)) {
+		m.t.Fatalf("%s ran for %v at %v, then for %v at %v", key, before.claim, before.attemptStart, a.claim, m.now)
+	}
+	switch rapid.SampledFrom([]string{"answered", "lost", "not run"}).Draw(m.t, "end") {
+	case "answered":
+		m.runs[key] = modelRun{a.started, a.claim}
+		m.finish(a, pb.ClaimState_CLAIM_STATE_ANSWERED)
+	case "lost":
+		m.runs[key] = modelRun{a.started, a.claim}
+	case "not run":
+		m.finish(a, pb.ClaimState_CLAIM_STATE_RELEASED)
+	}
+	m.ran++
+}
+
+func (m *model) finish(a *modelAttempt, state pb.ClaimState) {
+	c := proto.CloneOf(a.claim)
+	c.State = state
+	for _, id := range Union(a.groups) {
+		m.send("end", func() { m.members[id].Complete(m.now, proto.CloneOf(c)) })
+	}
+}
+
+func (m *model) pick() (modelMessage, bool) {
+	if len(m.network) == 0 {
+		return modelMessage{}, false
+	}
+	i := rapid.IntRange(0, len(m.network)-1).Draw(m.t, "message")
+	msg := m.network[i]
+	m.network = append(m.network[:i], m.network[i+1:]...)
+	return msg, true
+}
+
+func (m *model) restart() {
+	id := rapid.SampledFrom([]string{"m1", "m2", "m3", "m4", "m5"}).Draw(m.t, "member")
+	if rapid.Bool().Draw(m.t, "spare") {
+		return
+	}
+	m.members[id] = &modelMember{Member: NewMember(m.now, Retention), incarnation: m.members[id].incarnation + 1}
+}
+
+// recover pulls from one other member, as app/ledger does.
+func (m *model) recover() {
+	id := rapid.SampledFrom([]string{"m1", "m2", "m3", "m4", "m5"}).Draw(m.t, "member")
+	r := m.members[id]
+	if r.Ready(m.now) || !r.MayRecover(m.now) {
+		return
+	}
+	others := m.others(id)
+	from := rapid.SampledFrom(others).Draw(m.t, "from")
+	if !m.members[from].Ready(m.now) {
+		return
+	}
+	claims, _ := m.members[from].Page(m.now, "")
+	m.send("page", func() {
+		if m.members[id] != r {
+			return
+		}
+		r.Merge(m.now, claims)
+		if r.pulled == nil {
+			r.pulled = make(map[string]bool)
+		}
+		r.pulled[from] = true
+		for _, o := range m.others(id) {
+			if !r.pulled[o] {
+				return
+			}
+		}
+		r.Recovered()
+	})
+}
+
+func (m *model) others(id string) []string {
+	var out []string
+	for _, g := range Groups(m.service(true), m.now) {
+		for _, o := range g {
+			if o != id {
+				out = append(out, o)
+			}
+		}
+	}
+	if m.changed.IsZero() && (id == "m4" || id == "m5") {
+		return []string{"m4", "m5"} // not in a group yet; never asked
+	}
+	return out
+}
+
+// A key must not run twice, whatever is lost, late, doubled or restarted.
+// Fails without: the recovery delay, the claim window, the recovery itself, the
+// majority of the old group, the refusal after merges that disagree.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	ran := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		step := func(d time.Duration) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if rapid.IntRange(0, 2).Draw(t, "pass") == 0 {
+					m.now = m.now.Add(d)
+				}
+			}
+		}
+		deliver := func(*rapid.T) {
+			if msg, ok := m.pick(); ok {
+				msg.deliver()
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start":   func(*rapid.T) { m.start() },
+			"deliver": deliver,
+			"deliver some": func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "some") {
+					deliver(t)
+				}
+			},
+			"double": func(*rapid.T) {
+				if msg, ok := m.pick(); ok {
+					m.network = append(m.network, msg)
+					msg.deliver()
+				}
+			},
+			"lose":    func(*rapid.T) { m.pick() },
+			"restart": func(*rapid.T) { m.restart() },
+			"recover": func(*rapid.T) { m.recover() }, "recover again": func(*rapid.T) { m.recover() },
+			"gate restart": func(*rapid.T) {
+				g := m.gates[rapid.IntRange(0, len(m.gates)-1).Draw(m.t, "gate")]
+				g.incarnation++
+				g.attempts = 0
+				g.open = make(map[uint64]*modelAttempt)
+			},
+			"change group": func(*rapid.T) {
+				if m.changed.IsZero() && rapid.IntRange(0, 3).Draw(m.t, "change") == 0 {
+					m.changed = m.now
+				}
+			},
+			"0.4 s": step(400 * time.Millisecond), "2 s": step(2 * time.Second),
+			"5 min": func(*rapid.T) {
+				if rapid.IntRange(0, 9).Draw(m.t, "long") == 0 {
+					m.now = m.now.Add(5 * time.Minute)
+				}
+			},
+		})
+		ran += m.ran
+	})
+	if ran == 0 {
+		t.Fatal("no key ran: the model tests nothing")
+	}
+	t.Log("runs:", ran)
+}
