--- /dev/null
+++ b/core/query/error.go
@@ -0,0 +1,123 @@
+package query
+
+import (
+	"slices"
+	"strings"
+	"unicode/utf8"
+)
+
+// Error of a statement. Nothing is changed by a statement with an error.
+type Error struct {
+	Statement string
+	Offset    int // byte offset of the offending word
+	Word      string
+	Message   string
+	Form      string // a valid form of the statement
+}
+
+// Error renders the statement, a caret under the word, the message and a valid form.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.Message)
+	b.WriteString("\n  ")
+	b.WriteString(e.Statement)
+	b.WriteString("\n  ")
+	b.WriteString(strings.Repeat(" ", utf8.RuneCountInString(e.Statement[:min(e.Offset, len(e.Statement))])))
+	b.WriteString(strings.Repeat("^", max(1, utf8.RuneCountInString(e.Word))))
+	if e.Form != "" {
+		b.WriteString("\nvalid form: ")
+		b.WriteString(e.Form)
+	}
+	b.WriteString("\nnothing was changed")
+	return b.String()
+}
+
+// Forms of the statements by first word.
+var forms = map[string]string{
+	"show":    "show config|services|routes|nodes|revision|members|moves|history [where applied < 41 [and ...]]",
+	"watch":   "watch moves [where ...]  or  watch move MOVE-ID",
+	"apply":   "apply changes.json expect 41",
+	"start":   "start move bookings from v1 to v2 by 10m  (or by 17:30)",
+	"hold":    "hold move MOVE-ID",
+	"resume":  "resume move MOVE-ID",
+	"stop":    "stop move MOVE-ID",
+	"command": "command COMMAND-ID",
+}
+
+// Forms lists a valid form of every statement.
+func Forms() []string {
+	out := make([]string, 0, len(forms))
+	for _, f := range forms {
+		out = append(out, f)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func newError(text string, offset int, message string) *Error {
+	e := &Error{Statement: text, Offset: offset, Word: wordAt(text, offset), Message: message}
+	first, _, _ := strings.Cut(text, " ")
+	if form, ok := forms[first]; ok {
+		e.Form = form
+	} else if near := nearest(first, keys()); near != "" {
+		e.Form = forms[near]
+	} else {
+		e.Form = strings.Join(Forms(), "\n            ")
+	}
+	return e
+}
+
+func keys() []string {
+	out := make([]string, 0, len(forms))
+	for k := range forms {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func wordAt(text string, offset int) string {
+	if offset >= len(text) {
+		return ""
+	}
+	rest := text[offset:]
+	if i := strings.IndexAny(rest, " \t"); i >= 0 {
+		return rest[:i]
+	}
+	return rest
+}
+
+// maxTypos is the edit distance up to which a known word is proposed.
+const maxTypos = 2
+
+// nearest returns the known word within maxTypos edits, or "".
+func nearest(word string, known []string) string {
+	best, bestDistance := "", maxTypos+1
+	slices.Sort(known)
+	for _, k := range known {
+		if d := distance(word, k); d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	return best
+}
+
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j]+1, row[j+1]+1, diagonal+cost)
+			diagonal, row[j+1] = row[j+1], next
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/core/query/grammar.go
@@ -0,0 +1,71 @@
+package query
+
+import (
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// The grammar accepts any word where a name of a subject, a field or a time
+// stands; check.go verifies these, so that its errors can list what is allowed.
+type grammar struct {
+	Show    *showGrammar   `parser:"'show' @@"`
+	Watch   *watchGrammar  `parser:"| 'watch' @@"`
+	Apply   *applyGrammar  `parser:"| 'apply' @@"`
+	Start   *startGrammar  `parser:"| 'start' 'move' @@"`
+	Change  *changeGrammar `parser:"| @@"`
+	Command *word          `parser:"| 'command' @@"`
+}
+
+type word struct {
+	Pos  lexer.Position
+	Text string `parser:"@(Word|String)"`
+}
+
+type showGrammar struct {
+	Subject    word               `parser:"@@"`
+	Conditions []conditionGrammar `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+}
+
+type watchGrammar struct {
+	MoveID     *word              `parser:"'move' @@"`
+	Subject    *word              `parser:"| @@"`
+	Conditions []conditionGrammar `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+}
+
+type conditionGrammar struct {
+	Field    word   `parser:"@@"`
+	Operator string `parser:"@Compare"`
+	Value    word   `parser:"@@"`
+}
+
+type applyGrammar struct {
+	File     word `parser:"@@"`
+	Expected word `parser:"'expect' @@"`
+}
+
+type startGrammar struct {
+	Service word `parser:"@@"`
+	Old     word `parser:"'from' @@"`
+	New     word `parser:"'to' @@"`
+	By      word `parser:"'by' @@"`
+}
+
+type changeGrammar struct {
+	Action string `parser:"@('hold'|'resume'|'stop')"`
+	MoveID word   `parser:"'move' @@"`
+}
+
+var statementLexer = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "String", Pattern: `"[^"]*"`},
+	{Name: "Compare", Pattern: `<=|>=|!=|=|<|>`},
+	{Name: "Word", Pattern: `[^\s<>=!"]+`},
+	{Name: "Space", Pattern: `\s+`},
+	{Name: "Other", Pattern: `.`},
+})
+
+var parser = participle.MustBuild[grammar](
+	participle.Lexer(statementLexer),
+	participle.Elide("Space"),
+	participle.Unquote("String"),
+	participle.UseLookahead(2),
+)
