rollout: decide moves by a sequential test and a plan from the deadline

Change: Merger and Ledger count each call once, a Judge tests errors, rejections and latency quantiles per route and failure domain with restarted likelihood ratios against the concurrent old version, and plans shares backwards from the deadline; Breaker and Pick act locally; simulate drives all of it from a seed. Measured: go test -race ./core/rollout/... passes (TestPlainMoves, TestSameSeedSameResult).

--- /dev/null
+++ b/core/rollout/breaker.go
@@ -0,0 +1,51 @@
+package rollout
+
+import (
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Breaker is the local circuit breaker of a node or failure domain for one move.
+// It only ever makes the share of the new version smaller than the accepted one.
+type Breaker struct {
+	judge  *Judge
+	domain string
+	move   pb.Move
+	limit  uint32
+}
+
+// breakerLooks is the duration, in looks, over which the probability of a false
+// alarm is bounded; a node does not know the deadline of a move.
+const breakerLooks = time.Hour
+
+// NewBreaker returns a closed breaker.
+func NewBreaker(domain string) *Breaker {
+	return &Breaker{
+		judge: NewJudge(pb.RiskPreference_RISK_PREFERENCE_PUNCTUAL), domain: domain, limit: fullShare,
+		move: pb.Move{DeadlineUnixMs: breakerLooks.Milliseconds()},
+	}
+}
+
+// Observe adds cumulative counts while the accepted share is permille.
+func (b *Breaker) Observe(cells []CellCounts, permille uint32, now time.Time) {
+	if b.Open() {
+		return
+	}
+	b.move.Domains = []*pb.DomainShare{{FailureDomain: b.domain, NewPermille: min(permille, b.limit)}}
+	b.judge.observe(&b.move, &Evidence{Cells: cells}, now)
+	switch v := b.judge.verdict(); {
+	case v.judgement == bad:
+		b.limit = 0
+	case v.judgement == unconfirmed && !b.judge.demand.high():
+		b.limit = min(b.limit, verifyShare)
+	case v.judgement == fine:
+		b.limit = fullShare
+	}
+}
+
+// Limit is the largest share of the new version, in permille.
+func (b *Breaker) Limit() uint32 { return b.limit }
+
+// Open reports that the new version gets no calls until the move ends.
+func (b *Breaker) Open() bool { return b.limit == 0 }
--- /dev/null
+++ b/core/rollout/decide.go
@@ -0,0 +1,246 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Decision about a move. Without Changed nothing is to be proposed and Reason
+// says what the move waits for.
+type Decision struct {
+	Changed  bool
+	Phase    pb.MovePhase
+	Domains  []*pb.DomainShare
+	Reason   string
+	Evidence []*pb.Evidence
+}
+
+// StepMove is the command of a changed decision.
+func (d Decision) StepMove(m *pb.Move) *pb.StepMove {
+	return &pb.StepMove{
+		MoveId: m.GetMoveId(), Step: m.GetStep() + 1, Phase: d.Phase,
+		Domains: d.Domains, Reason: d.Reason, Evidence: d.Evidence,
+	}
+}
+
+// Ended reports a phase that no decision leaves.
+func Ended(p pb.MovePhase) bool {
+	return p == pb.MovePhase_MOVE_PHASE_DONE || p == pb.MovePhase_MOVE_PHASE_ROLLED_BACK || p == pb.MovePhase_MOVE_PHASE_STOPPED
+}
+
+// freshAge is how old the last report of a failure domain may be for a larger share there.
+const freshAge = 5 * time.Second
+
+// Decide adds the evidence and returns what to do now. It is to be called about
+// once a second.
+func (j *Judge) Decide(m *pb.Move, e *Evidence, now time.Time) Decision {
+	j.observe(m, e, now)
+	if Ended(m.GetPhase()) {
+		return Decision{Phase: m.GetPhase(), Reason: m.GetReason()}
+	}
+	_, highest := sharesOf(m)
+	for _, name := range slices.Sorted(maps.Keys(e.Domains)) {
+		if e.Domains[name].Braked {
+			return j.rollBack(m, e, "the circuit breaker of failure domain "+name+" opened")
+		}
+	}
+	v := j.verdict()
+	switch {
+	case v.judgement == bad:
+		return j.rollBack(m, e, j.describe(v))
+	case v.judgement == unconfirmed && highest > verifyShare && !j.demand.high():
+		if verifications(m) > 0 {
+			// The fault went away at a small share and is back at a large one.
+			return j.rollBack(m, e, "again at a large share, "+j.describe(v))
+		}
+		return j.stepBack(m, e, "to compare both versions: "+j.describe(v))
+	}
+	if m.GetPhase() == pb.MovePhase_MOVE_PHASE_HELD {
+		return keep(m, "held by an operator")
+	}
+	return j.advance(m, e, v, now)
+}
+
+func keep(m *pb.Move, reason string) Decision { return Decision{Phase: m.GetPhase(), Reason: reason} }
+
+// verifications counts the steps back of a move; the first row of evidence
+// carries it through a change of leader.
+func verifications(m *pb.Move) float64 {
+	if len(m.GetEvidence()) == 0 {
+		return 0
+	}
+	return m.GetEvidence()[0].GetScore()
+}
+
+// total is the first row of evidence: the calls at the start of the step and the
+// number of verifications as score.
+func total(e *Evidence, verified float64) *pb.Evidence {
+	t := &pb.Evidence{Score: verified}
+	for i := range e.Cells {
+		c := &e.Cells[i]
+		t.OldCalls += c.Old.Calls
+		t.OldErrors += c.Old.Errors
+		t.NewCalls += c.New.Calls
+		t.NewErrors += c.New.Errors
+	}
+	return t
+}
+
+func (j *Judge) changed(e *Evidence, phase pb.MovePhase, domains []*pb.DomainShare, verified float64, reason string) Decision {
+	return Decision{
+		Changed: true, Phase: phase, Domains: domains, Reason: reason,
+		Evidence: append([]*pb.Evidence{total(e, verified)}, j.evidenceRows()...),
+	}
+}
+
+func (j *Judge) rollBack(m *pb.Move, e *Evidence, reason string) Decision {
+	domains := shareIn(domainsOf(m, e), func(string) uint32 { return 0 })
+	return j.changed(e, pb.MovePhase_MOVE_PHASE_ROLLED_BACK, domains, verifications(m), reason)
+}
+
+func (j *Judge) stepBack(m *pb.Move, e *Evidence, reason string) Decision {
+	shares, _ := sharesOf(m)
+	domains := shareIn(domainsOf(m, e), func(d string) uint32 { return min(shares[d], verifyShare) })
+	phase := m.GetPhase()
+	if phase == pb.MovePhase_MOVE_PHASE_WATCHING {
+		phase = pb.MovePhase_MOVE_PHASE_RUNNING
+	}
+	return j.changed(e, phase, domains, verifications(m)+1, reason)
+}
+
+func domainsOf(m *pb.Move, e *Evidence) []string {
+	names := make(map[string]bool)
+	for _, d := range m.GetDomains() {
+		names[d.GetFailureDomain()] = true
+	}
+	for d := range e.Domains {
+		names[d] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+func shareIn(domains []string, share func(domain string) uint32) []*pb.DomainShare {
+	out := make([]*pb.DomainShare, len(domains))
+	for i, d := range domains {
+		out[i] = &pb.DomainShare{FailureDomain: d, NewPermille: share(d)}
+	}
+	return out
+}
+
+// advance plans the next larger share.
+func (j *Judge) advance(m *pb.Move, e *Evidence, v verdict, now time.Time) Decision {
+	shares, highest := sharesOf(m)
+	domains := domainsOf(m, e)
+	fresh := func(d string) bool { return now.Sub(e.Domains[d].Heard) <= freshAge }
+	var silent []string
+	behind := false
+	for _, d := range domains {
+		if !fresh(d) {
+			silent = append(silent, d)
+		} else if shares[d] < highest {
+			behind = true
+		}
+	}
+	if len(domains) == 0 || len(silent) == len(domains) {
+		return keep(m, "waiting for reports of calls")
+	}
+	if v.judgement != fine {
+		return keep(m, "waiting: "+j.describe(v))
+	}
+	if j.demand.high() {
+		return keep(m, "waiting: the service gets far more calls than usual")
+	}
+	began := time.UnixMilli(max(m.GetChangedUnixMs(), m.GetStartedUnixMs()))
+	at := j.profile.rungOf(highest)
+	next, wait := j.next(m, e, at, began, now)
+	if wait != "" && behind && now.Sub(began) >= j.profile.minDwell {
+		next, wait = highest, ""
+	}
+	if wait != "" {
+		return keep(m, wait)
+	}
+	limit := uint32(fullShare)
+	if m.GetMaxPermille() > 0 {
+		limit = min(limit, m.GetMaxPermille())
+	}
+	goal := min(next, limit)
+	out := shareIn(domains, func(d string) uint32 {
+		if !fresh(d) || e.Domains[d].Braked {
+			return shares[d]
+		}
+		return max(shares[d], min(goal, j.rungAbove(shares[d], goal)))
+	})
+	return j.conclude(m, e, out, silent, at)
+}
+
+// next returns the share after the current rung, or what the move waits for.
+func (j *Judge) next(m *pb.Move, e *Evidence, at int, began, now time.Time) (uint32, string) {
+	p := j.profile
+	total := time.UnixMilli(m.GetDeadlineUnixMs()).Sub(time.UnixMilli(m.GetStartedUnixMs()))
+	if at < 0 {
+		if !j.demand.known() {
+			return 0, "waiting for the rate of calls"
+		}
+		return p.canary(j.demand.recent, total), ""
+	}
+	dwell, spent := p.dwell(at, m, began), now.Sub(began)
+	if spent < dwell {
+		return 0, fmt.Sprintf("observing for %s more", (dwell - spent).Round(time.Second))
+	}
+	if seen := j.newSinceStep(m, e); seen < p.rungs[at].calls && spent.Seconds() < p.patience*dwell.Seconds() {
+		return 0, fmt.Sprintf("observing: %.0f of %.0f calls of the new version", seen, p.rungs[at].calls)
+	}
+	return p.rungs[min(at+1, len(p.rungs)-1)].permille, ""
+}
+
+func (j *Judge) newSinceStep(m *pb.Move, e *Evidence) float64 {
+	now, then := e.TotalNew(), uint64(0)
+	if rows := m.GetEvidence(); len(rows) > 0 {
+		then = rows[0].GetNewCalls()
+	}
+	if now < then {
+		return float64(now) // a relay restarted together with the leader
+	}
+	return float64(now - then)
+}
+
+// rungAbove lets a failure domain that was silent climb one rung at a time.
+func (j *Judge) rungAbove(share, goal uint32) uint32 {
+	at := j.profile.rungOf(share)
+	if at < 0 {
+		return min(goal, j.profile.rungs[0].permille)
+	}
+	return j.profile.rungs[min(at+1, len(j.profile.rungs)-1)].permille
+}
+
+// conclude turns planned shares into a decision.
+func (j *Judge) conclude(m *pb.Move, e *Evidence, out []*pb.DomainShare, silent []string, at int) Decision {
+	shares, _ := sharesOf(m)
+	complete, larger, highest := true, false, uint32(0)
+	for _, d := range out {
+		complete = complete && d.GetNewPermille() == fullShare
+		larger = larger || d.GetNewPermille() > shares[d.GetFailureDomain()]
+		highest = max(highest, d.GetNewPermille())
+	}
+	v := verifications(m)
+	switch {
+	case complete && !larger && len(silent) == 0:
+		return j.changed(e, pb.MovePhase_MOVE_PHASE_DONE, out, v,
+			fmt.Sprintf("all traffic is on %s and it is no worse than %s", m.GetNewVersion(), m.GetOldVersion()))
+	case !larger && len(silent) > 0:
+		return keep(m, "waiting for reports of failure domain "+strings.Join(silent, ", "))
+	case !larger:
+		return keep(m, "at the largest share that the operator allows")
+	case complete:
+		return j.changed(e, pb.MovePhase_MOVE_PHASE_WATCHING, out, v, "all traffic on the new version, the old one is still running")
+	case at < 0:
+		return j.changed(e, pb.MovePhase_MOVE_PHASE_RUNNING, out, v, fmt.Sprintf("first calls: %.1f%%", float64(highest)/10))
+	default:
+		return j.changed(e, pb.MovePhase_MOVE_PHASE_RUNNING, out, v, fmt.Sprintf("no difference found at the last share; now %.1f%%", float64(highest)/10))
+	}
+}
--- /dev/null
+++ b/core/rollout/judge.go
@@ -0,0 +1,217 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Judge follows one move. It holds the scores of the test; they are rebuilt from
+// reports after a change of leader, while everything that shares depend on is in
+// the replicated pb.Move.
+type Judge struct {
+	profile *profile
+	cells   map[Cell]*cellState
+	order   []*cellState
+	routes  map[string]*routeBase
+	streams []*stream
+	index   map[Cell]int // stream by route and domain
+
+	threshold float64
+	intervals int
+	last      time.Time
+	demand    demand
+	step      uint64
+	stepKnown bool
+	// pooledShare is the share of the failure domains that are pooled.
+	pooledShare uint32
+}
+
+// NewJudge returns a Judge for a move with this preference.
+func NewJudge(preference pb.RiskPreference) *Judge {
+	j := &Judge{
+		profile: profileOf(preference),
+		cells:   make(map[Cell]*cellState),
+		routes:  make(map[string]*routeBase),
+		index:   make(map[Cell]int),
+	}
+	j.stream(Cell{})
+	return j
+}
+
+func (j *Judge) stream(key Cell) int {
+	if i, ok := j.index[key]; ok {
+		return i
+	}
+	j.index[key] = len(j.streams)
+	j.streams = append(j.streams, &stream{route: key.Route, domain: key.Domain})
+	return len(j.streams) - 1
+}
+
+func (j *Judge) cell(key Cell) *cellState {
+	if c := j.cells[key]; c != nil {
+		return c
+	}
+	r := j.routes[key.Route]
+	if r == nil {
+		r = &routeBase{}
+		j.routes[key.Route] = r
+	}
+	c := &cellState{
+		Cell: key, route: r,
+		stream: [3]int{0, j.stream(Cell{Route: key.Route}), j.stream(Cell{Domain: key.Domain})},
+	}
+	for i := range c.thresholds {
+		c.thresholds[i] = -1
+	}
+	j.cells[key] = c
+	j.order = append(j.order, c)
+	return c
+}
+
+// observe adds the evidence since the last call to the scores.
+func (j *Judge) observe(m *pb.Move, e *Evidence, now time.Time) {
+	j.beginStep(m, e)
+	first := j.last.IsZero()
+	elapsed := now.Sub(j.last).Seconds()
+	j.last = now
+	shares, pooled := sharesOf(m)
+	if pooled != j.pooledShare {
+		for _, s := range j.streams {
+			s.flush()
+		}
+		j.pooledShare = pooled
+	}
+	sums := make([][metricCount]tally, len(j.streams), len(j.streams)+len(e.Cells))
+	var offered float64
+	for i := range e.Cells {
+		c := j.cell(e.Cells[i].Cell)
+		for len(sums) < len(j.streams) {
+			sums = append(sums, [metricCount]tally{})
+		}
+		delta := Pair{Old: e.Cells[i].Old.minus(&c.seen.Old), New: e.Cells[i].New.minus(&c.seen.New)}
+		c.seen = e.Cells[i].Pair
+		c.base.add(&delta.Old)
+		offered += float64(delta.Old.Calls + delta.Old.Overloads + delta.New.Calls + delta.New.Overloads)
+		if first {
+			// The past before this Judge: a base for the old version, no evidence.
+			continue
+		}
+		var t [metricCount]tally
+		c.tallies(&delta, &t)
+		for k, s := range c.stream {
+			if k != 2 && shares[c.Domain] != pooled {
+				continue // another share: pooling would compare different failure domains
+			}
+			for m := range metricCount {
+				sums[s][m].add(t[m])
+			}
+		}
+	}
+	if !first {
+		j.demand.add(offered, elapsed)
+	}
+	lim := j.limits(m)
+	for i, s := range j.streams {
+		s.collect(&sums[i], &lim)
+	}
+	if j.intervals%rebaseEvery == 0 {
+		j.rebase()
+	}
+	j.intervals++
+}
+
+func (j *Judge) rebase() {
+	for _, r := range j.routes {
+		r.sum = histogramBase{}
+	}
+	for _, c := range j.order {
+		c.route.sum.merge(&c.base)
+	}
+	for _, c := range j.order {
+		c.rebase()
+	}
+}
+
+// beginStep remembers the counts at the start of a step.
+func (j *Judge) beginStep(m *pb.Move, e *Evidence) {
+	if j.stepKnown && m.GetStep() == j.step {
+		return
+	}
+	j.step, j.stepKnown = m.GetStep(), true
+	for i := range e.Cells {
+		j.cell(e.Cells[i].Cell).atStep = e.Cells[i].Pair
+	}
+}
+
+// limits of the current interval. Latency and rejections say nothing about a
+// version whose upstreams get more calls than the old ones ever had.
+func (j *Judge) limits(m *pb.Move) limits {
+	seconds := float64(m.GetDeadlineUnixMs()-m.GetStartedUnixMs()) / 1000
+	comparisons := float64(len(j.streams)) * float64(metricCount) * float64(ratioCount)
+	// Each score starts again at every interval at most: one chance of a false alarm each.
+	j.threshold = math.Log(comparisons * max(seconds, minLooks) / j.profile.alpha)
+	l := limits{perInterval: j.threshold / intervalsToAlarm, ceiling: j.threshold * ceilingFactor}
+	if !j.demand.high() {
+		return l
+	}
+	for metric := metricRejections; metric < metricCount; metric++ {
+		l.muteReference[metric] = true
+		l.muteConcurrent[metric] = j.pooledShare > evenShare
+	}
+	return l
+}
+
+const (
+	minLooks = 60
+	// intervalsToAlarm intervals are needed at least: a crashed host loses calls in
+	// one or two of them.
+	intervalsToAlarm = 5
+	ceilingFactor    = 1.3
+	evenShare        = 600
+)
+
+// sharesOf returns the share per failure domain and the highest one.
+func sharesOf(m *pb.Move) (shares map[string]uint32, highest uint32) {
+	shares = make(map[string]uint32, len(m.GetDomains()))
+	for _, d := range m.GetDomains() {
+		shares[d.GetFailureDomain()] = d.GetNewPermille()
+		highest = max(highest, d.GetNewPermille())
+	}
+	return shares, highest
+}
+
+// demand follows the offered calls per second.
+type demand struct {
+	recent, usual float64
+	seconds       float64
+}
+
+const (
+	recentSeconds = 4.0
+	usualSeconds  = 120.0
+	highDemand    = 1.4 // times the usual demand
+	warmupSeconds = 5.0
+)
+
+func (d *demand) add(calls, elapsed float64) {
+	if elapsed <= 0 {
+		return
+	}
+	rate := calls / elapsed
+	d.seconds += elapsed
+	if d.seconds <= warmupSeconds {
+		share := elapsed / d.seconds
+		d.recent += share * (rate - d.recent)
+		d.usual = d.recent
+		return
+	}
+	d.recent += min(1, elapsed/recentSeconds) * (rate - d.recent)
+	d.usual += min(1, elapsed/usualSeconds) * (rate - d.usual)
+}
+
+func (d *demand) high() bool { return d.seconds > warmupSeconds && d.recent > highDemand*d.usual }
+
+// known reports that the rate of calls can be planned with.
+func (d *demand) known() bool { return d.seconds >= warmupSeconds/2 }
--- /dev/null
+++ b/core/rollout/ledger.go
@@ -0,0 +1,101 @@
+package rollout
+
+import (
+	"cmp"
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Ledger holds the cumulative counts of one move at the leader, from the merged
+// reports of the relays. The highest (incarnation, sequence) of a relay wins;
+// the counts of an earlier incarnation stay, since the next one starts from zero.
+type Ledger struct {
+	senders map[sender]*senderState
+	domains map[string]*DomainStatus
+}
+
+type sender struct{ relay, domain string }
+
+type senderState struct {
+	incarnation int64
+	sequence    uint64
+	ended       routeCounts // of earlier incarnations
+	current     routeCounts
+}
+
+// DomainStatus is what the leader knows of a failure domain besides counts.
+type DomainStatus struct {
+	Heard  time.Time
+	Braked bool
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger {
+	return &Ledger{senders: make(map[sender]*senderState), domains: make(map[string]*DomainStatus)}
+}
+
+// Take keeps one merged report; it reports false for a duplicate or late one.
+func (l *Ledger) Take(r *pb.OutcomeReport, now time.Time) bool {
+	key := sender{r.GetNodeId(), r.GetFailureDomain()}
+	s := l.senders[key]
+	if s == nil {
+		s = &senderState{ended: make(routeCounts)}
+		l.senders[key] = s
+	} else {
+		if cmp.Or(cmp.Compare(r.GetIncarnation(), s.incarnation), cmp.Compare(r.GetSequence(), s.sequence)) <= 0 {
+			return false
+		}
+		if r.GetIncarnation() != s.incarnation {
+			s.ended.add(s.current)
+		}
+	}
+	s.incarnation, s.sequence, s.current = r.GetIncarnation(), r.GetSequence(), routesOf(r)
+	d := l.domains[r.GetFailureDomain()]
+	if d == nil {
+		d = &DomainStatus{}
+		l.domains[r.GetFailureDomain()] = d
+	}
+	d.Heard = now
+	d.Braked = d.Braked || r.GetBraked()
+	return true
+}
+
+// Evidence returns the counts so far.
+func (l *Ledger) Evidence() *Evidence {
+	sums := make(map[string]routeCounts)
+	for key, s := range l.senders {
+		if sums[key.domain] == nil {
+			sums[key.domain] = make(routeCounts)
+		}
+		sums[key.domain].add(s.ended)
+		sums[key.domain].add(s.current)
+	}
+	e := &Evidence{Domains: make(map[string]DomainStatus, len(l.domains))}
+	for domain, routes := range sums {
+		for route, p := range routes {
+			e.Cells = append(e.Cells, CellCounts{Cell: Cell{route, domain}, Pair: *p})
+		}
+	}
+	SortCells(e.Cells)
+	for name, d := range l.domains {
+		e.Domains[name] = *d
+	}
+	return e
+}
+
+// Evidence is the input of a decision: cumulative counts and the state of the
+// failure domains.
+type Evidence struct {
+	Cells   []CellCounts // sorted by route, then failure domain
+	Domains map[string]DomainStatus
+}
+
+// TotalNew is the number of calls of the new version.
+func (e *Evidence) TotalNew() uint64 {
+	n := uint64(0)
+	for i := range e.Cells {
+		n += e.Cells[i].New.Calls
+	}
+	return n
+}
--- /dev/null
+++ b/core/rollout/simulate/model.go
@@ -0,0 +1,121 @@
+package simulate
+
+import (
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Route of a service in the model.
+type Route struct {
+	Name   string
+	Weight float64       // share of the service's calls
+	Median time.Duration // of the latency, which is log-normal
+}
+
+// Service is what a trial simulates.
+type Service struct {
+	Name       string
+	Deployment string
+	Domains    []string
+	Routes     []Route
+	Upstreams  int     // per version: old and new ones run side by side during a move
+	Rate       float64 // calls per second on an ordinary day
+	Preference pb.RiskPreference
+}
+
+const (
+	// sigma of the logarithm of the latency: p99 is about 2.8 times the median.
+	sigma = 0.45
+	// tailShare of the calls take tailFactor times longer (garbage collection, retransmission).
+	tailShare  = 0.01
+	tailFactor = 4
+	// baseErrors is the error rate of a good version.
+	baseErrors = 0.001
+	slots      = 9
+)
+
+// CallsPerUpstream is the assumed rate of an upstream on an ordinary day. With a
+// mean of about 50 ms it keeps 2 of 9 slots busy.
+const CallsPerUpstream = 40
+
+func routes(names ...string) []Route {
+	// The last route has 1% of the calls, for faults on a rare route.
+	weights := []float64{0.55, 0.30, 0.14, 0.01}
+	medians := []time.Duration{30, 45, 70, 60}
+	out := make([]Route, len(names))
+	for i, n := range names {
+		out[i] = Route{Name: n, Weight: weights[i], Median: medians[i] * time.Millisecond}
+	}
+	return out
+}
+
+// Services of both deployments, in their sizes.
+func Services() []Service {
+	braithwaite := []string{"kingston-a", "kingston-b", "montego-bay-a", "montego-bay-b"}
+	benTau := []string{"haiphong-a", "haiphong-b", "vung-tau-a", "vung-tau-b"}
+	cautious, punctual := pb.RiskPreference_RISK_PREFERENCE_CAUTIOUS, pb.RiskPreference_RISK_PREFERENCE_PUNCTUAL
+	return []Service{
+		{"bookings", "braithwaite", braithwaite, routes("times", "places", "fares", "refunds"), 8, 8 * CallsPerUpstream, cautious},
+		{"tills", "braithwaite", braithwaite, routes("receipts", "payments", "closings", "voids"), 4, 4 * CallsPerUpstream, cautious},
+		{"plank-desk", "ben-tau", benTau, routes("planks", "pledges", "deposits", "engravings"), 7, 7 * CallsPerUpstream, punctual},
+		{"pledge-ledger", "ben-tau", benTau, routes("balances", "entries", "statements", "corrections"), 4, 4 * CallsPerUpstream, punctual},
+	}
+}
+
+// Trigger tells when a fault of a version begins.
+type Trigger int
+
+// Triggers of faults.
+const (
+	AtOnce Trigger = iota
+	AfterShare
+	UnderLoad // while the version gets more than half of the calls
+	Gradual   // grows from nothing over GrowthTime
+)
+
+// GrowthTime is how long a gradual fault takes to reach its full effect.
+const GrowthTime = 4 * time.Minute
+
+// Fault of a new version.
+type Fault struct {
+	Name      string
+	ErrorRate float64 // of failing calls
+	Slow      float64 // factor of the latency; 0 means 1
+	Trigger   Trigger
+	Share     uint32 // permille, for AfterShare
+	RareRoute bool   // only on the last route
+	OneDomain bool   // only in the last failure domain
+}
+
+// Process is a fault that is not the version's.
+type Process int
+
+// Process faults.
+const (
+	NoFault       Process = iota
+	ColdStart             // a quarter of the new upstreams restart
+	CrashedHost           // one host hangs for 2 s, then refuses connections
+	LeaderChange          // scores are lost, no decision for 3 s, twice
+	Partition             // one region is silent for 90 s
+	Overload              // five times the calls for 60 s
+	SourceOutage          // no new configuration from outside; moves do not need it
+	PoisonRequest         // crashes two upstreams
+	LateReports           // reports arrive up to 5 s late and in bursts
+	ProcessCount
+)
+
+var processNames = [...]string{
+	"none", "cold start", "crashed host", "leader change", "partition", "overload", "source outage", "poison request", "late reports",
+}
+
+func (p Process) String() string { return processNames[p] }
+
+// Trial is one move.
+type Trial struct {
+	Service  Service
+	Fault    *Fault // nil for a good version
+	Process  Process
+	Deadline time.Duration
+	Seed     uint64
+}
--- /dev/null
+++ b/core/rollout/simulate/run_test.go
@@ -0,0 +1,44 @@
+package simulate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/core/rollout"
+)
+
+func judge(s Service) func() Controller {
+	return func() Controller { return rollout.NewJudge(s.Preference) }
+}
+
+// Guards against a good version that is rolled back or late, and a bad one that
+// is completed, in the plain case of each service.
+func TestPlainMoves(t *testing.T) {
+	for _, s := range Services() {
+		t.Run(s.Name, func(t *testing.T) {
+			is := is.New(t)
+			good := Trial{Service: s, Deadline: 10 * time.Minute, Seed: 1}
+			r := Run(&good, judge(s))
+			is.True(r.Completed(&good)) // good version by its deadline
+			for _, f := range []Fault{{ErrorRate: 0.5}, {Slow: 1.5}} {
+				bad := good
+				bad.Fault = &f
+				r = Run(&bad, judge(s))
+				is.True(r.RolledBack())                       // bad version
+				is.True(r.BadCalls*100 < r.PlannedCalls)      // under 1% of the calls
+				is.True(r.LastNewCall <= r.EndedAt+1)         // nothing after what was in flight
+				is.True(r.Steps[len(r.Steps)-1].Reason != "") // says why
+			}
+		})
+	}
+}
+
+// Guards against trials that cannot be repeated from their seed.
+func TestSameSeedSameResult(t *testing.T) {
+	is := is.New(t)
+	s := Services()[0]
+	tr := Trial{Service: s, Deadline: 2 * time.Minute, Seed: 9, Process: CrashedHost, Fault: &Fault{Slow: 2, Trigger: AfterShare, Share: 500}}
+	is.Equal(Run(&tr, judge(s)), Run(&tr, judge(s)))
+}
