--- /dev/null
+++ b/app/moves/recorder.go
@@ -0,0 +1,296 @@
+package moves
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/rattanfield/rattanfield/core/config"
+	"github.com/rattanfield/rattanfield/core/rollout"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// defaultInterval is the time between two looks at the counts.
+const defaultInterval = time.Second
+
+// Options of a Recorder, a Collector and a Decider.
+type Options struct {
+	ID            string // of the node or control host
+	FailureDomain string
+	// Incarnation is the start time of the process in Unix nanoseconds.
+	Incarnation int64
+	// Interval between two reports or decisions; 0 means one second.
+	Interval time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// State lets a Collector report its failure domain while no node calls the
+	// service; nil turns that off. Only Collectors use it.
+	State ports.StateReader
+}
+
+func (o Options) withDefaults() Options {
+	if o.Interval <= 0 {
+		o.Interval = defaultInterval
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+// Recorder counts the outcomes of a node's calls while a move runs, picks the
+// version of each call and holds the node's circuit breakers.
+type Recorder struct {
+	options       Options
+	configuration ports.ConfigurationReader
+	sender        ports.ReportSender
+	logger        log.Logger
+
+	active atomic.Pointer[map[string]*recorded] // by service
+	mu     sync.Mutex
+	braked map[string]bool // by move id, set by the failure domain
+}
+
+var (
+	_ ports.OutcomeRecorder = (*Recorder)(nil)
+	_ ports.VersionPicker   = (*Recorder)(nil)
+	_ ports.BrakeSink       = (*Recorder)(nil)
+)
+
+// recorded is one running move as this node sees it.
+type recorded struct {
+	moveID   string
+	old, new string
+	breaker  *rollout.Breaker // used by Run only
+	limit    atomic.Uint32    // of the own breaker and of the failure domain
+
+	mu     sync.Mutex
+	routes map[string]*rollout.Pair
+
+	sequence uint64
+	unacked  *pb.OutcomeReport // resent with the same number until a relay has it
+}
+
+// NewRecorder returns a Recorder; Run must be started for it to see moves.
+func NewRecorder(options Options, configuration ports.ConfigurationReader, sender ports.ReportSender, logger log.Logger) *Recorder {
+	r := &Recorder{
+		options: options.withDefaults(), configuration: configuration, sender: sender, logger: logger,
+		braked: make(map[string]bool),
+	}
+	r.active.Store(&map[string]*recorded{})
+	return r
+}
+
+// Record counts a finished call of a service that has a running move.
+func (r *Recorder) Record(o ports.CallOutcome) {
+	m := (*r.active.Load())[o.Service]
+	if m == nil || o.Suspect || (o.Version != m.old && o.Version != m.new) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.routes[o.Route]
+	if p == nil {
+		p = &rollout.Pair{}
+		m.routes[o.Route] = p
+	}
+	c := &p.Old
+	if o.Version == m.new {
+		c = &p.New
+	}
+	switch {
+	case o.Overload:
+		c.Overloads++
+	case o.Error:
+		c.Calls++
+		c.Errors++
+	default:
+		c.Calls++
+		if !o.FreshEndpoint {
+			c.Latency[rollout.Bucket(o.Latency)]++
+		}
+	}
+}
+
+// PickVersion returns the version for a call within the shares of the move and
+// the limit of the circuit breakers.
+func (r *Recorder) PickVersion(p *config.Projection, service string, u float64) string {
+	shares, limit := p.Shares(service), uint32(config.MaxPermille)
+	if m := (*r.active.Load())[service]; m != nil && m.moveID == shares.GetMoveId() {
+		limit = m.limit.Load()
+	}
+	return rollout.Pick(p.Service(service).GetActiveVersion(), shares, r.options.FailureDomain, limit, u)
+}
+
+// SetBraked stops calls to the new version of these moves. A brake stays on
+// until its move ends, also when a restarted relay no longer names it.
+func (r *Recorder) SetBraked(moveIDs []string) {
+	r.mu.Lock()
+	for _, id := range moveIDs {
+		r.braked[id] = true
+	}
+	r.mu.Unlock()
+	for _, m := range *r.active.Load() {
+		if slices.Contains(moveIDs, m.moveID) {
+			m.limit.Store(0)
+		}
+	}
+}
+
+// Run looks at the counts and sends reports until the context ends.
+func (r *Recorder) Run(ctx context.Context) error {
+	reports, done := make(chan []*pb.OutcomeReport), make(chan bool)
+	go r.send(ctx, reports, done)
+	ticker := time.NewTicker(r.options.Interval)
+	defer ticker.Stop()
+	var sending []*pb.OutcomeReport
+	for {
+		select {
+		case <-ctx.Done():
+			close(reports)
+			<-done
+			return nil
+		case delivered := <-done:
+			r.settle(sending, delivered)
+			sending = nil
+		case <-ticker.C:
+			r.refresh()
+			r.observe()
+			if sending == nil {
+				if sending = r.reports(); sending != nil {
+					reports <- sending
+				}
+			}
+		}
+	}
+}
+
+// send delivers batches one at a time, so that a slow relay never delays the
+// circuit breaker. It closes done when reports is closed.
+func (r *Recorder) send(ctx context.Context, reports <-chan []*pb.OutcomeReport, done chan<- bool) {
+	defer close(done)
+	for batch := range reports {
+		err := r.sender.SendReports(ctx, batch)
+		select {
+		case done <- err == nil:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// refresh follows the moves of the projection in force.
+func (r *Recorder) refresh() {
+	p := r.configuration.Projection()
+	if p == nil {
+		return
+	}
+	before, after := *r.active.Load(), make(map[string]*recorded)
+	for _, s := range p.Configuration.GetShares() {
+		if s.GetMoveId() == "" || !rollout.Running(s.GetPhase()) {
+			continue
+		}
+		m := before[s.GetService()]
+		if m == nil || m.moveID != s.GetMoveId() {
+			m = &recorded{
+				moveID: s.GetMoveId(), old: s.GetOldVersion(), new: s.GetNewVersion(),
+				breaker: rollout.NewBreaker(r.options.FailureDomain), routes: make(map[string]*rollout.Pair),
+			}
+			m.limit.Store(config.MaxPermille)
+		}
+		after[s.GetService()] = m
+	}
+	r.active.Store(&after)
+	r.forgetBrakes(after)
+}
+
+func (r *Recorder) forgetBrakes(active map[string]*recorded) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.braked {
+		known := false
+		for _, m := range active {
+			known = known || m.moveID == id
+		}
+		if !known {
+			delete(r.braked, id)
+		}
+	}
+}
+
+func (r *Recorder) isBraked(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.braked[id]
+}
+
+// observe moves the circuit breakers.
+func (r *Recorder) observe() {
+	p := r.configuration.Projection()
+	for service, m := range *r.active.Load() {
+		wasOpen := m.breaker.Open()
+		m.breaker.Observe(m.cells(r.options.FailureDomain), rollout.NewPermille(p.Shares(service), r.options.FailureDomain), r.options.Now())
+		if m.breaker.Open() && !wasOpen {
+			_ = r.logger.Log("msg", "circuit breaker opened", "service", service, "move", m.moveID, "version", m.new)
+		}
+		m.limit.Store(m.breaker.Limit())
+		if r.isBraked(m.moveID) {
+			m.limit.Store(0)
+		}
+	}
+}
+
+func (m *recorded) cells(domain string) []rollout.CellCounts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]rollout.CellCounts, 0, len(m.routes))
+	for route, p := range m.routes {
+		out = append(out, rollout.CellCounts{Cell: rollout.Cell{Route: route, Domain: domain}, Pair: *p})
+	}
+	rollout.SortCells(out)
+	return out
+}
+
+// reports returns the batch to send; nil while no move runs.
+func (r *Recorder) reports() []*pb.OutcomeReport {
+	var out []*pb.OutcomeReport
+	for _, m := range *r.active.Load() {
+		if m.unacked == nil {
+			m.sequence++
+			m.unacked = m.report(r.options)
+		}
+		out = append(out, m.unacked)
+	}
+	return out
+}
+
+func (m *recorded) report(o Options) *pb.OutcomeReport {
+	cells := m.cells(o.FailureDomain)
+	report := &pb.OutcomeReport{
+		MoveId: m.moveID, NodeId: o.ID, Incarnation: o.Incarnation, Sequence: m.sequence,
+		FailureDomain: o.FailureDomain, AtUnixMs: o.Now().UnixMilli(), Braked: m.breaker.Open(),
+	}
+	for i := range cells {
+		report.Routes = append(report.Routes, &pb.RouteOutcome{
+			Route: cells[i].Route, Old: cells[i].Old.ToProto(), New: cells[i].New.ToProto(),
+		})
+	}
+	return report
+}
+
+// settle lets delivered reports go; the others are sent again unchanged, so that
+// a relay that did get one recognises it.
+func (r *Recorder) settle(sent []*pb.OutcomeReport, delivered bool) {
+	if !delivered {
+		return
+	}
+	for _, m := range *r.active.Load() {
+		if slices.Contains(sent, m.unacked) {
+			m.unacked = nil
+		}
+	}
+}
