operator: add the command line with failover and resend by id

Cause: operators had no client for the statements of core/query. Change: connect client over several control hosts, submit with one command id until the result is known, files of changes with all problems in one report, tables and JSON, watch.

--- /dev/null
+++ b/app/operator/client.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+)
+
+// Errors of the client.
+var (
+	ErrUnreachable = eris.New("no control host answers")
+	// ErrUnknown means that a command may have been accepted.
+	ErrUnknown = eris.New("whether the command was accepted is not known")
+	ErrNoHosts = eris.New("no control host is given")
+)
+
+const (
+	// attemptTimeout bounds one request to one control host; an election takes under 3 s.
+	attemptTimeout = 4 * time.Second
+	// submitPatience bounds all attempts of one command.
+	submitPatience = 15 * time.Second
+	firstPause     = 100 * time.Millisecond
+	longestPause   = time.Second
+)
+
+// Client asks the control hosts with failover.
+type Client struct {
+	hosts   []string
+	clients []rattanfieldv1connect.OperatorServiceClient
+	current int // host that answered last
+	patience,
+	attempt time.Duration
+}
+
+// NewClient returns a client for control hosts (IP:port).
+func NewClient(hosts []string, transport *rpc.Client) (*Client, error) {
+	c := &Client{patience: submitPatience, attempt: attemptTimeout}
+	for _, h := range hosts {
+		for _, one := range strings.Split(h, ",") {
+			if one = strings.TrimSpace(one); one != "" {
+				c.hosts = append(c.hosts, one)
+				c.clients = append(c.clients, rattanfieldv1connect.NewOperatorServiceClient(transport.HTTP(), rpc.URL(one)))
+			}
+		}
+	}
+	if len(c.hosts) == 0 {
+		return nil, ErrNoHosts
+	}
+	return c, nil
+}
+
+// each asks the hosts in turn, the last good one first, until one answers.
+func each[T any](ctx context.Context, c *Client, ask func(context.Context, rattanfieldv1connect.OperatorServiceClient) (T, error)) (T, error) {
+	var zero T
+	var failures []string
+	for i := range c.clients {
+		at := (c.current + i) % len(c.clients)
+		attempt, cancel := context.WithTimeout(ctx, c.attempt)
+		answer, err := ask(attempt, c.clients[at])
+		cancel()
+		if err == nil {
+			c.current = at
+			return answer, nil
+		}
+		if ctx.Err() != nil {
+			return zero, context.Cause(ctx)
+		}
+		failures = append(failures, c.hosts[at]+": "+connect.CodeOf(err).String())
+	}
+	return zero, eris.Wrap(ErrUnreachable, strings.Join(failures, "; "))
+}
+
+// Query asks for state.
+func (c *Client) Query(ctx context.Context, q *pb.QueryRequest) (*pb.QueryResponse, error) {
+	return each(ctx, c, func(ctx context.Context, s rattanfieldv1connect.OperatorServiceClient) (*pb.QueryResponse, error) {
+		answer, err := s.Query(ctx, connect.NewRequest(q))
+		if err != nil {
+			return nil, err
+		}
+		return answer.Msg, nil
+	})
+}
+
+// Lookup asks for the result of a command; found is false when the hosts know none.
+func (c *Client) Lookup(ctx context.Context, id string) (*pb.GetCommandResponse, error) {
+	return each(ctx, c, func(ctx context.Context, s rattanfieldv1connect.OperatorServiceClient) (*pb.GetCommandResponse, error) {
+		answer, err := s.GetCommand(ctx, connect.NewRequest(&pb.GetCommandRequest{CommandId: id}))
+		if err != nil {
+			return nil, err
+		}
+		return answer.Msg, nil
+	})
+}
+
+// Submit sends a command until its result is known. Every attempt carries the
+// same command id, so a command that was accepted while its answer was lost is
+// not accepted twice. ErrUnknown is returned when an attempt may have been
+// accepted and no result was found in time.
+func (c *Client) Submit(ctx context.Context, command *pb.Command) (*pb.CommandResult, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	deadline := time.Now().Add(c.patience)
+	maybeAccepted := false
+	var last *pb.CommandResult
+	for {
+		result, sent, err := c.submitOnce(ctx, command)
+		switch {
+		case err == nil && final(result.GetOutcome()):
+			return result, nil
+		case err == nil:
+			last = result
+			maybeAccepted = maybeAccepted || result.GetOutcome() == pb.Outcome_OUTCOME_UNKNOWN
+		default:
+			maybeAccepted = maybeAccepted || sent
+		}
+		if found, err := c.Lookup(ctx, command.GetCommandId()); err == nil && found.GetFound() && final(found.GetResult().GetOutcome()) {
+			return found.GetResult(), nil
+		}
+		wait := pause.NextBackOff()
+		if time.Now().Add(wait).After(deadline) || ctx.Err() != nil {
+			return giveUp(last, maybeAccepted, err)
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func giveUp(last *pb.CommandResult, maybeAccepted bool, err error) (*pb.CommandResult, error) {
+	switch {
+	case maybeAccepted:
+		return nil, ErrUnknown
+	case last != nil:
+		return last, nil
+	default:
+		return nil, err
+	}
+}
+
+func final(o pb.Outcome) bool {
+	return o == pb.Outcome_OUTCOME_ACCEPTED || o == pb.Outcome_OUTCOME_CONFLICT || o == pb.Outcome_OUTCOME_INVALID
+}
+
+// submitOnce sends to one host; sent reports an error after which the host may
+// have received the command. The next call goes to the next host.
+func (c *Client) submitOnce(ctx context.Context, command *pb.Command) (result *pb.CommandResult, sent bool, err error) {
+	at := c.current
+	attempt, cancel := context.WithTimeout(ctx, c.attempt)
+	defer cancel()
+	answer, err := c.clients[at].Submit(attempt, connect.NewRequest(&pb.SubmitRequest{Command: command}))
+	if err != nil {
+		c.current = (at + 1) % len(c.clients)
+		return nil, !isRefused(err), eris.Wrap(ErrUnreachable, c.hosts[at]+": "+connect.CodeOf(err).String())
+	}
+	if !final(answer.Msg.GetResult().GetOutcome()) {
+		c.current = (at + 1) % len(c.clients)
+	}
+	return answer.Msg.GetResult(), true, nil
+}
--- /dev/null
+++ b/app/operator/session.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattanfield/rattanfield/core/query"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Exit statuses of the command line.
+const (
+	ExitOK = iota
+	ExitFailed
+	ExitInvalid // the statement, the file or the settings are wrong; nothing was sent
+	ExitRejected
+	ExitUnknown // the command may have been accepted
+)
+
+// Session runs statements.
+type Session struct {
+	Client   *Client
+	Out      io.Writer
+	JSON     bool
+	Operator string
+	// NextID returns a new command id.
+	NextID func() string
+	// Now is the clock.
+	Now func() time.Time
+}
+
+func (s *Session) printer() printer { return printer{out: s.Out, json: s.JSON} }
+
+// Run parses and executes one statement and returns the exit status. The error,
+// if any, is for the operator to read.
+func (s *Session) Run(ctx context.Context, text string) (int, error) {
+	statement, err := query.Parse(text, s.Now())
+	if err != nil {
+		return ExitInvalid, err
+	}
+	switch {
+	case statement.Show != nil:
+		return s.show(ctx, *statement.Show)
+	case statement.Watch != nil:
+		return s.watch(ctx, statement.Watch)
+	case statement.Command != "":
+		return s.lookup(ctx, statement.Command)
+	default:
+		return s.submit(ctx, statement)
+	}
+}
+
+func status(err error) (int, error) {
+	if err != nil {
+		return ExitFailed, err
+	}
+	return ExitOK, nil
+}
+
+func (s *Session) show(ctx context.Context, show query.Show) (int, error) {
+	answer, err := s.Client.Query(ctx, &pb.QueryRequest{Subjects: subjects[show.View]})
+	if err != nil {
+		return ExitFailed, err
+	}
+	return status(s.printer().rows(show, rows(show, answer, s.Now()), answer.GetFreshness()))
+}
+
+func (s *Session) lookup(ctx context.Context, id string) (int, error) {
+	answer, err := s.Client.Lookup(ctx, id)
+	if err != nil {
+		return ExitFailed, err
+	}
+	if !s.JSON {
+		s.printer().freshness(answer.GetFreshness())
+	}
+	if !answer.GetFound() {
+		if answer.GetFreshness().GetConfirmed() {
+			return ExitRejected, eris.Errorf("command %s is not known: it was not accepted in the last 24 hours", id)
+		}
+		return ExitUnknown, eris.Errorf("command %s is not known here, but newer changes may exist; ask again", id)
+	}
+	return s.report(answer.GetResult())
+}
+
+// report prints a result and turns it into an exit status.
+func (s *Session) report(r *pb.CommandResult) (int, error) {
+	if err := s.printer().result(r); err != nil {
+		return ExitFailed, err
+	}
+	switch r.GetOutcome() {
+	case pb.Outcome_OUTCOME_ACCEPTED:
+		return ExitOK, nil
+	case pb.Outcome_OUTCOME_CONFLICT, pb.Outcome_OUTCOME_INVALID, pb.Outcome_OUTCOME_UNAVAILABLE:
+		return ExitRejected, nil
+	default:
+		return ExitUnknown, nil
+	}
+}
+
+func (s *Session) submit(ctx context.Context, statement *query.Statement) (int, error) {
+	command, err := s.command(statement)
+	if err != nil {
+		return ExitInvalid, err
+	}
+	result, err := s.Client.Submit(ctx, command)
+	switch {
+	case errors.Is(err, ErrUnknown):
+		return ExitUnknown, fmt.Errorf("%w; ask later with: command %s", err, command.GetCommandId())
+	case err != nil:
+		return ExitFailed, fmt.Errorf("nothing was sent: %w", err)
+	}
+	return s.report(result)
+}
+
+func (s *Session) command(statement *query.Statement) (*pb.Command, error) {
+	c := &pb.Command{CommandId: s.NextID(), Operator: s.Operator, SubmittedUnixMs: s.Now().UnixMilli()}
+	switch {
+	case statement.Apply != nil:
+		changes, err := ReadChanges(statement.Apply.File)
+		if err != nil {
+			return nil, err
+		}
+		c.ExpectedRevision = statement.Apply.Expected
+		c.Command = &pb.Command_SubmitConfiguration{SubmitConfiguration: &pb.SubmitConfiguration{Changes: changes}}
+	case statement.Start != nil:
+		m := statement.Start
+		c.Command = &pb.Command_StartMove{StartMove: &pb.StartMove{
+			// The command id makes the move id unique and known before the answer.
+			MoveId: m.Service + "-" + c.GetCommandId(), Service: m.Service,
+			OldVersion: m.OldVersion, NewVersion: m.NewVersion, DeadlineUnixMs: m.Deadline.UnixMilli(),
+		}}
+	case statement.Change != nil:
+		c.Command = &pb.Command_ChangeMove{ChangeMove: &pb.ChangeMove{MoveId: statement.Change.MoveID, Action: statement.Change.Action}}
+	default:
+		return nil, eris.New("the statement is no command")
+	}
+	return c, nil
+}
--- /dev/null
+++ b/app/operator/watch.go
@@ -0,0 +1,161 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattanfield/rattanfield/core/query"
+	"github.com/rattanfield/rattanfield/core/rollout"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const (
+	// watchWait is how long a control host holds a query without a change.
+	watchWait  = 2 * time.Second
+	watchPause = time.Second // after an error or an answer that came at once
+)
+
+// watch follows a view, or one move until it ends.
+func (s *Session) watch(ctx context.Context, w *query.Watch) (int, error) {
+	if w.MoveID != "" || w.Show.View == query.ViewMoves {
+		return s.watchMoves(ctx, w)
+	}
+	var last string
+	return s.follow(ctx, subjects[w.Show.View], func(answer *pb.QueryResponse) (bool, int, error) {
+		found := rows(w.Show, answer, s.Now())
+		if now := fmt.Sprint(cellsOf(found)); now == last {
+			return false, ExitOK, nil
+		} else {
+			last = now
+		}
+		code, err := status(s.printer().rows(w.Show, found, answer.GetFreshness()))
+		return err != nil, code, err
+	})
+}
+
+func cellsOf(rows []row) []map[string]string {
+	out := make([]map[string]string, len(rows))
+	for i, r := range rows {
+		out[i] = r.cells
+	}
+	return out
+}
+
+// follow queries until handle is done. Errors of single queries are reported
+// once and the query is repeated: a watch outlives a change of leader.
+func (s *Session) follow(ctx context.Context, subjects []pb.Subject, handle func(*pb.QueryResponse) (done bool, code int, err error)) (int, error) {
+	request := &pb.QueryRequest{Subjects: subjects, WaitMs: uint32(watchWait.Milliseconds())}
+	interrupted, unconfirmed := false, false
+	for ctx.Err() == nil {
+		asked := time.Now()
+		answer, err := s.Client.Query(ctx, request)
+		if err != nil {
+			if ctx.Err() == nil && !interrupted {
+				s.note("no control host answers; still trying")
+			}
+			interrupted = true
+			pause(ctx, watchPause)
+			continue
+		}
+		interrupted = false
+		if f := answer.GetFreshness(); f.GetConfirmed() == unconfirmed {
+			unconfirmed = !f.GetConfirmed()
+			if !s.JSON {
+				s.printer().freshness(f)
+			}
+		}
+		if done, code, err := handle(answer); done {
+			return code, err
+		}
+		if request.HaveRevision == answer.GetFreshness().GetRevision() && time.Since(asked) < watchPause {
+			pause(ctx, watchPause)
+		}
+		request.HaveRevision = answer.GetFreshness().GetRevision()
+	}
+	return ExitOK, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (s *Session) note(text string) {
+	if !s.JSON {
+		_, _ = fmt.Fprintln(s.Out, text)
+	}
+}
+
+// watchMoves prints each step of the moves once. `watch move` ends with its
+// move; status ExitRejected reports a move that did not finish.
+func (s *Session) watchMoves(ctx context.Context, w *query.Watch) (int, error) {
+	steps := make(map[string]string)
+	first := true
+	return s.follow(ctx, []pb.Subject{pb.Subject_SUBJECT_MOVES}, func(answer *pb.QueryResponse) (bool, int, error) {
+		moves := slices.Clone(answer.GetMoves())
+		if w.MoveID != "" {
+			moves = slices.DeleteFunc(moves, func(m *pb.Move) bool { return m.GetMoveId() != w.MoveID })
+			if len(moves) == 0 && answer.GetFreshness().GetConfirmed() {
+				return true, ExitRejected, eris.Errorf("move %s is not known", w.MoveID)
+			}
+		}
+		for _, r := range moveRows(moves) {
+			m := r.message.(*pb.Move)
+			state := fmt.Sprint(m.GetStep(), m.GetPhase())
+			// Moves that ended before the watch began are no news.
+			old := first && w.MoveID == "" && rollout.Ended(m.GetPhase())
+			if steps[m.GetMoveId()] == state || !w.Show.Matches(r.cells) {
+				continue
+			}
+			steps[m.GetMoveId()] = state
+			if !old {
+				if err := s.printMove(m); err != nil {
+					return true, ExitFailed, err
+				}
+			}
+			if w.MoveID != "" && rollout.Ended(m.GetPhase()) {
+				if m.GetPhase() == pb.MovePhase_MOVE_PHASE_DONE {
+					return true, ExitOK, nil
+				}
+				return true, ExitRejected, nil
+			}
+		}
+		first = false
+		return false, ExitOK, nil
+	})
+}
+
+func (s *Session) printMove(m *pb.Move) error {
+	if s.JSON {
+		b, err := marshal(m)
+		if err != nil {
+			return err
+		}
+		return s.printer().object(map[string]any{"move": b}, nil)
+	}
+	_, err := fmt.Fprintf(s.Out, "%s  %s: %s\n", time.UnixMilli(m.GetChangedUnixMs()).Local().Format(time.TimeOnly), m.GetMoveId(), sentence(m))
+	return err
+}
+
+// sentence is the plain report of a move's state.
+func sentence(m *pb.Move) string {
+	versions := fmt.Sprintf("%s from %s to %s", m.GetService(), m.GetOldVersion(), m.GetNewVersion())
+	switch m.GetPhase() {
+	case pb.MovePhase_MOVE_PHASE_DONE:
+		return fmt.Sprintf("DONE: %s. All calls go to %s.", versions, m.GetNewVersion())
+	case pb.MovePhase_MOVE_PHASE_ROLLED_BACK:
+		return fmt.Sprintf("ROLLED BACK: %s. All calls go to %s again. Reason: %s", versions, m.GetOldVersion(), m.GetReason())
+	case pb.MovePhase_MOVE_PHASE_STOPPED:
+		return fmt.Sprintf("STOPPED by an operator: %s. All calls go to %s again.", versions, m.GetOldVersion())
+	case pb.MovePhase_MOVE_PHASE_HELD:
+		return fmt.Sprintf("HELD at %.1f%%: %s. %s", sharePercent(m), versions, m.GetReason())
+	default:
+		return fmt.Sprintf("%.1f%% of %s. %s", sharePercent(m), versions, m.GetReason())
+	}
+}
--- /dev/null
+++ b/cmd/rattanfield/main.go
@@ -0,0 +1,161 @@
+// Command rattanfield is the operator's command line.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"os/user"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/dig"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/operator"
+	"github.com/rattanfield/rattanfield/core/query"
+)
+
+type arguments struct {
+	Control   []string `arg:"--control,separate,env:RATTANFIELD_CONTROL" placeholder:"IP:PORT" help:"control host; repeat it for failover"`
+	Settings  string   `arg:"--settings,env:RATTANFIELD_SETTINGS" placeholder:"FILE" help:"JSON with comments: control, operator"`
+	Operator  string   `arg:"--operator,env:RATTANFIELD_OPERATOR" placeholder:"NAME" help:"name in the history; default: the user's name"`
+	JSON      bool     `arg:"--json" help:"print JSON"`
+	CommandID string   `arg:"--command-id" placeholder:"ID" help:"id of the command, to send a command again"`
+	Statement []string `arg:"positional" placeholder:"WORD" help:"the statement; default: read from standard input"`
+}
+
+func (arguments) Version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return "rattanfield " + info.Main.Version
+	}
+	return "rattanfield"
+}
+
+func (arguments) Description() string {
+	return "Shows and changes the configuration and the moves of a rattanfield deployment."
+}
+
+func (arguments) Epilogue() string {
+	return "Statements:\n  " + strings.Join(query.Forms(), "\n  ") +
+		"\n\nExit status: 0 done, 1 failed, 2 invalid statement or file, 3 rejected, 4 not known whether accepted."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, args)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args arguments) int {
+	code := operator.ExitOK
+	container := dig.New()
+	for _, constructor := range []any{
+		func() arguments { return args },
+		readSettings,
+		func() *rpc.Client { return rpc.NewClient(rpc.Options{}) },
+		func(s operator.Settings, transport *rpc.Client) (*operator.Client, error) {
+			return operator.NewClient(s.Control, transport)
+		},
+		newSession,
+	} {
+		if err := container.Provide(constructor); err != nil {
+			return fail(err, operator.ExitFailed)
+		}
+	}
+	err := container.Invoke(func(s *operator.Session, transport *rpc.Client) error {
+		defer transport.Close()
+		text, err := statement(args)
+		if err != nil {
+			return err
+		}
+		var failure error
+		if code, failure = s.Run(ctx, text); failure != nil {
+			fail(failure, code)
+		}
+		return nil
+	})
+	if err != nil {
+		return fail(dig.RootCause(err), operator.ExitInvalid)
+	}
+	return code
+}
+
+func fail(err error, code int) int {
+	fmt.Fprintln(os.Stderr, err)
+	return code
+}
+
+// readSettings joins the file with the arguments, which win.
+func readSettings(args arguments) (operator.Settings, error) {
+	var s operator.Settings
+	if args.Settings != "" {
+		var err error
+		if s, err = operator.ReadSettings(args.Settings); err != nil {
+			return s, err
+		}
+	}
+	if len(args.Control) > 0 {
+		s.Control = args.Control
+	}
+	if args.Operator != "" {
+		s.Operator = args.Operator
+	}
+	if s.Operator == "" {
+		s.Operator = "unknown"
+		if u, err := user.Current(); err == nil {
+			s.Operator = u.Username
+		}
+	}
+	return s, nil
+}
+
+func newSession(args arguments, s operator.Settings, client *operator.Client) *operator.Session {
+	return &operator.Session{
+		Client: client, Out: os.Stdout, JSON: args.JSON, Operator: s.Operator, Now: time.Now,
+		NextID: func() string {
+			if args.CommandID != "" {
+				return args.CommandID
+			}
+			return newID()
+		},
+	}
+}
+
+const idBytes = 8
+
+func newID() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:]) // never fails: the runtime ends the process instead
+	return hex.EncodeToString(b[:])
+}
+
+// statement joins the words; a word with spaces was quoted in the shell.
+func statement(args arguments) (string, error) {
+	if len(args.Statement) == 0 {
+		text, err := io.ReadAll(io.LimitReader(os.Stdin, query.MaxStatementBytes+1))
+		return strings.TrimSpace(string(text)), err
+	}
+	words := make([]string, len(args.Statement))
+	for i, w := range args.Statement {
+		if strings.ContainsAny(w, " \t") {
+			w = `"` + w + `"`
+		}
+		words[i] = w
+	}
+	// A whole statement in one argument stays as it is.
+	if len(args.Statement) == 1 {
+		return args.Statement[0], nil
+	}
+	return strings.Join(words, " "), nil
+}
