operator, query: name the cause after the summary of an error

Cause: staticcheck found a value that is never used in the query errors, and a trial run printed the failed host before the summary. Change: messages are assigned where they are known; unreachable hosts follow the summary in brackets. Measured: go tool staticcheck ./... is clean; go test ./app/operator passes.

--- a/app/operator/client.go
+++ b/app/operator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -75,7 +76,11 @@
 		}
 		failures = append(failures, c.hosts[at]+": "+connect.CodeOf(err).String())
 	}
-	return zero, eris.Wrap(ErrUnreachable, strings.Join(failures, "; "))
+	return zero, unreachable(failures...)
+}
+
+func unreachable(failures ...string) error {
+	return fmt.Errorf("%w (%s)", ErrUnreachable, strings.Join(failures, "; "))
 }
 
 // Query asks for state.
@@ -159,7 +164,7 @@
 	answer, err := c.clients[at].Submit(attempt, connect.NewRequest(&pb.SubmitRequest{Command: command}))
 	if err != nil {
 		c.current = (at + 1) % len(c.clients)
-		return nil, !isRefused(err), eris.Wrap(ErrUnreachable, c.hosts[at]+": "+connect.CodeOf(err).String())
+		return nil, !isRefused(err), unreachable(c.hosts[at]+": "+connect.CodeOf(err).String())
 	}
 	if !final(answer.Msg.GetResult().GetOutcome()) {
 		c.current = (at + 1) % len(c.clients)
--- a/core/query/check.go
+++ b/core/query/check.go
@@ -43,16 +43,16 @@
 }
 
 func syntaxError(text string, err error) *Error {
-	offset, message := len(text), err.Error()
+	offset := len(text)
 	var located participle.Error
 	if errors.As(err, &located) {
-		offset, message = located.Position().Offset, located.Message()
+		offset = located.Position().Offset
 	}
 	var unexpected *participle.UnexpectedTokenError
 	if errors.As(err, &unexpected) && unexpected.Unexpected.EOF() {
 		offset = len(text)
 	}
-	word := wordAt(text, offset)
+	word, message := wordAt(text, offset), ""
 	switch {
 	case text == "":
 		message = "the statement is empty"
