movebench: measure moves against a rollout in fixed steps

Change: seeded trials of the Judge and of a baseline over all faults and services; the base of the old version decays per rebase instead of per interval, which had made it forget within 6 s instead of 60 s.

--- a/core/rollout/cells.go
+++ b/core/rollout/cells.go
@@ -3,11 +3,12 @@
 // cellState is what the Judge keeps of a cell between intervals.
 type cellState struct {
 	Cell
-	seen   Pair // cumulative counts of the last interval
-	atStep Pair // cumulative counts when the current step began
+	seen   Pair   // cumulative counts of the last interval
+	atStep Pair   // cumulative counts when the current step began
+	inBase Counts // cumulative counts of the old version that base holds
 	base   histogramBase
 	// thresholds are latency buckets of the old version, -1 while unknown.
-	thresholds [len(slowQuantiles)]int
+	thresholds thresholds
 	// rates are the old version's earlier rates per metric.
 	rates  [metricCount]float64
 	route  *routeBase
@@ -87,6 +88,13 @@
 // must not make the first one look impossible.
 const priorCalls = 1000
 
+// takeOld adds the old version's calls since the last rebase to the base.
+func (c *cellState) takeOld() {
+	d := c.seen.Old.minus(&c.inBase)
+	c.inBase = c.seen.Old
+	c.base.add(&d)
+}
+
 // rebase refreshes thresholds and rates from the base of the cell or its route.
 func (c *cellState) rebase() {
 	r := &c.route.sum
@@ -121,30 +129,34 @@
 		oldHits: float64(o.Overloads), oldTrials: float64(oldOffered),
 		expected: float64(newOffered) * c.rates[metricRejections],
 	}
-	for i, threshold := range c.thresholds {
+	if c.thresholds[0] < 0 {
+		clear(out[metricSlow75:])
+		return
+	}
+	// The new version is allowed one bucket (12.5%) more.
+	newSlow, newAll := above(&n.Latency, &c.thresholds, 1)
+	oldSlow, oldAll := above(&o.Latency, &c.thresholds, 0)
+	for i := range c.thresholds {
 		m := int(metricSlow75) + i
-		if threshold < 0 {
-			out[m] = tally{}
-			continue
-		}
-		// The new version is allowed one bucket (12.5%) more.
-		newSlow, newAll := above(&n.Latency, threshold+1)
-		oldSlow, oldAll := above(&o.Latency, threshold)
 		out[m] = tally{
-			newHits: newSlow, newTrials: newAll, oldHits: oldSlow, oldTrials: oldAll,
+			newHits: newSlow[i], newTrials: newAll, oldHits: oldSlow[i], oldTrials: oldAll,
 			expected: newAll * c.rates[m],
 		}
 	}
 }
 
-func above(h *[BucketCount]uint64, bucket int) (slow, all float64) {
-	var low, high uint64
-	for i, n := range h {
-		if i > bucket {
-			high += n
-		} else {
-			low += n
+type thresholds = [len(slowQuantiles)]int
+
+// above counts the calls in buckets above each threshold plus margin.
+func above(h *[BucketCount]uint64, t *thresholds, margin int) (slow [len(slowQuantiles)]float64, all float64) {
+	var sum uint64
+	at := len(t) - 1
+	for i := BucketCount - 1; i >= 0; i-- {
+		for at >= 0 && i == min(t[at]+margin, BucketCount-1) {
+			slow[at] = float64(sum)
+			at--
 		}
+		sum += h[i]
 	}
-	return float64(high), float64(low + high)
+	return slow, float64(sum)
 }
--- a/core/rollout/counts.go
+++ b/core/rollout/counts.go
@@ -28,7 +28,14 @@
 	Pair
 }
 
-func (c *Counts) add(d *Counts) {
+// same reports that no call was added: every call raises one of these counters.
+func (p *Pair) same(q *Pair) bool {
+	return p.Old.Calls == q.Old.Calls && p.Old.Overloads == q.Old.Overloads &&
+		p.New.Calls == q.New.Calls && p.New.Overloads == q.New.Overloads
+}
+
+// Add adds the calls of d.
+func (c *Counts) Add(d *Counts) {
 	c.Calls += d.Calls
 	c.Errors += d.Errors
 	c.Overloads += d.Overloads
@@ -95,8 +102,8 @@
 			mine = &Pair{}
 			r[route] = mine
 		}
-		mine.Old.add(&p.Old)
-		mine.New.add(&p.New)
+		mine.Old.Add(&p.Old)
+		mine.New.Add(&p.New)
 	}
 }
 
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -90,9 +90,11 @@
 		for len(sums) < len(j.streams) {
 			sums = append(sums, [metricCount]tally{})
 		}
+		if e.Cells[i].same(&c.seen) {
+			continue
+		}
 		delta := Pair{Old: e.Cells[i].Old.minus(&c.seen.Old), New: e.Cells[i].New.minus(&c.seen.New)}
 		c.seen = e.Cells[i].Pair
-		c.base.add(&delta.Old)
 		offered += float64(delta.Old.Calls + delta.Old.Overloads + delta.New.Calls + delta.New.Overloads)
 		if first {
 			// The past before this Judge: a base for the old version, no evidence.
@@ -116,7 +118,7 @@
 	for i, s := range j.streams {
 		s.collect(&sums[i], &lim)
 	}
-	if j.intervals%rebaseEvery == 0 {
+	if j.intervals%rebaseEvery == 0 || j.intervals == firstRebase {
 		j.rebase()
 	}
 	j.intervals++
@@ -127,6 +129,7 @@
 		r.sum = histogramBase{}
 	}
 	for _, c := range j.order {
+		c.takeOld()
 		c.route.sum.merge(&c.base)
 	}
 	for _, c := range j.order {
@@ -165,6 +168,8 @@
 
 const (
 	minLooks = 60
+	// firstRebase makes thresholds known before the first calls of the new version.
+	firstRebase = 2
 	// intervalsToAlarm intervals are needed at least: a crashed host loses calls in
 	// one or two of them.
 	intervalsToAlarm = 5
--- /dev/null
+++ b/core/rollout/simulate/summary.go
@@ -0,0 +1,107 @@
+package simulate
+
+import (
+	"slices"
+	"time"
+)
+
+// Summary of the trials of one case under one controller.
+type Summary struct {
+	Deployment string `json:"deployment"`
+	Service    string `json:"service"`
+	Case       string `json:"case"`
+	Controller string `json:"controller"`
+	Good       bool   `json:"good"`
+	Trials     int    `json:"trials"`
+	Completed  int    `json:"completed_by_deadline"`
+	Late       int    `json:"completed_late"`
+	RolledBack int    `json:"rolled_back"`
+	// Faulty counts the trials in which the fault began.
+	Faulty int `json:"fault_began"`
+	// Seconds from the first fault to the last new call, of rolled back trials.
+	P50Seconds int `json:"fault_to_last_call_p50_s"`
+	P99Seconds int `json:"fault_to_last_call_p99_s"`
+	MaxSeconds int `json:"fault_to_last_call_max_s"`
+	// Shares are of the calls within the planned time, mean over all trials whose fault began.
+	BadShare      float64 `json:"bad_calls_share"`
+	AffectedShare float64 `json:"affected_calls_share"`
+	// BadShareP99 is the share that 99 of 100 trials do not exceed.
+	BadShareP99 float64 `json:"bad_calls_share_p99"`
+	// BadShareUntilEnd is of the calls from the start to the end of the move.
+	BadShareUntilEnd float64  `json:"bad_calls_share_until_end"`
+	MeanSeconds      float64  `json:"mean_move_s"`
+	Failures         []uint64 `json:"seeds_with_the_wrong_end"`
+}
+
+// maxSeeds bounds the seeds that a summary lists.
+const maxSeeds = 20
+
+// Summarize runs the trials of a case. run executes a function for each seed; it
+// may do so concurrently.
+func Summarize(s Service, c Case, controller string, deadline time.Duration, trials int, newController func() Controller,
+	run func(n int, one func(i int)),
+) Summary {
+	results := make([]Result, trials)
+	list := make([]Trial, trials)
+	run(trials, func(i int) {
+		list[i] = c.Trial(s, uint64(i)+1)
+		list[i].Deadline = deadline
+		results[i] = Run(&list[i], newController)
+	})
+	sum := Summary{
+		Deployment: s.Deployment, Service: s.Name, Case: c.Name, Controller: controller,
+		Good: c.Fault == nil, Trials: trials,
+	}
+	var seconds []int
+	var shares []float64
+	for i := range results {
+		sum.add(&list[i], &results[i], &seconds, &shares)
+	}
+	sum.finish(seconds, shares)
+	return sum
+}
+
+func (s *Summary) add(t *Trial, r *Result, seconds *[]int, shares *[]float64) {
+	done := r.Completed(t)
+	if done {
+		s.Completed++
+	} else if !r.RolledBack() && r.EndedAt > 0 {
+		s.Late++
+	}
+	if r.RolledBack() {
+		s.RolledBack++
+	}
+	if (s.Good && !done || !s.Good && !r.RolledBack()) && len(s.Failures) < maxSeeds {
+		s.Failures = append(s.Failures, t.Seed)
+	}
+	s.MeanSeconds += float64(r.EndedAt)
+	if r.FaultAt < 0 {
+		return
+	}
+	s.Faulty++
+	share := float64(r.BadCalls) / float64(r.PlannedCalls)
+	s.BadShare += share
+	s.AffectedShare += float64(r.AffectedCalls) / float64(r.PlannedCalls)
+	s.BadShareUntilEnd += float64(r.BadCalls) / float64(max(1, r.CallsUntilEnd))
+	*shares = append(*shares, share)
+	if r.RolledBack() {
+		*seconds = append(*seconds, r.LastNewCall-r.FaultAt)
+	}
+}
+
+func (s *Summary) finish(seconds []int, shares []float64) {
+	s.MeanSeconds /= float64(s.Trials)
+	if s.Faulty > 0 {
+		s.BadShare /= float64(s.Faulty)
+		s.AffectedShare /= float64(s.Faulty)
+		s.BadShareUntilEnd /= float64(s.Faulty)
+		slices.Sort(shares)
+		s.BadShareP99 = shares[(len(shares)-1)*99/100]
+	}
+	if len(seconds) > 0 {
+		slices.Sort(seconds)
+		s.P50Seconds = seconds[(len(seconds)-1)/2]
+		s.P99Seconds = seconds[(len(seconds)-1)*99/100]
+		s.MaxSeconds = seconds[len(seconds)-1]
+	}
+}
--- a/core/rollout/stream.go
+++ b/core/rollout/stream.go
@@ -18,8 +18,8 @@
 	for m := range metricCount {
 		t := &tallies[m]
 		if t.newTrials > 0 && !limits.muteReference[m] {
-			for i, r := range ratios {
-				raise(&s.reference[m][i], referenceGain(t, m, r), limits.perInterval)
+			for i := range ratios {
+				raise(&s.reference[m][i], referenceGain(t, m, i), limits.perInterval)
 				s.reference[m][i] = min(s.reference[m][i], limits.ceiling)
 			}
 		}
@@ -31,8 +31,8 @@
 		if !p.comparable() {
 			continue
 		}
-		for i, r := range ratios {
-			raise(&s.concurrent[m][i], concurrentGain(p, m, r), limits.perInterval)
+		for i := range ratios {
+			raise(&s.concurrent[m][i], concurrentGain(p, m, i), limits.perInterval)
 		}
 		*p = tally{}
 	}
--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -31,6 +31,13 @@
 
 const ratioCount = len(ratios)
 
+var logRatios = func() (l [ratioCount]float64) {
+	for i, r := range ratios {
+		l[i] = math.Log(r)
+	}
+	return l
+}()
+
 // tally counts events and trials of both versions in the same interval.
 type tally struct {
 	newHits, newTrials float64
@@ -61,17 +68,19 @@
 // the events of both versions together, those of the new version are binomial at
 // most, with its share of the calls as probability; so the rate itself, which
 // overload or a failing dependency changes for both, drops out.
-func concurrentGain(t *tally, m metric, r float64) float64 {
+func concurrentGain(t *tally, m metric, i int) float64 {
+	r := ratios[i]
 	share := t.newTrials / (t.newTrials + t.oldTrials)
-	return t.newHits*math.Log(r) - (t.newHits+t.oldHits)*math.Log1p(share*(r-1)) - slack[m]*t.newTrials*(r-1)
+	return t.newHits*logRatios[i] - (t.newHits+t.oldHits)*math.Log1p(share*(r-1)) - slack[m]*t.newTrials*(r-1)
 }
 
 // referenceGain compares with the old version's earlier rate. It needs no
 // concurrent calls, but a change that concerns both versions raises it too.
-func referenceGain(t *tally, m metric, r float64) float64 {
+func referenceGain(t *tally, m metric, i int) float64 {
+	r := ratios[i]
 	if t.newTrials == 0 {
 		return 0
 	}
 	rate := t.expected / t.newTrials
-	return t.newHits*math.Log(r) - t.newTrials*math.Log1p(rate*(r-1)) - slack[m]*t.newTrials*(r-1)
+	return t.newHits*logRatios[i] - t.newTrials*math.Log1p(rate*(r-1)) - slack[m]*t.newTrials*(r-1)
 }
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -87,8 +87,8 @@
 			continue
 		}
 		o, n := c.seen.Old.minus(&c.atStep.Old), c.seen.New.minus(&c.atStep.New)
-		sum.Old.add(&o)
-		sum.New.add(&n)
+		sum.Old.Add(&o)
+		sum.New.Add(&n)
 	}
 	return &pb.Evidence{
 		Route: s.route, FailureDomain: s.domain,
