rollout: decide in two intervals when several failure domains agree

Cause: a limit of a fifth of the threshold per interval made every total failure take 5 s, no faster than fixed thresholds; the limit is needed for one crashed host only, which is in one failure domain. Change: the limit is raised as far as the calls outside the worst failure domain show the same; a suspicion at a partial share waits 8 s for the concurrent comparison; the cautious plan leaves 22% before the deadline, since a partition late in the move used up 10%.

--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -50,10 +50,14 @@
 		}
 	}
 	v := j.verdict()
+	j.unconfirmed++
+	if v.judgement != unconfirmed {
+		j.unconfirmed = 0
+	}
 	switch {
 	case v.judgement == bad:
 		return j.rollBack(m, e, j.describe(v))
-	case v.judgement == unconfirmed && highest > verifyShare && !j.demand.high():
+	case j.unconfirmed > confirmIntervals(highest) && highest > verifyShare && !j.demand.high():
 		if verifications(m) > 0 {
 			// The fault went away at a small share and is back at a large one.
 			return j.rollBack(m, e, "again at a large share, "+j.describe(v))
@@ -66,6 +70,15 @@
 	return j.advance(m, e, v, now)
 }
 
+// confirmIntervals is how long the concurrent comparison may confirm what the
+// comparison with the past says, before the share is made smaller for it.
+func confirmIntervals(highest uint32) int {
+	if highest == fullShare {
+		return 0 // there are no concurrent calls
+	}
+	return 8
+}
+
 func keep(m *pb.Move, reason string) Decision { return Decision{Phase: m.GetPhase(), Reason: reason} }
 
 // verifications counts the steps back of a move; the first row of evidence
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -21,9 +21,11 @@
 	threshold float64
 	intervals int
 	last      time.Time
-	demand    demand
-	step      uint64
-	stepKnown bool
+	// unconfirmed counts the intervals in a row with that judgement.
+	unconfirmed int
+	demand      demand
+	step        uint64
+	stepKnown   bool
 	// pooledShare is the share of the failure domains that are pooled.
 	pooledShare uint32
 }
@@ -83,13 +85,9 @@
 		}
 		j.pooledShare = pooled
 	}
-	sums := make([][metricCount]tally, len(j.streams), len(j.streams)+len(e.Cells))
 	var offered float64
 	for i := range e.Cells {
 		c := j.cell(e.Cells[i].Cell)
-		for len(sums) < len(j.streams) {
-			sums = append(sums, [metricCount]tally{})
-		}
 		if e.Cells[i].same(&c.seen) {
 			continue
 		}
@@ -106,17 +104,16 @@
 			if k != 2 && shares[c.Domain] != pooled {
 				continue // another share: pooling would compare different failure domains
 			}
-			for m := range metricCount {
-				sums[s][m].add(t[m])
-			}
+			j.streams[s].take(&t)
 		}
 	}
 	if !first {
 		j.demand.add(offered, elapsed)
 	}
 	lim := j.limits(m)
-	for i, s := range j.streams {
-		s.collect(&sums[i], &lim)
+	j.spread()
+	for _, s := range j.streams {
+		s.collect(&lim)
 	}
 	if j.intervals%rebaseEvery == 0 || j.intervals == firstRebase {
 		j.rebase()
@@ -124,6 +121,22 @@
 	j.intervals++
 }
 
+// spread finds the failure domain with the most events over all routes.
+func (j *Judge) spread() {
+	all := j.streams[0]
+	all.top = [metricCount]tally{}
+	for _, s := range j.streams {
+		for m := range metricCount {
+			if s.domain != "" && s.sums[m].newHits > all.top[m].newHits {
+				all.top[m] = s.sums[m]
+			}
+			if s.domain != "" {
+				s.top[m] = s.sums[m]
+			}
+		}
+	}
+}
+
 func (j *Judge) rebase() {
 	for _, r := range j.routes {
 		r.sum = histogramBase{}
@@ -155,7 +168,12 @@
 	comparisons := float64(len(j.streams)) * float64(metricCount) * float64(ratioCount)
 	// Each score starts again at every interval at most: one chance of a false alarm each.
 	j.threshold = math.Log(comparisons * max(seconds, minLooks) / j.profile.alpha)
-	l := limits{perInterval: j.threshold / intervalsToAlarm, ceiling: j.threshold * ceilingFactor}
+	l := limits{
+		perInterval: j.threshold / intervalsToAlarm,
+		spreadBonus: j.threshold/spreadIntervals - j.threshold/intervalsToAlarm,
+		ceiling:     j.threshold * ceilingFactor,
+		confirmable: j.pooledShare < fullShare,
+	}
 	if !j.demand.high() {
 		return l
 	}
@@ -173,8 +191,10 @@
 	// intervalsToAlarm intervals are needed at least: a crashed host loses calls in
 	// one or two of them.
 	intervalsToAlarm = 5
-	ceilingFactor    = 1.3
-	evenShare        = 600
+	// spreadIntervals are enough for a fault that several failure domains see.
+	spreadIntervals = 2
+	ceilingFactor   = 1.3
+	evenShare       = 600
 )
 
 // sharesOf returns the share per failure domain and the highest one.
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -28,9 +28,9 @@
 
 var cautious = profile{
 	rungs: []rung{
-		{40, 0.30, 350}, {60, 0.08, 350}, {200, 0.12, 400}, {500, 0.15, 600}, {900, 0.12, 600}, {1000, 0.10, 0},
+		{40, 0.25, 350}, {60, 0.07, 350}, {200, 0.11, 400}, {500, 0.15, 600}, {900, 0.11, 600}, {1000, 0.09, 0},
 	},
-	minDwell: 8 * time.Second, patience: 1.6, margin: 0.10, alpha: 0.002,
+	minDwell: 8 * time.Second, patience: 1.6, margin: 0.22, alpha: 0.002,
 }
 
 var punctual = profile{
--- a/core/rollout/simulate/baseline.go
+++ b/core/rollout/simulate/baseline.go
@@ -9,19 +9,21 @@
 
 // Baseline is a rollout in fixed steps with fixed thresholds, as the comparison
 // for the Judge: it looks at the new version's calls of the last 30 s every 10 s
-// and rolls back when more than 1% failed or their p99 is more than 1.5 times
-// the old version's before the move.
+// and rolls back when more than 1% failed or their p95 is more than 1.4 times
+// the old version's before the move. Of p90, p95 and p99 with 1.4 and 1.6 times,
+// these values gave the baseline its best results.
 type Baseline struct {
-	looks    []rollout.Pair // sums over all cells, one per second
-	usualP99 int            // bucket
+	looks    [baselineWindow + 1]rollout.Counts // ring of the new version's sums, one per second
+	seen     int
+	usualP95 int // bucket
 }
 
 const (
 	baselineWindow    = 30 // s
 	baselineEvery     = 10 // s
 	baselineErrors    = 0.01
-	baselineMinCalls  = 50
-	baselineSlowShift = 4 // buckets: 1.125^4 is 1.6, the nearest to 1.5 above it
+	baselineMinCalls  = 100
+	baselineSlowShift = 3 // buckets: 1.125^3 is 1.42
 	baselineMargin    = 0.1
 )
 
@@ -32,12 +34,14 @@
 
 // Decide climbs a step per fixed part of the time.
 func (b *Baseline) Decide(m *pb.Move, e *rollout.Evidence, now time.Time) rollout.Decision {
-	b.looks = append(b.looks, sumOf(e))
+	sum := sumOf(e)
+	b.seen++
+	b.looks[b.seen%len(b.looks)] = sum.New
 	started := time.UnixMilli(m.GetStartedUnixMs())
 	spent := now.Sub(started)
 	second := int(spent / time.Second)
 	if m.GetStep() == 0 {
-		b.usualP99 = p99(&b.looks[len(b.looks)-1].Old)
+		b.usualP95 = p95(&sum.Old)
 		if second < baselineEvery {
 			return rollout.Decision{}
 		}
@@ -57,6 +61,10 @@
 	return rollout.Decision{}
 }
 
+// KeepsState reports that the baseline survives a change of leader: its state is
+// taken as replicated.
+func (b *Baseline) KeepsState() bool { return true }
+
 func (b *Baseline) to(e *rollout.Evidence, phase pb.MovePhase, permille uint32, reason string) rollout.Decision {
 	d := rollout.Decision{Changed: true, Phase: phase, Reason: reason}
 	for name := range e.Domains {
@@ -66,9 +74,8 @@
 }
 
 func (b *Baseline) bad() bool {
-	last := len(b.looks) - 1
-	n := b.looks[last].New
-	past := &b.looks[max(0, last-baselineWindow)].New
+	n := b.looks[b.seen%len(b.looks)]
+	past := &b.looks[(b.seen+1)%len(b.looks)] // empty until the ring is full
 	calls, errors := n.Calls-past.Calls, n.Errors-past.Errors
 	if calls < baselineMinCalls {
 		return false
@@ -76,7 +83,7 @@
 	for i := range n.Latency {
 		n.Latency[i] -= past.Latency[i]
 	}
-	return float64(errors) > baselineErrors*float64(calls) || p99(&n) >= b.usualP99+baselineSlowShift
+	return float64(errors) > baselineErrors*float64(calls) || p95(&n) >= b.usualP95+baselineSlowShift
 }
 
 func sumOf(e *rollout.Evidence) rollout.Pair {
@@ -88,14 +95,14 @@
 	return sum
 }
 
-func p99(c *rollout.Counts) int {
+func p95(c *rollout.Counts) int {
 	total := uint64(0)
 	for _, n := range c.Latency {
 		total += n
 	}
 	sum := uint64(0)
 	for i, n := range c.Latency {
-		if sum += n; float64(sum) >= 0.99*float64(total) {
+		if sum += n; float64(sum) >= 0.95*float64(total) {
 			return i
 		}
 	}
--- a/core/rollout/simulate/calls.go
+++ b/core/rollout/simulate/calls.go
@@ -65,7 +65,10 @@
 	}
 	switch f.Trigger {
 	case AfterShare:
-		if w.result.FaultAt < 0 && share < float64(f.Share) {
+		if w.reached < 0 && share >= float64(f.Share) {
+			w.reached = w.second
+		}
+		if w.reached < 0 || w.second < w.reached+w.delay {
 			return 0
 		}
 	case UnderLoad:
--- a/core/rollout/simulate/cases.go
+++ b/core/rollout/simulate/cases.go
@@ -33,6 +33,7 @@
 	{"after 10%", func(f *Fault) { f.Trigger, f.Share = AfterShare, 100 }},
 	{"after 50%", func(f *Fault) { f.Trigger, f.Share = AfterShare, 500 }},
 	{"after 90%", func(f *Fault) { f.Trigger, f.Share = AfterShare, 900 }},
+	{"after 100%", func(f *Fault) { f.Trigger, f.Share = AfterShare, 1000 }},
 	{"under load", func(f *Fault) { f.Trigger = UnderLoad }},
 	{"on a route with 1%", func(f *Fault) { f.RareRoute = true }},
 	{"in one failure domain", func(f *Fault) { f.OneDomain = true }},
--- a/core/rollout/simulate/run.go
+++ b/core/rollout/simulate/run.go
@@ -46,6 +46,10 @@
 // A move may end this much after its deadline before a trial gives up.
 const overtime = 1.5
 
+// maxDelay of a late fault after its share is reached, so that no controller
+// profits from looking right after its own steps.
+const maxDelay = 20
+
 // epoch is an arbitrary start time.
 var epoch = time.Unix(1_700_000_000, 0)
 
@@ -56,7 +60,7 @@
 	total := int(t.Deadline.Seconds())
 	for second := 0; second < int(float64(total)*overtime); second++ {
 		w.second = second
-		if w.process.leaderLost() {
+		if _, keeps := c.(interface{ KeepsState() bool }); w.process.leaderLost() && !keeps {
 			c = newController()
 		}
 		if !w.process.noLeader() {
@@ -92,6 +96,8 @@
 	rejected [2]float64 // share of calls, old and new version
 	slower   [2]float64 // factor of the latency by load
 	planned  uint64
+	reached  int // when an AfterShare fault's share was reached, -1 before
+	delay    int // seconds from then to the fault
 }
 
 func newWorld(t *Trial) *world {
@@ -103,10 +109,11 @@
 			StartedUnixMs: epoch.UnixMilli(), ChangedUnixMs: epoch.UnixMilli(),
 			DeadlineUnixMs: epoch.Add(t.Deadline).UnixMilli(), Phase: pb.MovePhase_MOVE_PHASE_RUNNING,
 		},
-		endSeen: -1,
+		endSeen: -1, reached: -1,
 	}
 	w.result.FaultAt = -1
 	w.factor = 0.95 + 0.1*w.rand.Float64()
+	w.delay = w.rand.IntN(maxDelay)
 	w.process = newProcess(t, w.rand)
 	w.evidence.Domains = make(map[string]rollout.DomainStatus)
 	for _, r := range t.Service.Routes {
--- a/core/rollout/stream.go
+++ b/core/rollout/stream.go
@@ -5,8 +5,11 @@
 type stream struct {
 	route, domain string
 	pending       [metricCount]tally
-	concurrent    [metricCount][ratioCount]float64
-	reference     [metricCount][ratioCount]float64
+	// pendingTop are the calls among pending of the failure domain with the most events.
+	pendingTop [metricCount]tally
+	sums, top  [metricCount]tally // of the interval
+	concurrent [metricCount][ratioCount]float64
+	reference  [metricCount][ratioCount]float64
 }
 
 // Each score is a cumulative sum that starts again at zero: evidence of a long
@@ -14,38 +17,66 @@
 func raise(score *float64, gain, limit float64) { *score = max(0, *score+min(gain, limit)) }
 
 // collect adds the calls of one interval and moves the scores.
-func (s *stream) collect(tallies *[metricCount]tally, limits *limits) {
+func (s *stream) collect(limits *limits) {
 	for m := range metricCount {
-		t := &tallies[m]
+		t := &s.sums[m]
 		if t.newTrials > 0 && !limits.muteReference[m] {
+			rest := t.without(&s.top[m])
 			for i := range ratios {
-				raise(&s.reference[m][i], referenceGain(t, m, i), limits.perInterval)
+				limit := limits.perInterval
+				if limits.confirmable && rest.newTrials > 0 {
+					limit += min(limits.spreadBonus, max(0, referenceGain(&rest, m, i)))
+				}
+				raise(&s.reference[m][i], referenceGain(t, m, i), limit)
 				s.reference[m][i] = min(s.reference[m][i], limits.ceiling)
 			}
 		}
 		if limits.muteConcurrent[m] {
 			continue
 		}
-		p := &s.pending[m]
-		p.add(*t)
+		p, top := &s.pending[m], &s.pendingTop[m]
+		p.add(t)
+		top.add(&s.top[m])
 		if !p.comparable() {
 			continue
 		}
+		rest := p.without(top)
 		for i := range ratios {
-			raise(&s.concurrent[m][i], concurrentGain(p, m, i), limits.perInterval)
+			limit := limits.perInterval
+			if rest.comparable() {
+				limit += min(limits.spreadBonus, max(0, concurrentGain(&rest, m, i)))
+			}
+			raise(&s.concurrent[m][i], concurrentGain(p, m, i), limit)
+		}
+		*p, *top = tally{}, tally{}
+	}
+	s.sums, s.top = [metricCount]tally{}, [metricCount]tally{}
+}
+
+// take adds the calls of one cell; cells of a route differ by failure domain.
+func (s *stream) take(t *[metricCount]tally) {
+	for m := range metricCount {
+		s.sums[m].add(&t[m])
+		if t[m].newHits > s.top[m].newHits {
+			s.top[m] = t[m]
 		}
-		*p = tally{}
 	}
 }
 
 // flush drops what is pending; the next calls have another share.
-func (s *stream) flush() { s.pending = [metricCount]tally{} }
+func (s *stream) flush() { s.pending, s.pendingTop = [metricCount]tally{}, [metricCount]tally{} }
 
 // limits of one interval.
 type limits struct {
 	// perInterval bounds what one interval adds to a score, so that one burst
 	// (a crashed host loses every call in flight) cannot decide alone.
 	perInterval float64
+	// spreadBonus is added to perInterval as far as the calls outside the failure
+	// domain with the most events show the same: a host is in one of them only.
+	spreadBonus float64
+	// confirmable is false at the full share: without concurrent calls a burst that
+	// concerns both versions, such as the start of a partition, looks like a fault.
+	confirmable bool
 	// ceiling lets a reference score fall again in bounded time.
 	ceiling        float64
 	muteReference  [metricCount]bool
--- a/core/rollout/tally.go
+++ b/core/rollout/tally.go
@@ -45,7 +45,7 @@
 	expected           float64 // events of the new version at the old one's earlier rate
 }
 
-func (t *tally) add(o tally) {
+func (t *tally) add(o *tally) {
 	t.newHits += o.newHits
 	t.newTrials += o.newTrials
 	t.oldHits += o.oldHits
@@ -53,6 +53,14 @@
 	t.expected += o.expected
 }
 
+func (t *tally) without(o *tally) tally {
+	return tally{
+		newHits: t.newHits - o.newHits, newTrials: t.newTrials - o.newTrials,
+		oldHits: t.oldHits - o.oldHits, oldTrials: t.oldTrials - o.oldTrials,
+		expected: t.expected - o.expected,
+	}
+}
+
 // A stratum is weighed once both versions have calls in it; until then its calls
 // are collected, since a stratum with one version carries no information.
 const (
