loadgen: add the load generator

Cause: added latency, lost calls and double executions must be measured from the caller's side, with responses that are verified.

--- /dev/null
+++ b/app/loadgen/generator.go
@@ -0,0 +1,135 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const recentResults = 1024 // results that may wait for the collector
+
+type generator struct {
+	options Options
+	client  *fasthttp.Client
+	random  *rand.Rand // used by the scheduling goroutine only
+	run     string
+}
+
+// Run sends calls until the duration has passed or the context ends, waits for
+// the last answers and returns the summary. observe sees every result, one at a
+// time; nil is allowed.
+func Run(ctx context.Context, o Options, observe func(*Result)) *Summary {
+	o = o.withDefaults()
+	g := &generator{
+		options: o, client: newClient(), random: rand.New(rand.NewPCG(o.Seed, 2)),
+		run: fmt.Sprintf("%x-%x", o.Seed, time.Now().UnixNano()),
+	}
+	defer g.client.CloseIdleConnections()
+	summary := newSummary(o)
+	results := make(chan *Result, recentResults)
+	collected := make(chan struct{})
+	go func() {
+		defer close(collected)
+		for r := range results {
+			summary.add(r)
+			if observe != nil {
+				observe(r)
+			}
+		}
+	}()
+	start := time.Now()
+	summary.Skipped = g.schedule(ctx, start, results)
+	close(results)
+	<-collected
+	summary.finish(time.Since(start))
+	return summary
+}
+
+// schedule starts calls at their times and returns how many it had to skip.
+func (g *generator) schedule(ctx context.Context, start time.Time, results chan<- *Result) (skipped uint64) {
+	slots := make(chan struct{}, g.options.MaxInFlight)
+	var running sync.WaitGroup
+	defer running.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n := 0; ; n++ {
+		at := start.Add(time.Duration(float64(n) / g.options.Rate * float64(time.Second)))
+		if at.Sub(start) >= g.options.Duration {
+			return skipped
+		}
+		timer.Reset(time.Until(at))
+		select {
+		case <-ctx.Done():
+			return skipped
+		case <-timer.C:
+		}
+		job := g.next(n, at, at.Sub(start) < g.options.Warmup)
+		select {
+		case slots <- struct{}{}:
+			running.Go(func() {
+				results <- g.execute(job)
+				<-slots
+			})
+		default:
+			skipped++
+		}
+	}
+}
+
+// job is one scheduled call with everything that chance decides about it.
+type job struct {
+	call   call
+	at     time.Time
+	entry  int
+	direct string
+	resend bool
+	warmup bool
+}
+
+func (g *generator) next(n int, at time.Time, warmup bool) job {
+	route := g.options.Routes[pick(g.random, len(g.options.Routes), func(i int) int { return g.options.Routes[i].Weight })]
+	tenant := g.options.Tenants[pick(g.random, len(g.options.Tenants), func(i int) int { return g.options.Tenants[i].Weight })]
+	j := job{
+		call: call{token: fmt.Sprintf("%s-%d", g.run, n), tenant: tenant.Name, route: route, keyed: route.Keyed},
+		at:   at, entry: n % len(g.options.Entries), warmup: warmup,
+	}
+	if route.Keyed {
+		j.resend = g.random.Float64() < g.options.ResendShare
+	} else if len(g.options.Direct) > 0 && g.options.DirectEvery > 0 && n%g.options.DirectEvery == 0 {
+		j.direct = g.options.Direct[g.random.IntN(len(g.options.Direct))]
+	}
+	return j
+}
+
+func pick(random *rand.Rand, n int, weight func(int) int) int {
+	total := 0
+	for i := range n {
+		total += max(weight(i), 1)
+	}
+	at := random.IntN(total)
+	for i := range n {
+		if at -= max(weight(i), 1); at < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+func (g *generator) execute(j job) *Result {
+	r := g.send(j.call, j.entry)
+	r.Scheduled, r.warmup = j.at, j.warmup
+	if j.direct != "" && r.Outcome == Answered {
+		sent := time.Now()
+		if answer, err := g.attempt(j.direct, j.call); err == nil && answer.status < 400 && answer.verified == nil {
+			r.Direct = time.Since(sent)
+		}
+	}
+	if j.resend {
+		r.Resent = g.send(j.call, j.entry+1).Outcome
+	}
+	return &r
+}
