--- /dev/null
+++ b/deploy/deploy_test.go
@@ -0,0 +1,159 @@
+package deploy
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tailscale/hujson"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rattanfield/rattanfield/adapters/settings"
+	"github.com/rattanfield/rattanfield/core/config"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+type expected struct {
+	site      settings.Site // preferences only
+	regions   []string
+	upstreams map[string]int // by service
+	once      []string       // routes that must not be idempotent
+	tenants   []string
+	risk      pb.RiskPreference
+}
+
+var deployments = map[string]expected{
+	"braithwaite": {
+		site:      settings.Site{Urgency: settings.UrgencyUrgent, Compression: settings.CompressionNone, Risk: settings.RiskCautious},
+		regions:   []string{"kingston", "montego-bay"},
+		upstreams: map[string]int{"bookings": 8, "tills": 4},
+		once:      []string{"fares-write", "reservations-write"},
+		tenants:   []string{"hotel-desk", "cruise-liaison", "guide"},
+		risk:      pb.RiskPreference_RISK_PREFERENCE_CAUTIOUS,
+	},
+	"ben-tau": {
+		site:      settings.Site{Urgency: settings.UrgencyBatched, Compression: settings.CompressionZstd, Risk: settings.RiskPunctual},
+		regions:   []string{"haiphong", "vung-tau"},
+		upstreams: map[string]int{"plank-desk": 7, "pledge-ledger": 4},
+		once:      []string{"deposits-write", "planks-write", "engravings"},
+		tenants:   []string{"staff", "sponsor", "pier-trust"},
+		risk:      pb.RiskPreference_RISK_PREFERENCE_PUNCTUAL,
+	},
+}
+
+// A deployment whose files disagree starts with hosts that nobody reaches, or with a
+// ledger group that a single failure takes away.
+func TestDeployments(t *testing.T) {
+	for name, want := range deployments {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			site, err := settings.LoadSite(filepath.Join(name, "site.hujson"))
+			is.NoErr(err)
+			is.Equal(site.Name, name)
+			is.Equal([]string{site.Urgency, site.Compression, site.Risk}, []string{want.site.Urgency, want.site.Compression, want.site.Risk})
+			for i, r := range site.Regions {
+				is.Equal(r.Name, want.regions[i])
+				is.Equal(len(r.FailureDomains), 2)
+			}
+			hosts := map[netip.Addr]string{}
+			checkControl(is, name, site, want, hosts)
+			nodes := checkNodes(is, name, site, want, hosts)
+			checkConfiguration(is, name, want, nodes)
+		})
+	}
+}
+
+// own reports whether no other process has the host.
+func own(hosts map[netip.Addr]string, id string, addresses ...string) bool {
+	for _, a := range addresses {
+		ip := netip.MustParseAddrPort(a).Addr()
+		if other, taken := hosts[ip]; taken && other != id {
+			return false
+		}
+		hosts[ip] = id
+	}
+	return true
+}
+
+func checkControl(is *is.I, name string, site *settings.Site, want expected, hosts map[netip.Addr]string) {
+	files, err := filepath.Glob(filepath.Join(name, "control-*.hujson"))
+	is.NoErr(err)
+	is.Equal(len(files), 5)
+	is.Equal(len(site.ControlHosts), 5)
+	perRegion, perDomain := map[string]int{}, map[string]int{}
+	for _, f := range files {
+		c, err := settings.LoadControl(f)
+		is.NoErr(err)
+		is.Equal(filepath.Base(f), c.ID+".hujson")
+		is.True(own(hosts, c.ID, c.Addresses.Peer, c.Addresses.Admin))
+		perRegion[site.RegionOf(c.FailureDomain)]++
+		perDomain[c.FailureDomain]++
+	}
+	is.Equal(perRegion, map[string]int{want.regions[0]: 3, want.regions[1]: 2})
+	for _, d := range site.FailureDomainNames() {
+		is.True(perDomain[d] >= 1 && perDomain[d] <= 2) // any one failure domain may be lost
+	}
+}
+
+// checkNodes returns the failure domain of each node, by id.
+func checkNodes(is *is.I, name string, site *settings.Site, want expected, hosts map[netip.Addr]string) map[string]string {
+	files, err := filepath.Glob(filepath.Join(name, "node-*.hujson"))
+	is.NoErr(err)
+	domains, counts, peers := map[string]string{}, map[string]int{}, map[string]string{}
+	var seeds [][2]string
+	for _, f := range files {
+		n, err := settings.LoadNode(f)
+		is.NoErr(err)
+		is.Equal(filepath.Base(f), "node-"+n.ID+".hujson")
+		is.True(own(hosts, n.ID, n.Addresses.Entry, n.Addresses.Gate, n.Addresses.Peer, n.Addresses.Admin))
+		is.Equal(len(n.EntryServices), len(want.upstreams))
+		domains[n.ID], peers[n.Addresses.Peer] = n.FailureDomain, n.FailureDomain
+		for _, s := range n.Seeds {
+			seeds = append(seeds, [2]string{s, n.FailureDomain})
+		}
+		service, _, found := strings.Cut(n.ID, "-"+n.FailureDomain+"-")
+		is.True(found)
+		counts[service]++
+	}
+	is.Equal(counts, want.upstreams)
+	for _, s := range seeds {
+		is.Equal(peers[s[0]], s[1]) // a seed is a node of the same failure domain
+	}
+	return domains
+}
+
+func checkConfiguration(is *is.I, name string, want expected, nodes map[string]string) {
+	data, err := os.ReadFile(filepath.Join(name, "configuration.hujson"))
+	is.NoErr(err)
+	plain, err := hujson.Standardize(data)
+	is.NoErr(err)
+	var c pb.Configuration
+	is.NoErr(protojson.Unmarshal(plain, &c))
+	is.Equal(len(config.Validate(&c)), 0)
+	is.Equal(len(c.GetServices()), len(want.upstreams))
+	for _, s := range c.GetServices() {
+		is.Equal(s.GetRisk(), want.risk)
+		is.Equal(s.GetLimits().GetSlots(), uint32(9))
+		domains := map[string]bool{}
+		for _, m := range s.GetLedgerMembers() {
+			is.True(strings.HasPrefix(m, s.GetName()+"-"))
+			domains[nodes[m]] = nodes[m] != ""
+		}
+		is.Equal(len(domains), 3) // one lost failure domain leaves 2 of 3
+		is.True(!domains[""])
+		for i, w := range s.GetTenantWeights() {
+			is.Equal(w.GetTenant(), want.tenants[i])
+		}
+	}
+	idempotent := map[string]bool{}
+	for _, r := range c.GetRoutes() {
+		idempotent[r.GetName()] = r.GetIdempotent()
+	}
+	for _, r := range want.once {
+		value, known := idempotent[r]
+		is.True(known && !value)
+	}
+}
