demo: add the program that runs the main job on loopback

Cause: the main job (apply, calls, a good and a bad move with faults) must be shown with real processes and checked by one command.

--- a/adapters/settings/types.go
+++ b/adapters/settings/types.go
@@ -88,12 +88,12 @@
 	FailureDomain string        `json:"failure_domain" validate:"required"`
 	Addresses     NodeAddresses `json:"addresses"`
 	// EntryServices are the services that callers of this entry use, besides those of the local upstream.
-	EntryServices []string `json:"entry_services" validate:"dive,required,name"`
+	EntryServices []string `json:"entry_services,omitempty" validate:"dive,required,name"`
 	// Seeds are peer addresses of some nodes of the failure domain, asked when no control host answers.
-	Seeds    []string `json:"seeds" validate:"dive,ip_port"`
-	LogLevel string   `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
-	SiteFile string   `json:"site_file"` // relative to the folder of this file
-	Site     *Site    `json:"site"`      // exactly one of site_file and site
+	Seeds    []string `json:"seeds,omitempty" validate:"dive,ip_port"`
+	LogLevel string   `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	SiteFile string   `json:"site_file,omitempty"` // relative to the folder of this file
+	Site     *Site    `json:"site,omitempty"`      // exactly one of site_file and site
 }
 
 // NodeAddresses are the listeners of a node.
@@ -110,9 +110,9 @@
 	FailureDomain string           `json:"failure_domain" validate:"required"`
 	Addresses     ControlAddresses `json:"addresses"`
 	DataDirectory string           `json:"data_directory" validate:"required"` // relative to the folder of this file
-	LogLevel      string           `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
-	SiteFile      string           `json:"site_file"`
-	Site          *Site            `json:"site"`
+	LogLevel      string           `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	SiteFile      string           `json:"site_file,omitempty"`
+	Site          *Site            `json:"site,omitempty"`
 }
 
 // ControlAddresses are the listeners of a control host.
--- /dev/null
+++ b/app/demo/convergence.go
@@ -0,0 +1,94 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const (
+	convergenceChanges = 10
+	convergenceLimit   = 6 * time.Second // design target: in force everywhere
+)
+
+// convergence holds the times from the acceptance of a change until nodes apply it.
+type convergence struct {
+	nodes      []time.Duration // one for each change and node
+	everywhere []time.Duration // one for each change
+}
+
+// measureConvergence submits changes one after the other and watches all nodes.
+func (d *demo) measureConvergence(ctx context.Context) error {
+	for i := range convergenceChanges {
+		r, err := d.operator.query(ctx, pb.Subject_SUBJECT_CONFIGURATION)
+		if err != nil {
+			return err
+		}
+		c := r.GetConfiguration()
+		service := proto.CloneOf(c.GetServices()[0])
+		service.Limits.MaxQueue = uint32(32 + i%2)
+		result, err := d.operator.submit(ctx, &pb.Command{
+			CommandId: fmt.Sprintf("demo-change-%d-%d", i, time.Now().UnixNano()), Operator: operatorName,
+			ExpectedRevision: c.GetRevision(), SubmittedUnixMs: time.Now().UnixMilli(),
+			Command: &pb.Command_SubmitConfiguration{SubmitConfiguration: &pb.SubmitConfiguration{
+				Changes: []*pb.Change{{Change: &pb.Change_PutService{PutService: service}}},
+			}},
+		})
+		if err != nil {
+			return err
+		}
+		if result.GetOutcome() != pb.Outcome_OUTCOME_ACCEPTED {
+			return fmt.Errorf("change %d: %s: %v %s", i, result.GetOutcome(), result.GetProblems(), result.GetMessage())
+		}
+		if err := d.awaitRevision(ctx, result.GetRevision(), time.UnixMilli(result.GetAcceptedUnixMs())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitRevision waits until all nodes have applied a revision and records how long each took.
+func (d *demo) awaitRevision(ctx context.Context, revision uint64, accepted time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*convergenceLimit)
+	defer cancel()
+	took := make([]time.Duration, len(d.layout.nodes))
+	var wait sync.WaitGroup
+	for i, n := range d.layout.nodes {
+		wait.Go(func() {
+			for {
+				if r, err := d.admin.revision(ctx, n.admin()); err == nil && r >= revision {
+					took[i] = max(time.Since(accepted), 0)
+					return
+				}
+				if !pause(ctx, pollInterval) {
+					took[i] = -1
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	for i, t := range took {
+		if t < 0 {
+			return fmt.Errorf("node %s did not apply revision %d within %s", d.layout.nodes[i].id, revision, 2*convergenceLimit)
+		}
+	}
+	d.convergence.nodes = append(d.convergence.nodes, took...)
+	d.convergence.everywhere = append(d.convergence.everywhere, slices.Max(took))
+	return nil
+}
+
+// quantile of durations; 0 when there are none.
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(float64(len(sorted))*q))]
+}
--- /dev/null
+++ b/app/demo/load.go
@@ -0,0 +1,86 @@
+package demo
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rattanfield/rattanfield/app/loadgen"
+)
+
+const (
+	pairEvery      = 4 // every nth call without a key
+	resendShare    = 0.1
+	callTimeout    = 3 * time.Second
+	loadRun        = 5 * time.Minute // ended by the demo
+	steadyDuration = 6 * time.Second
+	steadyWarmup   = time.Second
+)
+
+var callRoutes = []loadgen.Route{
+	{Method: "GET", Path: "/climbing-times/today", Weight: 4},
+	{Method: "GET", Path: "/reservations/7", Weight: 2},
+	{Method: "POST", Path: "/reservations", Weight: 2, Keyed: true, BodyBytes: 200},
+	{Method: "GET", Path: "/fares/7", Weight: 1},
+	{Method: "POST", Path: "/fares", Weight: 1, Keyed: true, BodyBytes: 100},
+}
+
+var callTenants = []loadgen.Tenant{{Name: "hotel-desk", Weight: 4}, {Name: "cruise-liaison", Weight: 3}, {Name: "guide", Weight: 2}}
+
+// versionLog remembers when each version answered calls of bookings.
+type versionLog struct {
+	mu      sync.Mutex
+	calls   map[string]int
+	last    map[string]time.Time // time that the call was sent
+	sentAll int
+}
+
+func (v *versionLog) observe(r *loadgen.Result) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sentAll++
+	if r.Version == "" {
+		return
+	}
+	v.calls[r.Version]++
+	if r.Sent.After(v.last[r.Version]) {
+		v.last[r.Version] = r.Sent
+	}
+}
+
+func (v *versionLog) of(version string) (calls int, last time.Time, all int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.calls[version], v.last[version], v.sentAll
+}
+
+func (d *demo) loadOptions() loadgen.Options {
+	return loadgen.Options{
+		Entries: d.layout.callerEntries(), Rate: d.options.Rate, Duration: loadRun, Timeout: callTimeout,
+		Routes: callRoutes, Tenants: callTenants, ResendShare: resendShare, Seed: d.options.Seed,
+	}
+}
+
+// steady measures the added latency while nothing changes.
+func (d *demo) steady(ctx context.Context) {
+	o := d.loadOptions()
+	o.Duration, o.Warmup = steadyDuration, steadyWarmup
+	o.Direct, o.DirectEvery = d.layout.upstreams(serviceBookings, versionOld), pairEvery
+	d.steadyLoad = loadgen.Run(ctx, o, nil)
+}
+
+// background sends calls until the returned function is called.
+func (d *demo) background(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	o := d.loadOptions()
+	o.Seed++
+	go func() {
+		defer close(done)
+		d.load = loadgen.Run(ctx, o, d.versions.observe)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
--- /dev/null
+++ b/app/demo/measure.go
@@ -0,0 +1,136 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// traffic is what the processes exchanged besides calls.
+type traffic struct {
+	started       time.Time
+	all, remote   float64 // bytes at the start
+	seconds       float64
+	perNode       float64 // bytes per second and node
+	perRegionLink float64 // bytes per second over the region link
+}
+
+func (t *traffic) begin(ctx context.Context, d *demo) (err error) {
+	t.started = time.Now()
+	t.all, t.remote, err = d.linkTotals(ctx)
+	return err
+}
+
+func (t *traffic) end(ctx context.Context, d *demo) error {
+	all, remote, err := d.linkTotals(ctx)
+	if err != nil {
+		return err
+	}
+	t.seconds = time.Since(t.started).Seconds()
+	t.perNode = (all - t.all) / t.seconds / float64(len(d.layout.nodes))
+	t.perRegionLink = (remote - t.remote) / t.seconds
+	return nil
+}
+
+// linkTotals sums both directions at the client side of every connection, so each byte counts once.
+func (d *demo) linkTotals(ctx context.Context) (all, remote float64, err error) {
+	var addresses []string
+	for _, n := range d.layout.nodes {
+		addresses = append(addresses, n.admin())
+	}
+	for _, c := range d.layout.controls {
+		addresses = append(addresses, c.admin())
+	}
+	for _, a := range addresses {
+		every, err := d.admin.linkBytes(ctx, a, "")
+		if err != nil {
+			return 0, 0, err
+		}
+		far, err := d.admin.linkBytes(ctx, a, "remote")
+		if err != nil {
+			return 0, 0, err
+		}
+		all, remote = all+every, remote+far
+	}
+	return all, remote, nil
+}
+
+// countExecutions finds keys that ran more than once, on one upstream or on several.
+func (d *demo) countExecutions(ctx context.Context) error {
+	total := map[string]int{}
+	for _, n := range d.layout.nodes {
+		r, err := d.admin.executions(ctx, n.upstream())
+		if err != nil {
+			return err
+		}
+		for key, count := range r.Keys {
+			total[key] += count
+		}
+	}
+	d.keys = len(total)
+	for _, count := range total {
+		if count > 1 {
+			d.double++
+		}
+	}
+	return nil
+}
+
+// report compares what was measured with what is expected.
+func (d *demo) report(stopErrs []error) *Report {
+	r := &Report{}
+	d.reportConfiguration(r)
+	d.reportCalls(r)
+	d.reportMoves(r)
+	unexpected := d.processes.unexpected()
+	r.check("no process ended on its own", len(unexpected) == 0, "%d did", len(unexpected))
+	r.check("every process stopped cleanly", len(stopErrs) == 0, "%v", stopErrs)
+	r.row("duration", "%.1f s", time.Since(d.began).Seconds())
+	return r
+}
+
+func (d *demo) reportConfiguration(r *Report) {
+	p50, p99 := quantile(d.convergence.nodes, 0.5), quantile(d.convergence.nodes, 0.99)
+	r.row("convergence per node, p50 / p99", "%s / %s (%d changes, %d nodes)", ms(p50), ms(p99), len(d.convergence.everywhere), len(d.layout.nodes))
+	r.row("convergence everywhere, p50 / max", "%s / %s", ms(quantile(d.convergence.everywhere, 0.5)), ms(quantile(d.convergence.everywhere, 1)))
+	r.row("control traffic per node", "%.1f KB/s (%.1f s without changes)", d.traffic.perNode/1000, d.traffic.seconds)
+	r.row("control traffic over the region link", "%.1f KB/s", d.traffic.perRegionLink/1000)
+	r.check("changes in force everywhere", len(d.convergence.everywhere) == convergenceChanges && p99 < convergenceLimit,
+		"%d of %d changes, p99 %s, limit %s", len(d.convergence.everywhere), convergenceChanges, ms(p99), convergenceLimit)
+	r.check("killed control host came back", d.rejoined > 0, "ready after %s", ms(d.rejoined))
+}
+
+func (d *demo) reportCalls(r *Report) {
+	if d.steadyLoad == nil || d.load == nil {
+		r.check("calls were sent", false, "the run ended before")
+		return
+	}
+	a := d.steadyLoad.Added
+	r.row("added latency, p50 / p99 of pairs", "%.2f / %.2f ms (%d pairs)", a.P50, a.P99, a.Pairs)
+	r.row("added latency, difference of p50s / p99s", "%.2f / %.2f ms", a.QuantileP50, a.QuantileP99)
+	one, two := d.steadyLoad.All.Counts, d.load.All.Counts
+	r.row("calls while quiet", "%d sent, %d answered, %d failed, %d rejected, %d unknown, %d lost", one.Sent, one.Answered, one.Failed, one.Rejected, one.Unknown, one.Lost)
+	r.row("calls during the moves", "%d sent, %d answered, %d failed, %d rejected, %d unknown, %d lost", two.Sent, two.Answered, two.Failed, two.Rejected, two.Unknown, two.Lost)
+	r.row("repeated by the caller", "%d after a lost connection, %d at another entry", d.load.Resends, d.load.Failovers)
+	r.check("pairs were measured", a.Pairs > 0, "%d pairs", a.Pairs)
+	r.check("no call lost", one.Lost+two.Lost == 0 && one.Sent > 0 && two.Sent > 0, "%d of %d", one.Lost+two.Lost, one.Sent+two.Sent)
+	r.check("no foreign or incomplete response", one.Corrupt+two.Corrupt == 0, "%d of %d", one.Corrupt+two.Corrupt, one.Sent+two.Sent)
+	r.check("no rejection or unknown outcome", one.Rejected+two.Rejected+one.Unknown+two.Unknown == 0, "%v %v", d.steadyLoad.Reasons, d.load.Reasons)
+	r.check("no key ran twice", d.double == 0 && d.keys > 0, "%d of %d keys", d.double, d.keys)
+	r.check("node stopped without interrupting calls", d.stopped == nil, "%s", okOr(d.stopped))
+}
+
+func (d *demo) reportMoves(r *Report) {
+	took := func(m *pb.Move) string {
+		return ms(time.Duration(m.GetChangedUnixMs()-m.GetStartedUnixMs()) * time.Millisecond)
+	}
+	r.row("good move", "%s after %s: %s", phase(d.good), took(d.good), d.good.GetReason())
+	r.row("bad move", "%s after %s: %s", phase(d.bad), took(d.bad), d.bad.GetReason())
+	r.row("calls of the bad version", "%d of %d sent in the move", d.badCalls, d.badLoad)
+	r.check("good move completed by its deadline", d.good.GetPhase() == pb.MovePhase_MOVE_PHASE_DONE &&
+		d.good.GetChangedUnixMs() <= d.good.GetDeadlineUnixMs(), "%s", phase(d.good))
+	r.check("bad move rolled back", d.bad.GetPhase() == pb.MovePhase_MOVE_PHASE_ROLLED_BACK, "%s", phase(d.bad))
+	r.check("bad version got calls and none later than 1 s after the decision", d.badCalls > 0 && d.badLast <= time.Second,
+		"%d calls, last sent %s after the decision", d.badCalls, ms(d.badLast))
+}
--- /dev/null
+++ b/cmd/rattanfield-demo/main.go
@@ -0,0 +1,63 @@
+// Command rattanfield-demo runs the main job with real processes on loopback
+// and exits with a status other than 0 when a check fails.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/demo"
+)
+
+const (
+	statusFailed = 1
+	statusUsage  = 2
+)
+
+type arguments struct {
+	Bin     string        `default:"bin" help:"folder of the programs"`
+	Keep    bool          `help:"keep settings, data and logs"`
+	Rate    float64       `default:"300" help:"calls per second"`
+	Timeout time.Duration `default:"2m" help:"longest duration of the run"`
+	Seed    uint64        `default:"1"`
+}
+
+// Description is the first line of the help.
+func (arguments) Description() string {
+	return "rattanfield-demo starts a small site on loopback, runs the main job and checks the result."
+}
+
+// Version is printed for --version.
+func (arguments) Version() string { return "rattanfield-demo " + telemetry.Version() }
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	if err := demo.CheckPrograms(a.Bin); err != nil {
+		fmt.Fprintln(os.Stderr, "rattanfield-demo:", err)
+		os.Exit(statusUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	report, err := demo.Run(ctx, demo.Options{Bin: a.Bin, Keep: a.Keep, Rate: a.Rate, Seed: a.Seed, Out: os.Stdout})
+	if report != nil {
+		if failed := report.Write(os.Stdout); failed != nil {
+			fmt.Fprintln(os.Stderr, "rattanfield-demo:", failed)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rattanfield-demo:", err)
+	}
+	if err != nil || !report.Passed() {
+		os.Exit(statusFailed)
+	}
+}
