--- a/app/demo/configuration.go
+++ b/app/demo/configuration.go
@@ -7,7 +7,7 @@
 	service := func(name string, uses ...string) object {
 		return object{
 			"name": name, "active_version": versionOld, "uses": uses, "limits": limits,
-			"ledger_members": l.ledger(name), "retry_budget_percent": 10, "risk": "RISK_PREFERENCE_CAUTIOUS",
+			"ledger_members": l.ledger(name), "retry_budget_percent": 10, "risk": "RISK_PREFERENCE_PUNCTUAL",
 		}
 	}
 	route := func(name, path, method, service string, idempotent bool, class string) object {
--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/rattanfield/rattanfield/app/loadgen"
@@ -30,6 +31,7 @@
 	operator  *operator
 	began     time.Time
 	running   map[string]*process
+	saying    sync.Mutex
 
 	convergence convergence
 	versions    versionLog
@@ -78,6 +80,8 @@
 }
 
 func (d *demo) say(format string, args ...any) {
+	d.saying.Lock()
+	defer d.saying.Unlock()
 	fmt.Fprintf(d.options.Out, "%5.1f s  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
--- a/app/demo/layout.go
+++ b/app/demo/layout.go
@@ -49,7 +49,7 @@
 	{serviceBookings, versionOld},
 	{serviceTills, versionOld},
 	{serviceBookings, versionGood},
-	{serviceBookings, versionBad},
+	{serviceTills, versionBad},
 }
 
 type control struct {
--- a/app/demo/load.go
+++ b/app/demo/load.go
@@ -13,16 +13,16 @@
 	resendShare    = 0.1
 	callTimeout    = 3 * time.Second
 	loadRun        = 5 * time.Minute // ended by the demo
-	steadyDuration = 6 * time.Second
+	steadyDuration = 4 * time.Second
 	steadyWarmup   = time.Second
 )
 
 var callRoutes = []loadgen.Route{
-	{Method: "GET", Path: "/climbing-times/today", Weight: 4},
-	{Method: "GET", Path: "/reservations/7", Weight: 2},
+	{Method: "GET", Path: "/climbing-times/today", Weight: 8},
+	{Method: "GET", Path: "/reservations/7", Weight: 3},
 	{Method: "POST", Path: "/reservations", Weight: 2, Keyed: true, BodyBytes: 200},
-	{Method: "GET", Path: "/fares/7", Weight: 1},
-	{Method: "POST", Path: "/fares", Weight: 1, Keyed: true, BodyBytes: 100},
+	{Method: "GET", Path: "/fares/7", Weight: 5},
+	{Method: "POST", Path: "/fares", Weight: 3, Keyed: true, BodyBytes: 100},
 }
 
 var callTenants = []loadgen.Tenant{{Name: "hotel-desk", Weight: 4}, {Name: "cruise-liaison", Weight: 3}, {Name: "guide", Weight: 2}}
--- a/cmd/rattanfield-demo/main.go
+++ b/cmd/rattanfield-demo/main.go
@@ -24,7 +24,7 @@
 type arguments struct {
 	Bin     string        `default:"bin" help:"folder of the programs"`
 	Keep    bool          `help:"keep settings, data and logs"`
-	Rate    float64       `default:"300" help:"calls per second"`
+	Rate    float64       `default:"600" help:"calls per second"`
 	Timeout time.Duration `default:"2m" help:"longest duration of the run"`
 	Seed    uint64        `default:"1"`
 }
