--- /dev/null
+++ b/core/raft/follower.go
@@ -0,0 +1,56 @@
+package raft
+
+import (
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// hearLeader accepts the sender as leader of the current term.
+func (n *Node) hearLeader(m *pb.RaftMessage) {
+	if n.role != Follower || n.leader != m.GetFrom() {
+		n.becomeFollower(n.state.Term, m.GetFrom())
+	}
+	n.lastContact = n.now
+	n.resetElectionDeadline()
+	n.confirmByLeader(m)
+	n.noteFloors(m)
+}
+
+func (n *Node) onAppend(m *pb.RaftMessage) {
+	reply := &pb.RaftMessage{Kind: pb.RaftKind_RAFT_KIND_APPEND_REPLY, To: m.GetFrom(), Context: m.GetContext()}
+	switch {
+	case m.GetLogIndex() < n.log.commit:
+		reply.LogIndex = n.log.commit // the prefix is committed, so it matches
+	case !n.log.matches(m.GetLogIndex(), m.GetLogTerm()):
+		reply.Reject, reply.LogIndex = true, m.GetLogIndex()
+		reply.Hint, reply.LogTerm = n.log.lastAtMost(m.GetLogIndex(), m.GetLogTerm())
+	default:
+		if from := n.log.merge(m.GetEntries()); from > 0 {
+			n.dropSets(from)
+			for _, e := range n.log.entries[from-n.log.offset-1:] {
+				n.noteEntry(e)
+			}
+		}
+		reply.LogIndex = m.GetLogIndex() + uint64(len(m.GetEntries()))
+		n.log.commit = max(n.log.commit, min(m.GetCommit(), reply.LogIndex))
+		n.confirmCaughtUp(m.GetCommit())
+	}
+	n.sendAfterSync(reply)
+}
+
+func (n *Node) onSnapshot(m *pb.RaftMessage) {
+	switch {
+	case n.log.matches(m.GetSnapshotIndex(), m.GetSnapshotTerm()):
+		// The log already holds the snapshot's end; entries after it may be acknowledged and must stay.
+		n.log.commit = max(n.log.commit, m.GetSnapshotIndex())
+	case m.GetSnapshotIndex() > n.log.commit:
+		s := Snapshot{
+			Index: m.GetSnapshotIndex(), Term: m.GetSnapshotTerm(), Members: m.GetSnapshotMembers(), Data: m.GetSnapshot(),
+		}
+		n.log.restore(s)
+		n.sets = []memberSet{{index: s.Index, members: s.Members}}
+		n.installed = &s
+	}
+	n.sendAfterSync(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_SNAPSHOT_REPLY, To: m.GetFrom(), Context: m.GetContext(), LogIndex: n.log.commit,
+	})
+}
--- /dev/null
+++ b/core/raft/log.go
@@ -0,0 +1,136 @@
+package raft
+
+import (
+	"slices"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// raftLog holds the entries after a compacted prefix.
+type raftLog struct {
+	snapshot   Snapshot
+	offset     uint64 // index before entries[0]
+	offsetTerm uint64
+	entries    []*pb.Entry
+	unsaved    uint64 // first index that no Ready has handed to the disk
+	stable     uint64 // highest index known to be synced
+	commit     uint64
+	applied    uint64 // highest index handed out for applying
+}
+
+func newLog(s Stored) *raftLog {
+	l := &raftLog{snapshot: s.Snapshot, offset: s.Snapshot.Index, offsetTerm: s.Snapshot.Term}
+	for _, e := range s.Entries {
+		if e.GetIndex() == l.last()+1 {
+			l.entries = append(l.entries, e)
+		}
+	}
+	l.commit, l.applied = s.Snapshot.Index, s.Snapshot.Index
+	l.stable = l.last()
+	l.unsaved = l.last() + 1
+	return l
+}
+
+func (l *raftLog) last() uint64 { return l.offset + uint64(len(l.entries)) }
+
+func (l *raftLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term of the entry at an index; false when the log does not hold it.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.offset:
+		return l.offsetTerm, true
+	case index < l.offset || index > l.last():
+		return 0, false
+	default:
+		return l.entries[index-l.offset-1].GetTerm(), true
+	}
+}
+
+func (l *raftLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate tells whether a log that ends at (index, term) holds at least what this log holds.
+func (l *raftLog) upToDate(index, term uint64) bool {
+	lt := l.lastTerm()
+	return term > lt || (term == lt && index >= l.last())
+}
+
+// slice returns entries from an index on, bounded by count and bytes.
+func (l *raftLog) slice(from, to uint64) []*pb.Entry {
+	if from > to {
+		return nil
+	}
+	part := l.entries[from-l.offset-1 : to-l.offset]
+	size := 0
+	for i, e := range part {
+		size += len(e.GetPayload())
+		if i > 0 && (size > maxAppendBytes || i >= maxAppendEntries) {
+			return part[:i:i]
+		}
+	}
+	return part[:len(part):len(part)]
+}
+
+func (l *raftLog) append(entries ...*pb.Entry) { l.entries = append(l.entries, entries...) }
+
+// merge adds entries of the leader that follow a matching index; it returns the
+// first index that changed, or 0 when the log held all of them.
+func (l *raftLog) merge(entries []*pb.Entry) uint64 {
+	for i, e := range entries {
+		if e.GetIndex() <= l.offset || l.matches(e.GetIndex(), e.GetTerm()) {
+			continue
+		}
+		l.truncate(e.GetIndex())
+		l.append(entries[i:]...)
+		return e.GetIndex()
+	}
+	return 0
+}
+
+// truncate drops the entries from an index on.
+func (l *raftLog) truncate(from uint64) {
+	if from > l.last() {
+		return
+	}
+	// A copy keeps slices valid that were handed out before.
+	l.entries = slices.Clone(l.entries[:from-l.offset-1])
+	l.unsaved = min(l.unsaved, from)
+	l.stable = min(l.stable, from-1)
+}
+
+// lastAtMost returns the highest index up to a bound whose term is at most term.
+// It lets a conflict skip a whole term per message.
+func (l *raftLog) lastAtMost(index, term uint64) (uint64, uint64) {
+	for index = min(index, l.last()); index > l.offset; index-- {
+		if t, _ := l.term(index); t <= term {
+			return index, t
+		}
+	}
+	return l.offset, l.offsetTerm
+}
+
+// restore replaces the log by a snapshot.
+func (l *raftLog) restore(s Snapshot) {
+	*l = raftLog{
+		snapshot: s, offset: s.Index, offsetTerm: s.Term,
+		commit: s.Index, applied: s.Index, stable: s.Index, unsaved: s.Index + 1,
+	}
+}
+
+// compact sets the newest snapshot and drops entries up to an index.
+func (l *raftLog) compact(s Snapshot, upTo uint64) {
+	l.snapshot = s
+	upTo = min(upTo, s.Index)
+	if upTo <= l.offset {
+		return
+	}
+	term, _ := l.term(upTo)
+	l.entries = slices.Clone(l.entries[upTo-l.offset:])
+	l.offset, l.offsetTerm = upTo, term
+}
--- /dev/null
+++ b/core/raft/read.go
@@ -0,0 +1,120 @@
+package raft
+
+import (
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// ReadIndex asks for an index that covers everything committed before the call.
+// The answer arrives in Ready.Reads with the same context.
+func (n *Node) ReadIndex(now time.Duration, context uint64) {
+	n.advance(now)
+	switch {
+	case n.role == Leader:
+		n.serveRead(pendingRead{context: context})
+	case n.leader == "":
+		n.reads = append(n.reads, ReadState{Context: context, Err: ErrNoLeader})
+	default:
+		n.remote[context] = true
+		n.send(&pb.RaftMessage{Kind: pb.RaftKind_RAFT_KIND_READ_INDEX, To: n.leader, Context: context})
+	}
+}
+
+func (n *Node) onReadIndex(m *pb.RaftMessage) {
+	if n.role != Leader {
+		n.rejectRead(m)
+		return
+	}
+	n.serveRead(pendingRead{from: m.GetFrom(), context: m.GetContext()})
+}
+
+func (n *Node) rejectRead(m *pb.RaftMessage) {
+	n.send(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_READ_INDEX_REPLY, To: m.GetFrom(), Context: m.GetContext(), Reject: true,
+	})
+}
+
+// serveRead answers under the lease, or after a heartbeat round that starts now.
+func (n *Node) serveRead(r pendingRead) {
+	if n.HoldsLease(n.now) {
+		r.index = n.log.commit
+		n.answerRead(r)
+		return
+	}
+	if n.committedOwnTerm() {
+		r.index, r.round = n.log.commit, n.lead.round+1
+	}
+	n.lead.reads = append(n.lead.reads, r)
+	if r.round > 0 {
+		n.startRound()
+	}
+}
+
+// startDeferredReads gives a round to the reads that waited for the first commit of the term.
+func (n *Node) startDeferredReads() {
+	if !n.committedOwnTerm() {
+		return
+	}
+	started := false
+	for i := range n.lead.reads {
+		if r := &n.lead.reads[i]; r.round == 0 {
+			r.index, r.round, started = n.log.commit, n.lead.round+1, true
+		}
+	}
+	if started {
+		n.startRound()
+	}
+}
+
+func (n *Node) finishReads() {
+	var waiting []pendingRead
+	for _, r := range n.lead.reads {
+		if r.round == 0 || r.round > n.lead.quorumRound {
+			waiting = append(waiting, r)
+			continue
+		}
+		n.answerRead(r)
+	}
+	n.lead.reads = waiting
+}
+
+func (n *Node) answerRead(r pendingRead) {
+	if r.from == "" {
+		n.reads = append(n.reads, ReadState{Context: r.context, Index: r.index})
+		return
+	}
+	n.send(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_READ_INDEX_REPLY, To: r.from, Context: r.context, LogIndex: r.index,
+	})
+}
+
+func (n *Node) failRead(r pendingRead) {
+	if r.from == "" {
+		n.reads = append(n.reads, ReadState{Context: r.context, Err: ErrNotLeader})
+		return
+	}
+	n.send(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_READ_INDEX_REPLY, To: r.from, Context: r.context, Reject: true,
+	})
+}
+
+func (n *Node) onReadIndexReply(m *pb.RaftMessage) {
+	if !n.remote[m.GetContext()] {
+		return
+	}
+	delete(n.remote, m.GetContext())
+	r := ReadState{Context: m.GetContext(), Index: m.GetLogIndex()}
+	if m.GetReject() {
+		r.Err = ErrNoLeader
+	}
+	n.reads = append(n.reads, r)
+}
+
+// failRemoteReads ends the reads that a former leader can no longer answer.
+func (n *Node) failRemoteReads() {
+	for c := range n.remote {
+		n.reads = append(n.reads, ReadState{Context: c, Err: ErrNoLeader})
+	}
+	clear(n.remote)
+}
