--- /dev/null
+++ b/core/state/configuration.go
@@ -0,0 +1,122 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/rattanfield/rattanfield/core/config"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+func (m *Machine) submitConfiguration(c *pb.Command, s *pb.SubmitConfiguration) *pb.CommandResult {
+	if r := m.checkExpected(c.GetExpectedRevision()); r != nil {
+		return r
+	}
+	next, problems := m.plan(s)
+	if len(problems) > 0 {
+		return invalid(problems...)
+	}
+	m.configuration = next
+	m.configRev = next.GetRevision()
+	m.record(c, true, summary(s.GetChanges()), "")
+	return m.accepted()
+}
+
+// Check returns the problems that a configuration change would be rejected for
+// now, so that an invalid one need not be proposed.
+func (m *Machine) Check(s *pb.SubmitConfiguration) []*pb.Problem {
+	_, problems := m.plan(s)
+	return problems
+}
+
+// plan validates the whole configuration that the changes would make.
+func (m *Machine) plan(s *pb.SubmitConfiguration) (*pb.Configuration, []*pb.Problem) {
+	if len(s.GetChanges()) == 0 {
+		return nil, []*pb.Problem{problem("changes", "there is no change")}
+	}
+	problems := m.checkChanges(s.GetChanges())
+	next := config.Apply(m.configuration, s.GetChanges(), m.Revision()+1)
+	next = dropShares(next, s.GetChanges())
+	return next, append(problems, config.Validate(next)...)
+}
+
+func (m *Machine) checkChanges(changes []*pb.Change) []*pb.Problem {
+	var problems []*pb.Problem
+	for i, ch := range changes {
+		switch x := ch.GetChange().(type) {
+		case *pb.Change_PutService:
+			if mv := m.runningMove(x.PutService.GetName()); mv != nil && x.PutService.GetActiveVersion() != mv.GetOldVersion() {
+				problems = append(problems, problem("service/"+x.PutService.GetName(),
+					"active_version cannot change while move %s runs", mv.GetMoveId()))
+			}
+		case *pb.Change_DeleteService:
+			problems = append(problems, m.checkDelete(x.DeleteService)...)
+		case *pb.Change_PutRoute:
+		case *pb.Change_DeleteRoute:
+			if !slices.ContainsFunc(m.configuration.GetRoutes(), func(r *pb.Route) bool { return r.GetName() == x.DeleteRoute }) {
+				problems = append(problems, problem("route/"+x.DeleteRoute, "does not exist"))
+			}
+		default:
+			problems = append(problems, problem(fmt.Sprintf("changes[%d]", i), "the change has no content"))
+		}
+	}
+	return problems
+}
+
+// checkDelete rejects the end of a service that a move still runs on; uses by
+// routes and services show as dangling references in the validation.
+func (m *Machine) checkDelete(service string) []*pb.Problem {
+	if m.service(service) == nil {
+		return []*pb.Problem{problem("service/"+service, "does not exist")}
+	}
+	if mv := m.runningMove(service); mv != nil {
+		return []*pb.Problem{problem("service/"+service, "move %s runs", mv.GetMoveId())}
+	}
+	return nil
+}
+
+// dropShares removes the version shares of deleted services.
+func dropShares(c *pb.Configuration, changes []*pb.Change) *pb.Configuration {
+	for _, ch := range changes {
+		if x, ok := ch.GetChange().(*pb.Change_DeleteService); ok {
+			c.Shares = slices.DeleteFunc(slices.Clone(c.GetShares()), func(s *pb.ServiceShares) bool {
+				return s.GetService() == x.DeleteService
+			})
+		}
+	}
+	return c
+}
+
+func (m *Machine) service(name string) *pb.Service {
+	for _, s := range m.configuration.GetServices() {
+		if s.GetName() == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// maxSummaryNames bounds the names in one row of the history.
+const maxSummaryNames = 8
+
+func summary(changes []*pb.Change) string {
+	names := make([]string, 0, maxSummaryNames+1)
+	for i, ch := range changes {
+		if i == maxSummaryNames {
+			names = append(names, fmt.Sprintf("%d more", len(changes)-i))
+			break
+		}
+		switch x := ch.GetChange().(type) {
+		case *pb.Change_PutService:
+			names = append(names, "put service "+x.PutService.GetName())
+		case *pb.Change_DeleteService:
+			names = append(names, "delete service "+x.DeleteService)
+		case *pb.Change_PutRoute:
+			names = append(names, "put route "+x.PutRoute.GetName())
+		case *pb.Change_DeleteRoute:
+			names = append(names, "delete route "+x.DeleteRoute)
+		}
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,43 @@
+package state
+
+import (
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Encode returns the whole state as a snapshot.
+func (m *Machine) Encode() ([]byte, error) {
+	s := &pb.Snapshot{
+		Index: m.index, Term: m.term, Configuration: m.configuration, Moves: m.sortedMoves(), History: m.history,
+		Members: m.members, ConfigurationRevision: m.configRev, ClockUnixMs: m.clock,
+	}
+	for _, id := range m.order {
+		s.Results = append(s.Results, m.results[id])
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	return b, eris.Wrap(err, "encode the snapshot of the state machine")
+}
+
+// Decode returns the state that a snapshot holds.
+func Decode(data []byte) (*Machine, error) {
+	s := &pb.Snapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return nil, eris.Wrap(err, "decode the snapshot of the state machine")
+	}
+	m := New(s.GetMembers())
+	m.index, m.term, m.configRev, m.clock = s.GetIndex(), s.GetTerm(), s.GetConfigurationRevision(), s.GetClockUnixMs()
+	if s.GetConfiguration() != nil {
+		m.configuration = s.GetConfiguration()
+	}
+	m.history = s.GetHistory()
+	for _, mv := range s.GetMoves() {
+		m.moves[mv.GetMoveId()] = mv
+	}
+	for _, r := range s.GetResults() {
+		m.results[r.GetCommandId()] = r
+		m.order = append(m.order, r.GetCommandId())
+	}
+	return m, nil
+}
