--- /dev/null
+++ b/adapters/disk/snapshot.go
@@ -0,0 +1,62 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanfield/rattanfield/core/raft"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// SaveSnapshot stores a snapshot of applied state and removes the segments and
+// snapshots that it makes needless. Entries from keepFrom on stay.
+func (s *Store) SaveSnapshot(snap raft.Snapshot, keepFrom uint64) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.writeSnapshot(snap); err != nil {
+		return err
+	}
+	if err := s.appendSynced(appendRecord(nil, recordSnapshot, snapshotPayload(snap))); err != nil {
+		return err
+	}
+	return s.clean(min(keepFrom, snap.Index))
+}
+
+func (s *Store) writeSnapshot(snap raft.Snapshot) error {
+	b, err := proto.Marshal(&pb.DiskSnapshot{Index: snap.Index, Term: snap.Term, Members: snap.Members, Data: snap.Data})
+	if err != nil {
+		return s.fail(err, "encode a snapshot")
+	}
+	name := fmt.Sprintf("%s%016x", snapshotPrefix, snap.Index)
+	if err := s.replaceFile(name, appendRecord(nil, recordSnapFile, b)); err != nil {
+		return err
+	}
+	if n := len(s.snapshots); n == 0 || s.snapshots[n-1] != name {
+		s.snapshots = append(s.snapshots, name)
+	}
+	return nil
+}
+
+// clean removes whole segments of old entries from the front, and old snapshots.
+func (s *Store) clean(keepFrom uint64) error {
+	for len(s.segments) > 1 && s.segments[0].last < keepFrom {
+		if err := s.fs.Remove(s.path(s.segments[0].name)); err != nil {
+			return s.fail(err, "remove a log segment")
+		}
+		s.segments = s.segments[1:]
+	}
+	for len(s.snapshots) > keptSnapshots {
+		if err := s.fs.Remove(s.path(s.snapshots[0])); err != nil {
+			return s.fail(err, "remove a snapshot")
+		}
+		s.snapshots = s.snapshots[1:]
+	}
+	return nil
+}
+
+func snapshotPayload(snap raft.Snapshot) []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, snap.Index), snap.Term)
+}
