consensus: run the log, disk and state machine of a control host

Cause: nothing joined core, disk and transport. Change: step loop, disk writer, senders and applier, joined by rings; Submit with forwarding and accurate outcomes; confirmed reads; raft and operator services; payload digests for the second host of a remote region. Measured: go test -race ./app/consensus passes (5 hosts, loopback).

--- /dev/null
+++ b/app/consensus/applyloop.go
@@ -0,0 +1,107 @@
+package consensus
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rattanfield/rattanfield/core/raft"
+	"github.com/rattanfield/rattanfield/core/state"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+type applyJob struct {
+	snapshot *raft.Snapshot
+	entries  []*pb.Entry
+}
+
+// applyLoop runs the state machine.
+func (h *Host) applyLoop(ctx context.Context) error {
+	snapshotAt := h.view.Load().Index
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case j := <-h.apply.Items():
+			if err := h.applyJob(j); err != nil {
+				return err
+			}
+			if h.view.Load().Index-snapshotAt >= h.options.SnapshotEntries && h.takeSnapshot() {
+				snapshotAt = h.view.Load().Index
+			}
+		}
+	}
+}
+
+func (h *Host) applyJob(j applyJob) error {
+	if j.snapshot != nil {
+		m, err := state.Decode(j.snapshot.Data)
+		if err != nil {
+			return err
+		}
+		h.machineMu.Lock()
+		h.machine = m
+		h.machineMu.Unlock()
+		h.waiters.skipTo(j.snapshot.Index)
+	}
+	for _, e := range j.entries {
+		h.machineMu.Lock()
+		result := h.machine.Apply(e)
+		h.machineMu.Unlock()
+		h.waiters.finish(e.GetIndex(), e.GetTerm(), result)
+	}
+	h.publishView()
+	return nil
+}
+
+// publishView replaces the view that readers get and wakes those that wait for a change.
+func (h *Host) publishView() {
+	h.machineMu.RLock()
+	v := h.machine.View()
+	h.machineMu.RUnlock()
+	h.view.Store(v)
+	h.changed.fire()
+}
+
+// takeSnapshot encodes the state and hands it to the step loop.
+func (h *Host) takeSnapshot() bool {
+	h.machineMu.RLock()
+	index := h.machine.Index()
+	data, err := h.machine.Encode()
+	h.machineMu.RUnlock()
+	if err != nil {
+		_ = h.logger.Log("event", "snapshot failed", "err", err)
+		return false
+	}
+	return h.control.TryPush(func() { h.compact(index, data) })
+}
+
+// State returns the applied state.
+func (h *Host) State() *ports.AppliedState { return h.view.Load() }
+
+// Changed returns a channel that is closed at the next change of the applied state.
+func (h *Host) Changed() <-chan struct{} { return h.changed.next() }
+
+// signal wakes all that wait for the next event.
+type signal struct {
+	mu sync.Mutex
+	c  chan struct{}
+}
+
+func (s *signal) next() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.c == nil {
+		s.c = make(chan struct{})
+	}
+	return s.c
+}
+
+func (s *signal) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.c != nil {
+		close(s.c)
+		s.c = nil
+	}
+}
--- /dev/null
+++ b/app/consensus/cluster_test.go
@@ -0,0 +1,223 @@
+package consensus
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/core/raft"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const testWait = 20 * time.Second
+
+// cluster runs hosts on loopback listeners and can cut the links between them.
+type cluster struct {
+	t       testing.TB
+	dir     string
+	members []*pb.Member
+	tune    func(*Options)
+	delay   func(from, to string) time.Duration
+
+	mu    sync.Mutex
+	cut   map[string]bool // ids without any link
+	hosts map[string]*testHost
+}
+
+type testHost struct {
+	*Host
+	client *rpc.Client
+	server *rpc.Server
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+func newCluster(t testing.TB, regions ...string) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), cut: make(map[string]bool), hosts: make(map[string]*testHost)}
+	for i, region := range regions {
+		id := fmt.Sprintf("c%d", i+1)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.members = append(c.members, &pb.Member{Id: id, Address: l.Addr().String(), FailureDomain: id, Region: region, Voter: true})
+		c.hosts[id] = nil
+		_ = l.Close()
+	}
+	t.Cleanup(func() {
+		for _, m := range c.members {
+			c.kill(m.GetId())
+		}
+	})
+	return c
+}
+
+func (c *cluster) startAll() *cluster {
+	for _, m := range c.members {
+		c.start(m.GetId())
+	}
+	return c
+}
+
+func (c *cluster) blocked(from, toAddress string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[from] || slices.ContainsFunc(c.members, func(m *pb.Member) bool {
+		return m.GetAddress() == toAddress && c.cut[m.GetId()]
+	})
+}
+
+func (c *cluster) setCut(id string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[id] = cut
+}
+
+func (c *cluster) address(id string) string { return memberOf(c.members, id).GetAddress() }
+
+func (c *cluster) start(id string) *testHost {
+	c.t.Helper()
+	l, err := net.Listen("tcp", c.address(id))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	options := rpc.Options{Blocked: func(to string) bool { return c.blocked(id, to) }}
+	if c.delay != nil {
+		options.Delay = func(to string) time.Duration { return c.delay(id, to) }
+	}
+	h := &testHost{client: rpc.NewClient(options), ended: make(chan error, 1)}
+	o := Options{
+		ID: id, Members: c.members, DataDir: filepath.Join(c.dir, id), ElectionTimeout: 300 * time.Millisecond,
+		HeartbeatInterval: 50 * time.Millisecond,
+	}
+	if c.tune != nil {
+		c.tune(&o)
+	}
+	h.Host, err = New(o, h.client, log.NewNopLogger())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	h.server = rpc.NewServer(h.Handlers()...)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go func() { _ = h.server.Serve(l) }()
+	go func() { h.ended <- h.Run(ctx) }()
+	c.mu.Lock()
+	c.hosts[id] = h
+	c.mu.Unlock()
+	return h
+}
+
+// kill ends a host without handing over its leadership.
+func (c *cluster) kill(id string) {
+	h := c.take(id)
+	if h == nil {
+		return
+	}
+	_ = h.server.Close()
+	h.abort()
+	<-h.ended
+	h.client.Close()
+}
+
+// stop ends a host as planned.
+func (c *cluster) stop(id string) error {
+	h := c.take(id)
+	h.cancel()
+	err := <-h.ended
+	_ = h.server.Close()
+	h.client.Close()
+	return err
+}
+
+func (c *cluster) take(id string) *testHost {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[id]
+	c.hosts[id] = nil
+	return h
+}
+
+func (c *cluster) running() []*testHost {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*testHost
+	for _, m := range c.members {
+		if h := c.hosts[m.GetId()]; h != nil {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (c *cluster) waitFor(what string, done func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(testWait); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			for _, h := range c.running() {
+				c.t.Logf("%+v", h.Status())
+			}
+			c.t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+func (c *cluster) leader() *testHost {
+	c.t.Helper()
+	var leader *testHost
+	c.waitFor("a leader with a lease", func() bool {
+		for _, h := range c.running() {
+			if h.IsLeader() {
+				leader = h
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (c *cluster) follower() *testHost {
+	leader := c.leader()
+	for _, h := range c.running() {
+		if h != leader {
+			return h
+		}
+	}
+	c.t.Fatal("there is no follower")
+	return nil
+}
+
+func putService(id string, expected uint64, name, version string) *pb.Command {
+	s := &pb.Service{Name: name, ActiveVersion: version, Limits: &pb.Limits{Slots: 9}}
+	change := &pb.Change{Change: &pb.Change_PutService{PutService: s}}
+	return &pb.Command{
+		CommandId: id, Operator: "op-" + id, ExpectedRevision: expected,
+		Command: &pb.Command_SubmitConfiguration{SubmitConfiguration: &pb.SubmitConfiguration{Changes: []*pb.Change{change}}},
+	}
+}
+
+// Guards against a cluster that accepts nothing, or accepts on one host only.
+func TestCommandIsAppliedOnAllHosts(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "kingston", "montego-bay", "montego-bay").startAll()
+	r := c.leader().Submit(context.Background(), putService("a", 0, "bookings", "v1"))
+	is.Equal(r.GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(r.GetRevision(), uint64(1))
+	r = c.follower().Submit(context.Background(), putService("b", 1, "tills", "v1"))
+	is.Equal(r.GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	for _, h := range c.running() {
+		is.NoErr(h.ConfirmRead(context.Background()))
+		is.Equal(len(h.State().Configuration.GetServices()), 2)
+	}
+	is.Equal(c.leader().Status().Role, raft.Leader)
+}
--- /dev/null
+++ b/app/consensus/diskloop.go
@@ -0,0 +1,82 @@
+package consensus
+
+import (
+	"context"
+
+	"github.com/rattanfield/rattanfield/adapters/disk"
+	"github.com/rattanfield/rattanfield/core/raft"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// maxGroup bounds the jobs of one sync.
+const maxGroup = 256
+
+// diskJob is work for the disk writer and the messages that may be sent after it.
+type diskJob struct {
+	batch    disk.Batch
+	after    []*pb.RaftMessage
+	save     *raft.Snapshot
+	keepFrom uint64
+}
+
+func batchOf(r raft.Ready) disk.Batch {
+	return disk.Batch{State: r.State, Snapshot: r.Snapshot, Entries: r.Entries}
+}
+
+// diskLoop syncs what waits with one sync, then lets out what depends on it.
+// The first error of the disk ends the host.
+func (h *Host) diskLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case j := <-h.diskJobs.Items():
+			if err := h.writeGroup(h.group(j)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (h *Host) group(first diskJob) []diskJob {
+	jobs := []diskJob{first}
+	for !h.options.SyncEach && len(jobs) < maxGroup {
+		select {
+		case j := <-h.diskJobs.Items():
+			jobs = append(jobs, j)
+		default:
+			return jobs
+		}
+	}
+	return jobs
+}
+
+func (h *Host) writeGroup(jobs []diskJob) error {
+	batches := make([]disk.Batch, 0, len(jobs))
+	var last *position
+	for _, j := range jobs {
+		batches = append(batches, j.batch)
+		if n := len(j.batch.Entries); n > 0 {
+			e := j.batch.Entries[n-1]
+			last = &position{index: e.GetIndex(), term: e.GetTerm()}
+		}
+	}
+	if err := h.store.Write(batches); err != nil {
+		return err
+	}
+	for _, j := range jobs {
+		h.senders.send(j.after)
+	}
+	if last != nil {
+		h.syncedTo.Store(last)
+		h.synced.TryPush(struct{}{}) // a signal that waits already covers this position
+	}
+	for _, j := range jobs {
+		if j.save != nil {
+			if err := h.store.SaveSnapshot(*j.save, j.keepFrom); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/app/consensus/host.go
@@ -0,0 +1,214 @@
+package consensus
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/rattanfield/rattanfield/adapters/disk"
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/core/raft"
+	"github.com/rattanfield/rattanfield/core/state"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+	"github.com/rattanfield/rattanfield/ring"
+)
+
+// Capacities of the rings between the goroutines of a host.
+const (
+	inboxCapacity    = 4096
+	proposalCapacity = 1024
+	controlCapacity  = 256
+	diskCapacity     = 1024
+	applyCapacity    = 1024
+)
+
+var errStopped = errors.New("the control host stops")
+
+// Host is a control host's replica of the accepted configuration.
+type Host struct {
+	options Options
+	client  *rpc.Client
+	logger  log.Logger
+	clock   *clock
+
+	node     *raft.Node // step loop only
+	store    *disk.Store
+	inbox    *ring.Ring[*pb.RaftMessage]
+	proposed *ring.Ring[proposal]
+	control  *ring.Ring[func()]
+	diskJobs *ring.Ring[diskJob]
+	apply    *ring.Ring[applyJob]
+	synced   *ring.Ring[struct{}] // signal; the position is in syncedTo
+	syncedTo atomic.Pointer[position]
+
+	senders  *senders
+	payloads *payloadCache
+	waiters  *waiters
+	reads    readers
+
+	machineMu sync.RWMutex
+	machine   *state.Machine
+	view      atomic.Pointer[ports.AppliedState]
+	changed   signal
+
+	published atomic.Pointer[published]
+	confirmed atomic.Pointer[confirmedAt]
+	// lastApplied is the newest confirmation whose state was applied.
+	lastApplied atomic.Pointer[confirmedAt]
+	nodes       atomic.Pointer[ports.NodeStatusReader]
+	run         context.Context // of all goroutines of a running host
+	crash       context.CancelCauseFunc
+	done        chan struct{} // closed when Run ends
+}
+
+var (
+	_ ports.Proposer     = (*Host)(nil)
+	_ ports.Leadership   = (*Host)(nil)
+	_ ports.QuorumReader = (*Host)(nil)
+	_ ports.StateReader  = (*Host)(nil)
+)
+
+type position struct{ index, term uint64 }
+
+// New opens the data directory and prepares a host; Run starts it.
+func New(o Options, client *rpc.Client, logger log.Logger) (*Host, error) {
+	o, err := o.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	store, stored, err := disk.Open(disk.Options{Dir: o.DataDir, FS: o.FS, SegmentBytes: o.SegmentBytes})
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		options: o, client: client, logger: log.With(logger, "host", o.ID), clock: newClock(), store: store,
+		inbox: ring.New[*pb.RaftMessage](inboxCapacity), proposed: ring.New[proposal](proposalCapacity),
+		control: ring.New[func()](controlCapacity), diskJobs: ring.New[diskJob](diskCapacity),
+		apply: ring.New[applyJob](applyCapacity), synced: ring.New[struct{}](1),
+		payloads: newPayloadCache(), waiters: newWaiters(), done: make(chan struct{}),
+	}
+	if store.TornBytes() > 0 {
+		_ = h.logger.Log("event", "cut off a torn tail of the log", "bytes", store.TornBytes())
+	}
+	h.machine = state.New(o.Members)
+	if stored.Snapshot.Index > 0 {
+		if h.machine, err = state.Decode(stored.Snapshot.Data); err != nil {
+			_ = store.Close()
+			return nil, err
+		}
+	}
+	h.node = raft.New(raft.Config{
+		ID: o.ID, Members: o.Members, ElectionTimeout: o.ElectionTimeout, HeartbeatInterval: o.HeartbeatInterval,
+		Rand: newRand(o.Seed),
+	}, stored, h.clock.now())
+	h.run, h.crash = context.WithCancelCause(context.Background())
+	h.senders = newSenders(h)
+	h.publishView()
+	h.publish()
+	return h, nil
+}
+
+func newRand(seed uint64) *rand.Rand {
+	if seed != 0 {
+		return rand.New(rand.NewPCG(seed, seed))
+	}
+	var b [32]byte
+	_, _ = crand.Read(b[:]) // never fails
+	return rand.New(rand.NewChaCha8(b))
+}
+
+// Run works until the context ends or the disk fails. At a planned stop it
+// hands over the leadership first.
+func (h *Host) Run(ctx context.Context) error {
+	run, cancel := h.run, h.crash
+	defer close(h.done)
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context) error{h.stepLoop, h.diskLoop, h.applyLoop} {
+		wg.Go(func() {
+			if err := loop(run); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	select {
+	case <-ctx.Done():
+		h.handOver(run)
+	case <-run.Done():
+	}
+	cancel(errStopped)
+	wg.Wait()
+	h.senders.stop()
+	h.waiters.failAll()
+	err := context.Cause(run)
+	if cerr := h.store.Close(); errors.Is(err, errStopped) {
+		err = eris.Wrap(cerr, "close the data directory")
+	}
+	if err != nil {
+		_ = h.logger.Log("event", "stopped", "err", err)
+	}
+	return err
+}
+
+// handOver transfers the leadership and waits until another host leads.
+func (h *Host) handOver(run context.Context) {
+	ctx, cancel := context.WithTimeout(run, 2*h.options.ElectionTimeout)
+	defer cancel()
+	started := false
+	if h.do(ctx, func() { started = h.node.TransferLeadership(h.clock.now()) }) != nil || !started {
+		return
+	}
+	for ctx.Err() == nil {
+		leader := ""
+		if h.do(ctx, func() { leader = h.node.Status().Leader }) != nil || (leader != "" && leader != h.options.ID) {
+			return
+		}
+		sleep(ctx, h.options.HeartbeatInterval/10)
+	}
+}
+
+// do runs a function in the step loop and waits for it.
+func (h *Host) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	if err := h.control.Push(ctx, func() { f(); close(done) }); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-h.done:
+		return errStopped
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// SetNodeStatusReader sets where the operator service reads the nodes' status from.
+func (h *Host) SetNodeStatusReader(r ports.NodeStatusReader) { h.nodes.Store(&r) }
+
+// Status returns the raft core's view for operators and tests.
+func (h *Host) Status() raft.Status { return h.published.Load().status }
+
+func digestKey(index, term uint64) string {
+	return string(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, index), term))
+}
+
+// abort ends Run at once, as a crash of the process would; tests use it.
+func (h *Host) abort() { h.crash(errStopped) }
--- /dev/null
+++ b/app/consensus/read.go
@@ -0,0 +1,133 @@
+package consensus
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/rattanfield/rattanfield/core/raft"
+)
+
+const (
+	readRetryPause = 50 * time.Millisecond
+	// leasePercent of the election timeout; a confirmation older than that is not current.
+	leasePercent = 80
+)
+
+type confirmedAt struct {
+	at     time.Duration
+	commit uint64 // the state is current once this is applied
+}
+
+type readWaiter chan raft.ReadState
+
+// readers joins the reads that wait at the same time into one question. Only the step loop uses it.
+type readers struct {
+	waiting []readWaiter
+	asked   map[uint64][]readWaiter
+	context uint64
+}
+
+func (r *readers) finish(rs raft.ReadState) {
+	for _, w := range r.asked[rs.Context] {
+		w <- rs
+	}
+	delete(r.asked, rs.Context)
+}
+
+func (h *Host) startReads() {
+	r := &h.reads
+	if len(r.waiting) == 0 {
+		return
+	}
+	if r.asked == nil {
+		r.asked = make(map[uint64][]readWaiter)
+		// Contexts differ between runs of the process, so that a late reply answers no new read.
+		r.context = uint64(time.Now().UnixNano())
+	}
+	r.context++
+	r.asked[r.context], r.waiting = r.waiting, nil
+	h.node.ReadIndex(h.clock.now(), r.context)
+}
+
+// ConfirmRead returns once every change accepted before the call is applied here.
+func (h *Host) ConfirmRead(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, h.options.SubmitTimeout)
+	defer cancel()
+	for {
+		index, err := h.readIndex(ctx)
+		if err == nil {
+			return h.waitApplied(ctx, index)
+		}
+		sleep(ctx, readRetryPause)
+		if ctx.Err() != nil || h.stopped() {
+			return err
+		}
+	}
+}
+
+func (h *Host) readIndex(ctx context.Context) (uint64, error) {
+	w := make(readWaiter, 1)
+	if err := h.do(ctx, func() { h.reads.waiting = append(h.reads.waiting, w) }); err != nil {
+		return 0, err
+	}
+	// A question or its answer can be lost on the way.
+	timer := time.NewTimer(h.options.ElectionTimeout)
+	defer timer.Stop()
+	select {
+	case rs := <-w:
+		return rs.Index, rs.Err
+	case <-timer.C:
+		return 0, raft.ErrNoLeader
+	case <-ctx.Done():
+		return 0, context.Cause(ctx)
+	case <-h.done:
+		return 0, errStopped
+	}
+}
+
+func (h *Host) waitApplied(ctx context.Context, index uint64) error {
+	for {
+		changed := h.Changed()
+		if h.State().Index >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-h.done:
+			return errStopped
+		}
+	}
+}
+
+// ConfirmedAge is the time since the applied state was last known to be
+// current; it is the longest duration when it never was.
+func (h *Host) ConfirmedAge() time.Duration {
+	c := h.confirmed.Load()
+	if c == nil {
+		return math.MaxInt64
+	}
+	if h.State().Index < c.commit {
+		// Not applied yet: count from the last confirmation whose state is.
+		if last := h.lastApplied.Load(); last != nil {
+			return h.clock.now() - last.at
+		}
+		return math.MaxInt64
+	}
+	h.lastApplied.Store(c)
+	return max(0, h.clock.now()-c.at)
+}
+
+// IsLeader reports a leader that holds a valid lease.
+func (h *Host) IsLeader() bool {
+	p := h.published.Load()
+	return p.status.Role == raft.Leader && h.clock.now() < p.leaseEnd
+}
+
+// Leader returns id and peer address of the known leader.
+func (h *Host) Leader() (id, address string) {
+	p := h.published.Load()
+	return p.status.Leader, p.address
+}
--- /dev/null
+++ b/app/consensus/sender.go
@@ -0,0 +1,132 @@
+package consensus
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+	"github.com/rattanfield/rattanfield/ring"
+)
+
+const (
+	senderCapacity  = 1024
+	maxSendMessages = 64
+	maxSendBytes    = 4 << 20
+)
+
+// senders has one goroutine per peer.
+type senders struct {
+	host   *Host
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	rings  map[string]*ring.Ring[*pb.RaftMessage]
+}
+
+func newSenders(h *Host) *senders {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &senders{host: h, ctx: ctx, cancel: cancel, rings: make(map[string]*ring.Ring[*pb.RaftMessage])}
+}
+
+// send queues messages; a full ring drops them, as a lossy link does.
+func (s *senders) send(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		if r := s.ring(m.GetTo()); r != nil {
+			r.TryPush(m)
+		}
+	}
+}
+
+func (s *senders) ring(id string) *ring.Ring[*pb.RaftMessage] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return nil
+	}
+	r := s.rings[id]
+	if r == nil {
+		r = ring.New[*pb.RaftMessage](senderCapacity)
+		s.rings[id] = r
+		s.wg.Go(func() { s.loop(id, r) })
+	}
+	return r
+}
+
+func (s *senders) stop() {
+	s.mu.Lock()
+	s.cancel()
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *senders) loop(id string, r *ring.Ring[*pb.RaftMessage]) {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case m := <-r.Items():
+			s.transmit(id, s.collect(r, m))
+		}
+	}
+}
+
+// collect takes what waits, up to the bounds of one request.
+func (s *senders) collect(r *ring.Ring[*pb.RaftMessage], first *pb.RaftMessage) []*pb.RaftMessage {
+	out, size := []*pb.RaftMessage{first}, messageSize(first)
+	for len(out) < maxSendMessages && size < maxSendBytes {
+		select {
+		case m := <-r.Items():
+			out = append(out, m)
+			size += messageSize(m)
+		default:
+			return out
+		}
+	}
+	return out
+}
+
+func messageSize(m *pb.RaftMessage) int {
+	size := len(m.GetSnapshot())
+	for _, e := range m.GetEntries() {
+		size += len(e.GetPayload())
+	}
+	return size
+}
+
+// transmit sends one request; a failure loses its messages.
+func (s *senders) transmit(id string, messages []*pb.RaftMessage) {
+	address := s.host.addressOf(id)
+	if address == "" {
+		return
+	}
+	messages = s.host.thin(id, messages)
+	// An answer that takes longer than an election is of no use.
+	ctx, cancel := context.WithTimeout(s.ctx, s.host.options.ElectionTimeout+time.Duration(len(messages[0].GetSnapshot()))*time.Microsecond)
+	defer cancel()
+	client := rattanfieldv1connect.NewRaftServiceClient(s.host.client.HTTP(), rpc.URL(address))
+	_, err := client.SendRaft(ctx, connect.NewRequest(&pb.SendRaftRequest{Messages: messages}))
+	if err != nil {
+		sleep(s.ctx, s.host.options.HeartbeatInterval/10)
+	}
+}
+
+// addressOf looks a member up in the newest member set.
+func (h *Host) addressOf(id string) string {
+	for _, m := range h.published.Load().status.Members {
+		if m.GetId() == id {
+			return m.GetAddress()
+		}
+	}
+	for _, m := range h.options.Members {
+		if m.GetId() == id {
+			return m.GetAddress()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/app/consensus/service_operator.go
@@ -0,0 +1,155 @@
+package consensus
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanfield/rattanfield/core/raft"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+const (
+	maxQueryWait     = 30 * time.Second
+	confirmTimeout   = time.Second
+	defaultHistory   = 100
+	roleLeader       = "leader"
+	roleFollower     = "follower"
+	roleLearner      = "learner"
+	roleUnreachable  = "unreachable"
+	roleUnknown      = "unknown"
+	maxAgeMs         = math.MaxUint32
+	maxContactMillis = math.MaxUint32
+)
+
+type operatorService struct{ h *Host }
+
+// Submit proposes a command for an operator.
+func (s operatorService) Submit(ctx context.Context, req *connect.Request[pb.SubmitRequest]) (*connect.Response[pb.SubmitResponse], error) {
+	r := s.h.Submit(ctx, req.Msg.GetCommand())
+	return connect.NewResponse(&pb.SubmitResponse{Result: r, Freshness: s.h.freshness()}), nil
+}
+
+// GetCommand returns the kept result of a command. "Not found" is certain only with a confirmed freshness.
+func (s operatorService) GetCommand(ctx context.Context, req *connect.Request[pb.GetCommandRequest]) (*connect.Response[pb.GetCommandResponse], error) {
+	r := s.h.result(req.Msg.GetCommandId())
+	confirmed := true
+	if r == nil {
+		confirm, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		confirmed = s.h.ConfirmRead(confirm) == nil
+		r = s.h.result(req.Msg.GetCommandId())
+	}
+	f := s.h.freshness()
+	f.Confirmed = f.Confirmed && confirmed
+	return connect.NewResponse(&pb.GetCommandResponse{Found: r != nil, Result: r, Freshness: f}), nil
+}
+
+// Query answers from this host's state, marked with its age.
+func (s operatorService) Query(ctx context.Context, req *connect.Request[pb.QueryRequest]) (*connect.Response[pb.QueryResponse], error) {
+	q := req.Msg
+	if q.GetWaitMs() > 0 {
+		s.h.waitRevision(ctx, q.GetHaveRevision(), time.Duration(q.GetWaitMs())*time.Millisecond)
+	}
+	f := s.h.freshness() // before the state, so that the answer is never older than it says
+	st := s.h.State()
+	out := &pb.QueryResponse{Freshness: f}
+	f.Revision = st.Configuration.GetRevision()
+	for _, subject := range q.GetSubjects() {
+		switch subject {
+		case pb.Subject_SUBJECT_CONFIGURATION:
+			out.Configuration = st.Configuration
+		case pb.Subject_SUBJECT_MOVES:
+			out.Moves = st.Moves
+		case pb.Subject_SUBJECT_HISTORY:
+			out.History = newest(st.History, int(q.GetHistoryLimit()))
+		case pb.Subject_SUBJECT_MEMBERS:
+			out.Members = s.h.memberStatuses(st)
+		case pb.Subject_SUBJECT_NODES:
+			if r := s.h.nodes.Load(); r != nil {
+				out.Nodes = (*r).NodeStatuses()
+			}
+		}
+	}
+	return connect.NewResponse(out), nil
+}
+
+func newest(history []*pb.Decision, limit int) []*pb.Decision {
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	return history[max(0, len(history)-limit):]
+}
+
+// waitRevision returns when the revision differs from the given one, or after the wait.
+func (h *Host) waitRevision(ctx context.Context, have uint64, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, min(wait, maxQueryWait))
+	defer cancel()
+	for {
+		changed := h.Changed()
+		if h.State().Configuration.GetRevision() != have {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-h.done:
+			return
+		}
+	}
+}
+
+func (h *Host) freshness() *pb.Freshness {
+	age := h.ConfirmedAge()
+	leader, _ := h.Leader()
+	return &pb.Freshness{
+		Host: h.options.ID, Leader: leader, Confirmed: age < h.options.ElectionTimeout*leasePercent/100,
+		AgeMs: uint32(min(age.Milliseconds(), maxAgeMs)), Revision: h.State().Configuration.GetRevision(),
+	}
+}
+
+// memberStatuses is complete on the leader; other hosts know roles only.
+func (h *Host) memberStatuses(st *ports.AppliedState) []*pb.MemberStatus {
+	s := h.Status()
+	now := h.clock.now()
+	out := make([]*pb.MemberStatus, 0, len(st.Members))
+	for _, m := range st.Members {
+		ms := &pb.MemberStatus{Member: m, Role: roleFollower}
+		p, known := s.Progress[m.GetId()]
+		switch {
+		case m.GetId() == s.Leader:
+			ms.Role = roleLeader
+		case !m.GetVoter():
+			ms.Role = roleLearner
+		case !known && m.GetId() != h.options.ID:
+			ms.Role = roleUnknown
+		}
+		if known {
+			ms.MatchIndex = p.Match
+			if m.GetId() != h.options.ID {
+				ms.LastContactMs = uint64(min((now - p.LastContact).Milliseconds(), maxContactMillis))
+			}
+			if s.Role == raft.Leader && m.GetId() != h.options.ID && (!p.Contacted || now-p.LastContact > h.options.ElectionTimeout) {
+				ms.Role = roleUnreachable
+			}
+		}
+		out = append(out, ms)
+	}
+	slices.SortFunc(out, func(a, b *pb.MemberStatus) int { return compareIDs(a.GetMember(), b.GetMember()) })
+	return out
+}
+
+func compareIDs(a, b *pb.Member) int {
+	switch {
+	case a.GetId() < b.GetId():
+		return -1
+	case a.GetId() > b.GetId():
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/app/consensus/steploop.go
@@ -0,0 +1,146 @@
+package consensus
+
+import (
+	"context"
+	"time"
+
+	"github.com/rattanfield/rattanfield/core/raft"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const (
+	// ticksPerHeartbeat bounds how late a timer of the core can fire.
+	ticksPerHeartbeat = 4
+	// drainLimit bounds how many inputs share one Ready, so that a flood cannot delay the work they cause.
+	drainLimit = 256
+)
+
+type proposal struct {
+	payload []byte
+	reply   func(index, term uint64, err error) // must not block
+}
+
+// published is what other goroutines may know of the core.
+type published struct {
+	status   raft.Status
+	leaseEnd time.Duration
+	address  string // of the leader
+}
+
+// stepLoop owns the raft core.
+func (h *Host) stepLoop(ctx context.Context) error {
+	ticker := time.NewTicker(h.options.HeartbeatInterval / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			h.node.Tick(h.clock.now())
+		case m := <-h.inbox.Items():
+			h.node.Step(h.clock.now(), m)
+		case p := <-h.proposed.Items():
+			h.propose(p)
+		case f := <-h.control.Items():
+			f()
+		case <-h.synced.Items():
+			h.noteSynced()
+		}
+		h.drain()
+		h.startReads()
+		if err := h.process(ctx); err != nil {
+			return nil // the context has ended
+		}
+	}
+}
+
+// drain takes more inputs that already wait, so that they share one sync.
+func (h *Host) drain() {
+	if h.options.SyncEach {
+		return
+	}
+	for range drainLimit {
+		select {
+		case m := <-h.inbox.Items():
+			h.node.Step(h.clock.now(), m)
+		case p := <-h.proposed.Items():
+			h.propose(p)
+		case f := <-h.control.Items():
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (h *Host) propose(p proposal) { p.reply(h.node.Propose(h.clock.now(), p.payload)) }
+
+func (h *Host) noteSynced() {
+	if p := h.syncedTo.Load(); p != nil {
+		h.node.Synced(h.clock.now(), p.index, p.term)
+	}
+}
+
+// process hands the core's work to the other goroutines.
+func (h *Host) process(ctx context.Context) error {
+	for {
+		r, ok := h.node.Ready()
+		if !ok {
+			break
+		}
+		h.senders.send(r.Messages)
+		if r.NeedsSync() {
+			job := diskJob{batch: batchOf(r), after: r.AfterSync}
+			if err := h.diskJobs.Push(ctx, job); err != nil {
+				return err
+			}
+		}
+		for _, rs := range r.Reads {
+			h.reads.finish(rs)
+		}
+		if r.Snapshot != nil || len(r.Committed) > 0 {
+			if err := h.apply.Push(ctx, applyJob{snapshot: r.Snapshot, entries: r.Committed}); err != nil {
+				return err
+			}
+		}
+	}
+	h.publish()
+	return nil
+}
+
+// publish makes the core's view known to other goroutines.
+func (h *Host) publish() {
+	now := h.clock.now()
+	s := h.node.Status()
+	p := &published{status: s, leaseEnd: h.node.LeaseEnd(now)}
+	for _, m := range s.Members {
+		if m.GetId() == s.Leader {
+			p.address = m.GetAddress()
+		}
+	}
+	old := h.published.Swap(p)
+	if at, ok := h.node.ConfirmedAt(now); ok {
+		h.confirmed.Store(&confirmedAt{at: at, commit: s.Commit})
+	}
+	if old != nil && (old.status.Leader != s.Leader || old.status.Role != s.Role) {
+		_ = h.logger.Log("event", "role", "role", s.Role, "term", s.Term, "leader", s.Leader)
+	}
+}
+
+// compact is called by the applier with an encoded state.
+func (h *Host) compact(index uint64, data []byte) {
+	h.node.Compact(index, data, h.options.KeepEntries)
+	s := h.node.Snapshot()
+	if s.Index != index {
+		return
+	}
+	keep := uint64(0)
+	if index > h.options.KeepEntries {
+		keep = index - h.options.KeepEntries
+	}
+	// A full ring skips the snapshot; the next one covers it.
+	h.diskJobs.TryPush(diskJob{save: &s, keepFrom: keep})
+}
+
+// deliver puts a message of a peer into the inbox; a full one drops it, as a lossy link does.
+func (h *Host) deliver(m *pb.RaftMessage) { h.inbox.TryPush(m) }
