distribution: add relay, follower and endpoint table

Cause: nodes had no way to get configuration, endpoints or floors; the seams existed without an implementation. Change: core/membership (table, failure detection), core/floor (recorder, rule), app/relay, app/follower, app/members, and app/fleet, which runs them in one process for tests. The exchange gains a long poll and summaries of applied revisions between relays. Measured: go test -race ./app/fleet passes (3 domains, 9 nodes, 20 ms region delay: first configuration, change, endpoints, node statuses). Conclusion: the thin path is complete; faults are not tested yet.

--- /dev/null
+++ b/app/fleet/fleet.go
@@ -0,0 +1,298 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/follower"
+	"github.com/rattanfield/rattanfield/app/members"
+	"github.com/rattanfield/rattanfield/app/relay"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// Domain is one failure domain with a relay.
+type Domain struct{ Name, Region string }
+
+// Options of a Fleet.
+type Options struct {
+	Domains []Domain
+	// RegionDelay is added to each request between regions.
+	RegionDelay time.Duration
+	Relay       relay.Options    // template; identity is filled in
+	Follower    follower.Options // template; identity, interests and relays are filled in
+	Members     members.Timing   // of nodes
+	Source      *pb.Configuration
+}
+
+// Fleet is a set of processes with their links.
+type Fleet struct {
+	options Options
+	source  *Source
+	relays  []*Relay
+
+	mu      sync.Mutex
+	nodes   map[string]*Node
+	domains map[string]Domain // by address
+	blocked map[[2]string]bool
+	started int64
+}
+
+// Relay is one control host.
+type Relay struct {
+	ID      string
+	Domain  Domain
+	Address string
+	Replica *Replica
+	*relay.Relay
+
+	process *process
+}
+
+// Node is one node without its proxy.
+type Node struct {
+	ID       string
+	Domain   Domain
+	Address  string
+	Service  string
+	Follower *follower.Follower
+	Members  *members.Members
+
+	process *process
+}
+
+// New starts the relays.
+func New(options Options) (*Fleet, error) {
+	f := &Fleet{
+		options: options, source: NewSource(options.Source), nodes: make(map[string]*Node),
+		domains: make(map[string]Domain), blocked: make(map[[2]string]bool),
+	}
+	listeners := make([]net.Listener, len(options.Domains))
+	var peers []*pb.Member
+	for i, d := range options.Domains {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners[i] = l
+		r := &Relay{ID: "control-" + d.Name, Domain: d, Address: l.Addr().String(), Replica: f.source.Replica()}
+		f.relays = append(f.relays, r)
+		f.domains[r.Address] = d
+		peers = append(peers, &pb.Member{Id: r.ID, Address: r.Address, FailureDomain: d.Name, Region: d.Region})
+	}
+	f.options.Relay.Peers = peers
+	for i, r := range f.relays {
+		f.startRelay(r, listeners[i])
+	}
+	return f, nil
+}
+
+// Source accepts changes.
+func (f *Fleet) Source() *Source { return f.source }
+
+// Relays of the fleet, in the order of the domains.
+func (f *Fleet) Relays() []*Relay { return f.relays }
+
+func (f *Fleet) startRelay(r *Relay, l net.Listener) {
+	o := f.options.Relay
+	o.ID, o.FailureDomain, o.Region, o.Incarnation = r.ID, r.Domain.Name, r.Domain.Region, f.incarnation()
+	client := f.client(r.Address, r.Domain)
+	r.Relay = relay.New(o, relay.Dependencies{State: r.Replica, Quorum: r.Replica, Client: client})
+	r.process = start(l, client, r.Handlers(), r.Run)
+}
+
+// RestartRelay stops a relay, if it runs, and starts it again without its memory.
+func (f *Fleet) RestartRelay(r *Relay) error {
+	r.Stop()
+	l, err := net.Listen("tcp", r.Address)
+	if err != nil {
+		return err
+	}
+	f.startRelay(r, l)
+	return nil
+}
+
+// Stop ends the process of the relay.
+func (r *Relay) Stop() { r.process.stop() }
+
+// Client that the relay uses, for its byte counters.
+func (r *Relay) Client() *rpc.Client { return r.process.client }
+
+// incarnation increases with each start, as a start time does.
+func (f *Fleet) incarnation() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started = max(f.started+1, time.Now().UnixNano())
+	return f.started
+}
+
+// StartNode starts a node that serves a service. A node that ran before keeps
+// its address and starts without memory.
+func (f *Fleet) StartNode(id string, d Domain, service string) (*Node, error) {
+	address := "127.0.0.1:0"
+	if old := f.Node(id); old != nil {
+		old.Stop()
+		address = old.Address
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{ID: id, Domain: d, Address: l.Addr().String(), Service: service}
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.domains[n.Address] = d
+	f.mu.Unlock()
+	f.startNode(n, l)
+	return n, nil
+}
+
+func (f *Fleet) startNode(n *Node, l net.Listener) {
+	var relays []follower.Relay
+	for _, r := range f.relays {
+		relays = append(relays, follower.Relay{ID: r.ID, Address: r.Address, FailureDomain: r.Domain.Name, Region: r.Domain.Region})
+	}
+	incarnation := f.incarnation()
+	client := f.client(n.Address, n.Domain)
+	o := f.options.Follower
+	o.NodeID, o.FailureDomain, o.Region, o.Incarnation = n.ID, n.Domain.Name, n.Domain.Region, incarnation
+	o.Relays = relays
+	if n.Service != "" {
+		o.Interests = &pb.Interests{Services: []string{n.Service}}
+	}
+	n.Members = members.New(members.Options{
+		ID: n.ID, FailureDomain: n.Domain.Name, Region: n.Domain.Region, GateAddress: n.Address, PeerAddress: n.Address,
+		Incarnation: incarnation, Relays: relays, Seeds: f.seeds(n), Services: []string{n.Service},
+		Applied: func() uint64 { return n.Follower.Revision() }, Timing: f.options.Members,
+	}, client, nil)
+	n.Follower = follower.New(o, follower.Dependencies{Client: client, Members: n.Members})
+	n.Members.Publish(pb.EndpointState_ENDPOINT_STATE_SERVING, ports.Upstream{Service: n.Service, Version: "1", Slots: 9})
+	n.process = start(l, client, append(n.Follower.Handlers(), n.Members.Handlers()...), n.Follower.Run, n.Members.Run)
+}
+
+// seeds are up to two nodes of the same failure domain, as settings name them.
+func (f *Fleet) seeds(n *Node) []string {
+	var out []string
+	for _, other := range f.Nodes() {
+		if other.Domain == n.Domain && other.ID != n.ID && len(out) < 2 {
+			out = append(out, other.Address)
+		}
+	}
+	return out
+}
+
+// Node by id, or nil.
+func (f *Fleet) Node(id string) *Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[id]
+}
+
+// Nodes that were started, in no order.
+func (f *Fleet) Nodes() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]*Node, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		out = append(out, n)
+	}
+	return out
+}
+
+// Stop ends the process of the node at once, as a crash does.
+func (n *Node) Stop() { n.process.stop() }
+
+// Client that the node uses, for its byte counters.
+func (n *Node) Client() *rpc.Client { return n.process.client }
+
+// Block cuts requests from one address to another off, in this direction only,
+// or lets them pass again.
+func (f *Fleet) Block(from, to string, blocked bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blocked[[2]string{from, to}] = blocked
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	var group sync.WaitGroup
+	for _, n := range f.Nodes() {
+		group.Go(n.Stop)
+	}
+	group.Wait()
+	for _, r := range f.relays {
+		r.Stop()
+	}
+}
+
+func (f *Fleet) client(own string, d Domain) *rpc.Client {
+	return rpc.NewClient(rpc.Options{
+		Topology: topology{f, d},
+		Delay: func(address string) time.Duration {
+			if f.linkTo(d, address) == ports.LinkRemote {
+				return f.options.RegionDelay
+			}
+			return 0
+		},
+		Blocked: func(address string) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.blocked[[2]string{own, address}]
+		},
+	})
+}
+
+func (f *Fleet) linkTo(from Domain, address string) ports.Link {
+	f.mu.Lock()
+	to := f.domains[address]
+	f.mu.Unlock()
+	switch {
+	case to == from:
+		return ports.LinkDomain
+	case to.Region == from.Region:
+		return ports.LinkRegion
+	}
+	return ports.LinkRemote
+}
+
+type topology struct {
+	fleet *Fleet
+	from  Domain
+}
+
+func (t topology) LinkTo(address string) ports.Link { return t.fleet.linkTo(t.from, address) }
+
+// process is a server with the responsibilities that run beside it.
+type process struct {
+	client *rpc.Client
+	server *rpc.Server
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+	once   sync.Once
+}
+
+func start(l net.Listener, client *rpc.Client, handlers []rpc.Handler, runs ...func(context.Context) error) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{client: client, server: rpc.NewServer(handlers...), cancel: cancel}
+	p.group.Go(func() { _ = p.server.Serve(l) }) // ends with the process
+	for _, run := range runs {
+		p.group.Go(func() { _ = run(ctx) }) // returns nil when the context ends
+	}
+	return p
+}
+
+func (p *process) stop() {
+	p.once.Do(func() {
+		p.cancel()
+		_ = p.server.Close()
+		p.group.Wait()
+		p.client.Close()
+	})
+}
+
+// NodeID of the i-th node of a domain.
+func NodeID(d Domain, i int) string { return fmt.Sprintf("%s-%d", d.Name, i) }
--- /dev/null
+++ b/app/fleet/source.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rattanfield/rattanfield/core/config"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+var errNoQuorum = errors.New("no quorum")
+
+// Source stands for the replicated log: it accepts changes and hands each state
+// to the replicas that are not isolated.
+type Source struct {
+	mu       sync.Mutex
+	current  *pb.Configuration
+	replicas []*Replica
+}
+
+// NewSource starts at a configuration.
+func NewSource(c *pb.Configuration) *Source { return &Source{current: c} }
+
+// Accept makes the next revision from changes and returns it.
+func (s *Source) Accept(changes ...*pb.Change) *pb.Configuration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = config.Apply(s.current, changes, s.current.GetRevision()+1)
+	for _, r := range s.replicas {
+		r.offer(s.current)
+	}
+	return s.current
+}
+
+// Configuration that was accepted last.
+func (s *Source) Configuration() *pb.Configuration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Replica is the state of one control host.
+type Replica struct {
+	source *Source
+
+	mu         sync.Mutex
+	state      *ports.AppliedState
+	changed    chan struct{}
+	isolatedAt time.Time
+}
+
+// Replica adds a control host.
+func (s *Source) Replica() *Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &Replica{source: s, state: &ports.AppliedState{Configuration: s.current}, changed: make(chan struct{})}
+	s.replicas = append(s.replicas, r)
+	return r
+}
+
+func (r *Replica) offer(c *pb.Configuration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isolatedAt.IsZero() {
+		return
+	}
+	r.state = &ports.AppliedState{Index: r.state.Index + 1, Configuration: c}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Isolate cuts the control host off from the others, or joins it again.
+func (r *Replica) Isolate(isolated bool) {
+	r.mu.Lock()
+	switch {
+	case !isolated:
+		r.isolatedAt = time.Time{}
+	case r.isolatedAt.IsZero():
+		r.isolatedAt = time.Now()
+	}
+	r.mu.Unlock()
+	if !isolated {
+		r.offer(r.source.Configuration())
+	}
+}
+
+// State of the replica.
+func (r *Replica) State() *ports.AppliedState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// Changed is closed at the next change.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// ConfirmRead fails at once without a quorum.
+func (r *Replica) ConfirmRead(context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isolatedAt.IsZero() {
+		return errNoQuorum
+	}
+	return nil
+}
+
+// ConfirmedAge is the time since the isolation began.
+func (r *Replica) ConfirmedAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isolatedAt.IsZero() {
+		return 0
+	}
+	return time.Since(r.isolatedAt)
+}
--- /dev/null
+++ b/app/members/probe.go
@@ -0,0 +1,97 @@
+package members
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// probeLoop probes one member of the failure domain per interval, and those
+// under suspicion each time.
+func (m *Members) probeLoop(ctx context.Context) {
+	for sleep(ctx, m.options.Timing.ProbeInterval/2+m.jitter(m.options.Timing.ProbeInterval)) {
+		m.probeOnce(ctx)
+		m.declare()
+	}
+}
+
+func (m *Members) probeOnce(ctx context.Context) {
+	m.mu.Lock()
+	members := make(map[string]*pb.EndpointRecord)
+	var ids []string
+	for _, r := range m.peersLocked() {
+		members[r.GetNodeId()] = r
+		ids = append(ids, r.GetNodeId())
+	}
+	var targets []string
+	for _, id := range m.detector.Suspected() {
+		if members[id] != nil {
+			targets = append(targets, id)
+		}
+	}
+	if id, ok := m.detector.Next(ids); ok {
+		targets = append(targets, id)
+	}
+	helpers := make([][]string, len(targets))
+	for i, id := range targets {
+		helpers[i] = m.detector.Helpers(id, ids)
+	}
+	m.mu.Unlock()
+
+	var group sync.WaitGroup
+	for i, id := range targets {
+		var via []*pb.EndpointRecord
+		for _, h := range helpers[i] {
+			via = append(via, members[h])
+		}
+		group.Go(func() { m.check(ctx, members[id], via) })
+	}
+	group.Wait()
+}
+
+// check probes a member directly and then through others.
+func (m *Members) check(ctx context.Context, r *pb.EndpointRecord, via []*pb.EndpointRecord) {
+	alive := m.probe(ctx, r.GetPeerAddress(), &pb.ProbeRequest{From: m.options.ID, Target: r.GetNodeId()}) ||
+		m.probeVia(ctx, r, via)
+	if ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if alive {
+		m.detector.Alive(r.GetNodeId(), m.now())
+		return
+	}
+	m.detector.Suspect(r.GetNodeId(), r.GetIncarnation(), r.GetSequence(), m.now())
+}
+
+func (m *Members) probeVia(ctx context.Context, r *pb.EndpointRecord, via []*pb.EndpointRecord) bool {
+	var alive atomic.Bool
+	var group sync.WaitGroup
+	for _, helper := range via {
+		group.Go(func() {
+			if m.probe(ctx, helper.GetPeerAddress(), &pb.ProbeRequest{
+				From: m.options.ID, Target: r.GetNodeId(), TargetAddress: r.GetPeerAddress(),
+			}) {
+				alive.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return alive.Load()
+}
+
+// declare marks members as down whose time to answer or refute is over.
+func (m *Members) declare() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.detector.Expired(m.now()) {
+		if r := m.table.DeclareDown(s.ID, s.Incarnation, s.Sequence, m.now()); r != nil {
+			m.noteLocked([]*pb.EndpointRecord{r})
+			notify(m.local)
+			_ = m.logger.Log("msg", "member is down", "node", s.ID, "incarnation", s.Incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/app/members/region.go
@@ -0,0 +1,59 @@
+package members
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanfield/rattanfield/core/membership"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// regionLoop exchanges with the relay of lowest id that answers in another
+// region. Only one relay of this region does so: the one with the lowest id
+// that the others can reach, so that a change crosses the link once.
+func (m *Members) regionLoop(ctx context.Context, region string) {
+	remote := m.relaysOf(region)
+	m.exchangeOnChange(ctx, func(ctx context.Context) bool {
+		if m.lowerRelayAnswers(ctx) {
+			return true
+		}
+		for _, r := range remote {
+			if m.exchange(ctx, target{key: r.ID, address: r.Address, relay: true}, 0) == nil {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// lowerRelayAnswers reports whether a relay of this region with a lower id runs.
+func (m *Members) lowerRelayAnswers(ctx context.Context) bool {
+	for _, r := range m.relaysOf(m.options.Region) {
+		if r.ID < m.options.ID && m.probe(ctx, r.Address, &pb.ProbeRequest{From: m.options.ID, Target: r.ID}) {
+			return true
+		}
+	}
+	return false
+}
+
+// relaysOf returns the other relays of a region by ascending id.
+func (m *Members) relaysOf(region string) []membership.Relay {
+	out := slices.DeleteFunc(slices.Clone(m.options.Relays), func(r membership.Relay) bool { return r.Region != region })
+	slices.SortFunc(out, func(a, b membership.Relay) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// probe reports whether the process at the address answers the probe as alive.
+func (m *Members) probe(ctx context.Context, address string, r *pb.ProbeRequest) bool {
+	timeout := m.options.Timing.ProbeTimeout
+	if r.GetTargetAddress() != "" {
+		timeout *= 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := m.clientOf(address).Probe(ctx, connect.NewRequest(r))
+	return err == nil && answer.Msg.GetAlive()
+}
--- /dev/null
+++ b/app/relay/relay.go
@@ -0,0 +1,314 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/time/rate"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/members"
+	"github.com/rattanfield/rattanfield/core/floor"
+	"github.com/rattanfield/rattanfield/core/membership"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// Options of a Relay. Zero values take the defaults.
+type Options struct {
+	ID, FailureDomain, Region string
+	// Peers are the control hosts; the own id among them is passed over.
+	Peers []*pb.Member
+	// Incarnation differs at each start; 0 is the start time.
+	Incarnation int64
+	// Batch is the time over which changes are sent together. Version shares of
+	// moves are sent at once.
+	Batch time.Duration
+	// NoCompression turns zstd off.
+	NoCompression bool
+	// SnapshotsPerSecond and SnapshotBurst limit the answers that carry a whole projection.
+	SnapshotsPerSecond float64
+	SnapshotBurst      int
+	// Lease is the age up to which answers are marked as confirmed.
+	Lease time.Duration
+	// History is the number of revisions from which deltas can start.
+	History int
+	// SummaryInterval is the time between two summaries of applied revisions.
+	SummaryInterval time.Duration
+	Members         members.Timing
+	// Now returns the time; nil is time.Now.
+	Now func() time.Time
+}
+
+// Defaults of Options.
+const (
+	defaultSnapshotsPerSecond = 200
+	defaultSnapshotBurst      = 200
+	defaultLease              = 2 * time.Second
+	defaultHistory            = 256
+	defaultSummaryInterval    = 500 * time.Millisecond
+)
+
+const (
+	// maxWait bounds the long poll that a node may ask for.
+	maxWait = 30 * time.Second
+	// confirmTimeout bounds a read index; without a quorum a node must learn so soon.
+	confirmTimeout = time.Second
+	// confirmRetry is the time between attempts to confirm the first revision.
+	confirmRetry = 500 * time.Millisecond
+	// brakeInterval is the time between two looks at the braked moves.
+	brakeInterval = 100 * time.Millisecond
+	// confirmedInterval is the time between two looks at the age of the confirmation.
+	confirmedInterval = 250 * time.Millisecond
+	trimInterval      = time.Minute
+)
+
+// Dependencies of a Relay. Sink and Brakes may be nil.
+type Dependencies struct {
+	State  ports.StateReader
+	Quorum ports.QuorumReader
+	Client *rpc.Client
+	Sink   ports.ReportSink
+	Brakes ports.BrakeReader
+	Logger log.Logger
+}
+
+// Relay serves DistributionService and MembershipService.
+type Relay struct {
+	options Options
+	deps    Dependencies
+	members *members.Members
+	views   views
+	limiter *rate.Limiter
+
+	mu        sync.Mutex
+	history   history
+	changed   chan struct{} // closed when a revision is published or brakes change
+	confirmed bool          // the age of the confirmation is within the lease
+	braked    map[string][]string
+	recorder  *floor.Recorder
+	nodes     map[string]*nodeStatus
+	summaries summaries
+}
+
+// New returns a Relay; Run keeps it up to date.
+func New(options Options, deps Dependencies) *Relay {
+	options = options.withDefaults()
+	if deps.Logger == nil {
+		deps.Logger = log.NewNopLogger()
+	}
+	r := &Relay{
+		options: options, deps: deps,
+		views:    views{byKey: make(map[string]*view)},
+		limiter:  rate.NewLimiter(rate.Limit(options.SnapshotsPerSecond), options.SnapshotBurst),
+		changed:  make(chan struct{}),
+		braked:   make(map[string][]string),
+		recorder: floor.NewRecorder(floor.MaxNodes),
+		nodes:    make(map[string]*nodeStatus),
+	}
+	r.summaries.byRelay = make(map[string]stampedSummary)
+	var relays []membership.Relay
+	for _, p := range options.Peers {
+		if p.GetId() != options.ID {
+			relays = append(relays, membership.Relay{
+				ID: p.GetId(), Address: p.GetAddress(), FailureDomain: p.GetFailureDomain(), Region: p.GetRegion(),
+			})
+		}
+	}
+	r.members = members.New(members.Options{
+		ID: options.ID, FailureDomain: options.FailureDomain, Region: options.Region,
+		Incarnation: options.Incarnation, Relay: true, Relays: relays,
+		Applied: r.revision, Summaries: r, Timing: options.Members, Now: options.Now,
+	}, deps.Client, deps.Logger)
+	r.publish()
+	return r
+}
+
+func (o Options) withDefaults() Options {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Incarnation == 0 {
+		o.Incarnation = o.Now().UnixNano()
+	}
+	if o.SnapshotsPerSecond == 0 {
+		o.SnapshotsPerSecond = defaultSnapshotsPerSecond
+	}
+	if o.SnapshotBurst == 0 {
+		o.SnapshotBurst = defaultSnapshotBurst
+	}
+	if o.Lease == 0 {
+		o.Lease = defaultLease
+	}
+	if o.History == 0 {
+		o.History = defaultHistory
+	}
+	if o.SummaryInterval == 0 {
+		o.SummaryInterval = defaultSummaryInterval
+	}
+	return o
+}
+
+// Handlers returns the services of the relay.
+func (r *Relay) Handlers() []rpc.Handler {
+	return append(r.members.Handlers(),
+		rpc.NewHandler(rattanfieldv1connect.NewDistributionServiceHandler(service{r})))
+}
+
+// Members returns the endpoint table of the relay.
+func (r *Relay) Members() *members.Members { return r.members }
+
+// Run publishes applied state until the context ends, and then returns nil.
+func (r *Relay) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { _ = r.members.Run(ctx) })
+	group.Go(func() { r.confirmLoop(ctx) })
+	group.Go(func() { every(ctx, brakeInterval, r.readBrakes) })
+	group.Go(func() { every(ctx, confirmedInterval, r.readConfirmed) })
+	group.Go(func() { every(ctx, r.options.SummaryInterval, r.summarize) })
+	group.Go(func() { every(ctx, trimInterval, func() { r.views.trim(r.options.Now()) }) })
+	r.publishLoop(ctx)
+	group.Wait()
+	return nil
+}
+
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) publishLoop(ctx context.Context) {
+	for {
+		changed := r.deps.State.Changed()
+		r.publish()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		if r.options.Batch > 0 && !r.urgent() {
+			timer := time.NewTimer(r.options.Batch)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			}
+		}
+	}
+}
+
+// urgent reports applied state whose version shares differ from the published ones.
+func (r *Relay) urgent() bool {
+	next := r.deps.State.State().Configuration.GetShares()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !slices.Equal(next, r.history.current().configuration.GetShares())
+}
+
+// publish makes the applied state the one that nodes get.
+func (r *Relay) publish() {
+	c := r.deps.State.State().Configuration
+	if c == nil {
+		c = &pb.Configuration{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.history) > 0 && c.GetRevision() <= r.history.current().configuration.GetRevision() {
+		return
+	}
+	h := append(slices.Clone(r.history), publication{configuration: c, at: r.options.Now()})
+	r.history = h[max(0, len(h)-r.options.History):]
+	r.broadcastLocked()
+}
+
+func (r *Relay) broadcastLocked() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Relay) published() (history, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history, r.changed
+}
+
+func (r *Relay) revision() uint64 {
+	h, _ := r.published()
+	return h.current().configuration.GetRevision()
+}
+
+// confirmLoop makes the floor recorder complete once a quorum confirmed a revision.
+func (r *Relay) confirmLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.confirm(ctx) == nil {
+			return
+		}
+		timer := time.NewTimer(confirmRetry/2 + rand.N(confirmRetry))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// confirm publishes a state that holds everything accepted before the call.
+func (r *Relay) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := r.deps.Quorum.ConfirmRead(ctx); err != nil {
+		return err
+	}
+	r.publish()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recorder.Confirm(r.history.current().configuration.GetRevision())
+	return nil
+}
+
+// readConfirmed wakes the waiting nodes when this host loses its quorum, so that
+// they look for a relay that has one.
+func (r *Relay) readConfirmed() {
+	confirmed := r.deps.Quorum.ConfirmedAge() <= r.options.Lease
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if confirmed != r.confirmed {
+		r.confirmed = confirmed
+		r.broadcastLocked()
+	}
+}
+
+func (r *Relay) isConfirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
+func (r *Relay) readBrakes() {
+	if r.deps.Brakes == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for domain, old := range r.braked {
+		now := r.deps.Brakes.BrakedMoves(domain)
+		if !slices.Equal(old, now) {
+			r.braked[domain] = slices.Clone(now)
+			r.broadcastLocked()
+		}
+	}
+}
--- /dev/null
+++ b/app/relay/serve.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+type service struct{ r *Relay }
+
+// Sync answers with what changed since the revision that the node has.
+func (s service) Sync(ctx context.Context, req *connect.Request[pb.SyncRequest]) (*connect.Response[pb.SyncResponse], error) {
+	r, m := s.r, req.Msg
+	r.note(m)
+	var response *pb.SyncResponse
+	var err error
+	if m.GetConfirmed() && r.confirm(ctx) != nil {
+		response = r.unconfirmed(m)
+	} else {
+		response, err = r.wait(ctx, m)
+	}
+	if err != nil {
+		return nil, err
+	}
+	age := r.deps.Quorum.ConfirmedAge()
+	response.Confirmed = age <= r.options.Lease && response.GetKind() != pb.SyncKind_SYNC_KIND_UNCONFIRMED
+	response.ConfirmedAgeMs = uint32(min(age.Milliseconds(), int64(^uint32(0))))
+	response.BrakedMoves = r.brakedMoves(m.GetFailureDomain())
+	return connect.NewResponse(response), nil
+}
+
+// wait returns when there is something new for the node, or its wait is over.
+func (r *Relay) wait(ctx context.Context, m *pb.SyncRequest) (*pb.SyncResponse, error) {
+	timer := time.NewTimer(min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
+	defer timer.Stop()
+	confirmed := r.isConfirmed()
+	for over := m.GetWaitMs() == 0; ; {
+		h, changed := r.published()
+		response, news, err := r.answer(h, m)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		if over || news || (confirmed && !r.isConfirmed()) {
+			return response, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// answer for the published state; news is false when the node can go on waiting.
+func (r *Relay) answer(h history, m *pb.SyncRequest) (response *pb.SyncResponse, news bool, err error) {
+	if h.current().configuration.GetRevision() < max(m.GetFloor(), m.GetHaveRevision()) {
+		return r.unconfirmed(m), false, nil
+	}
+	a, err := r.views.get(m.GetInterests()).answer(h, m.GetHaveRevision(), m.GetHaveHash(), m.GetSnapshot(),
+		!r.options.NoCompression, r.options.Now())
+	if err != nil {
+		return nil, false, err
+	}
+	if a.kind == pb.SyncKind_SYNC_KIND_SNAPSHOT {
+		if after := r.admit(); after > 0 {
+			return &pb.SyncResponse{
+				Kind: pb.SyncKind_SYNC_KIND_RETRY_LATER, RetryAfterMs: uint32(after.Milliseconds()) + 1,
+			}, true, nil
+		}
+	}
+	news = a.kind != pb.SyncKind_SYNC_KIND_UNCHANGED || a.revision > m.GetHaveRevision() ||
+		!slices.Equal(m.GetBrakedMoves(), r.brakedMoves(m.GetFailureDomain()))
+	return &pb.SyncResponse{
+		Kind: a.kind, Revision: a.revision, Hash: a.hash, Payload: a.payload, Compressed: a.compressed,
+	}, news, nil
+}
+
+func (r *Relay) unconfirmed(*pb.SyncRequest) *pb.SyncResponse {
+	return &pb.SyncResponse{Kind: pb.SyncKind_SYNC_KIND_UNCONFIRMED, Revision: r.revision()}
+}
+
+// admit takes a token for a snapshot. Without one it returns when to ask again:
+// the time until a token is free, spread over twice that time so that the nodes
+// of a storm do not return together.
+func (r *Relay) admit() time.Duration {
+	reservation := r.limiter.Reserve()
+	delay := reservation.Delay()
+	if delay <= 0 {
+		return 0
+	}
+	reservation.Cancel()
+	return delay + rand.N(time.Second)
+}
+
+// brakedMoves of a failure domain; the first call for a domain makes it watched.
+func (r *Relay) brakedMoves(domain string) []string {
+	if r.deps.Brakes == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	moves, watched := r.braked[domain]
+	if !watched {
+		moves = slices.Clone(r.deps.Brakes.BrakedMoves(domain))
+		r.braked[domain] = moves
+	}
+	return moves
+}
+
+// RecordFloor remembers the revision that a node is about to apply.
+func (s service) RecordFloor(_ context.Context, req *connect.Request[pb.RecordFloorRequest]) (*connect.Response[pb.RecordFloorResponse], error) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	floor := s.r.recorder.Record(req.Msg.GetNodeId(), req.Msg.GetRevision())
+	return connect.NewResponse(&pb.RecordFloorResponse{Floor: floor}), nil
+}
+
+// ReadFloor answers what this relay remembers of a node.
+func (s service) ReadFloor(_ context.Context, req *connect.Request[pb.ReadFloorRequest]) (*connect.Response[pb.ReadFloorResponse], error) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	a := s.r.recorder.Read(req.Msg.GetNodeId())
+	return connect.NewResponse(&pb.ReadFloorResponse{
+		Known: a.Known, Floor: a.Floor, Complete: a.Complete,
+		OwnRevision: s.r.history.current().configuration.GetRevision(),
+	}), nil
+}
+
+// Report passes outcome counts of nodes on.
+func (s service) Report(_ context.Context, req *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
+	if s.r.deps.Sink != nil {
+		s.r.deps.Sink.TakeReports(req.Msg.GetReports())
+	}
+	return connect.NewResponse(&pb.ReportResponse{}), nil
+}
