--- a/app/members/exchange.go
+++ b/app/members/exchange.go
@@ -58,6 +58,9 @@
 	} else {
 		r.WaitMs = uint32(wait.Milliseconds())
 	}
+	if p.have == 0 {
+		r.Digests = m.table.Digests(m.wants())
+	}
 	r.Records, r.Stamp = m.toSend(t, p)
 	r.Suspects = m.table.SuspectsSince(p.acked, t.key)
 	sent := sentStamps{records: r.GetStamp()}
@@ -67,6 +70,11 @@
 	return r, sent, m.filter
 }
 
+// wants selects the records that this process asks of a peer.
+func (m *Members) wants() membership.Filter {
+	return membership.Filter{All: m.options.Relay, FailureDomain: m.options.FailureDomain, Services: m.services}
+}
+
 // toSend selects the records that a peer gets from this table. A relay that does
 // not know this node yet gets the node's own record only: every owner reports
 // itself, so a restarted relay needs no table from each of its nodes.
--- a/app/members/serve.go
+++ b/app/members/serve.go
@@ -30,7 +30,7 @@
 	for {
 		response, changed := m.response(r)
 		wait := deadline.Sub(m.now())
-		if wait <= 0 || len(response.Records)+len(response.Suspects)+len(response.Summaries) > 0 {
+		if wait <= 0 || response.GetStamp() == 0 || len(response.Records)+len(response.Suspects)+len(response.Summaries) > 0 {
 			return connect.NewResponse(response), nil
 		}
 		timer := time.NewTimer(wait)
@@ -72,9 +72,18 @@
 		have = 0
 	}
 	out := &pb.ExchangeResponse{Instance: m.table.Instance(), AppliedRevision: m.options.Applied()}
-	out.Records, out.Stamp = m.table.Since(have, membership.Filter{
+	if have == 0 && r.GetHaveInstance() != 0 && len(r.GetDigests()) == 0 {
+		// The sender knows an earlier table of this process. With stamp 0 it asks
+		// again, with digests, and gets only what differs.
+		return out, m.changed
+	}
+	filter := membership.Filter{
 		Peer: r.GetFrom(), All: r.GetRelay(), FailureDomain: r.GetFailureDomain(), Services: r.GetServices(),
-	})
+	}
+	if have == 0 {
+		filter.Digests = r.GetDigests()
+	}
+	out.Records, out.Stamp = m.table.Since(have, filter)
 	out.Suspects = m.table.SuspectsSince(have, r.GetFrom())
 	return out, m.changed
 }
--- a/core/config/change.go
+++ b/core/config/change.go
@@ -12,19 +12,35 @@
 func Apply(c *pb.Configuration, changes []*pb.Change, revision uint64) *pb.Configuration {
 	services := slices.Clone(c.GetServices())
 	routes := slices.Clone(c.GetRoutes())
+	shares := c.GetShares()
 	for _, ch := range changes {
 		switch x := ch.GetChange().(type) {
 		case *pb.Change_PutService:
 			services = put(services, x.PutService, (*pb.Service).GetName)
 		case *pb.Change_DeleteService:
 			services = remove(services, x.DeleteService, (*pb.Service).GetName)
+			shares = withoutEnded(shares, x.DeleteService)
 		case *pb.Change_PutRoute:
 			routes = put(routes, x.PutRoute, (*pb.Route).GetName)
 		case *pb.Change_DeleteRoute:
 			routes = remove(routes, x.DeleteRoute, (*pb.Route).GetName)
 		}
 	}
-	return &pb.Configuration{Revision: revision, Services: services, Routes: routes, Shares: c.GetShares()}
+	return &pb.Configuration{Revision: revision, Services: services, Routes: routes, Shares: shares}
+}
+
+// withoutEnded drops the shares that the last move of a service left. Those of a
+// move that runs stay, so that deleting its service is rejected as dangling.
+func withoutEnded(shares []*pb.ServiceShares, service string) []*pb.ServiceShares {
+	i, found := search(shares, service, (*pb.ServiceShares).GetService)
+	if !found {
+		return shares
+	}
+	switch shares[i].GetPhase() {
+	case pb.MovePhase_MOVE_PHASE_DONE, pb.MovePhase_MOVE_PHASE_ROLLED_BACK, pb.MovePhase_MOVE_PHASE_STOPPED:
+		return slices.Delete(slices.Clone(shares), i, i+1)
+	}
+	return shares
 }
 
 // ApplyShares returns a new configuration with the version shares of one
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -45,7 +45,12 @@
 		names[r.GetName()] = true
 		v.route(r)
 	}
+	shared := make(map[string]bool, len(c.GetShares()))
 	for _, s := range c.GetShares() {
+		if shared[s.GetService()] {
+			v.add("shares/"+s.GetService(), "the service has shares twice")
+		}
+		shared[s.GetService()] = true
 		v.shares(s)
 	}
 	return v.problems
@@ -72,6 +77,9 @@
 	if s.GetActiveVersion() == "" {
 		v.add(subject, "active_version is missing")
 	}
+	if u, twice := duplicate(s.GetUses()); twice {
+		v.add(subject, "uses service %q twice", u)
+	}
 	for _, u := range s.GetUses() {
 		if !v.services[u] {
 			v.add(subject, "uses service %q, which does not exist", u)
@@ -80,9 +88,8 @@
 	if s.GetLimits().GetSlots() == 0 {
 		v.add(subject, "limits.slots must be at least 1")
 	}
-	if n := len(s.GetLedgerMembers()); n != 0 && n != LedgerMembers {
-		v.add(subject, "ledger_members names %d nodes, it must name %d or none", n, LedgerMembers)
-	}
+	v.ledger(subject, "ledger_members", s.GetLedgerMembers())
+	v.ledger(subject, "previous_ledger_members", s.GetPreviousLedgerMembers())
 	for _, w := range s.GetTenantWeights() {
 		if w.GetWeight() == 0 {
 			v.add(subject, "weight of tenant %q must be at least 1", w.GetTenant())
@@ -90,6 +97,29 @@
 	}
 }
 
+// ledger checks a group: with fewer than three distinct nodes two of three would
+// not be a majority of different hosts.
+func (v *validator) ledger(subject, field string, members []string) {
+	if n := len(members); n != 0 && n != LedgerMembers {
+		v.add(subject, "%s names %d nodes, it must name %d or none", field, n, LedgerMembers)
+	}
+	if m, twice := duplicate(members); twice {
+		v.add(subject, "%s names node %q twice", field, m)
+	}
+}
+
+// duplicate returns the first name that occurs twice.
+func duplicate(names []string) (string, bool) {
+	seen := make(map[string]bool, len(names))
+	for _, n := range names {
+		if seen[n] {
+			return n, true
+		}
+		seen[n] = true
+	}
+	return "", false
+}
+
 func (v *validator) route(r *pb.Route) {
 	subject := "route/" + r.GetName()
 	v.name(subject, r.GetName())
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -175,6 +175,8 @@
 	All           bool
 	FailureDomain string
 	Services      []string
+	// Digests that the peer sent; live records in buckets with equal digests are left out.
+	Digests []uint64
 }
 
 func (f *Filter) selects(e *entry) bool {
@@ -188,10 +190,14 @@
 // peer may have lost what it delivered, so it gets that too.
 func (t *Table) Since(stamp uint64, f Filter) ([]*pb.EndpointRecord, uint64) {
 	var found []*entry
-	for _, e := range t.entries {
+	equal := t.equalBuckets(f)
+	for id, e := range t.entries {
 		if e.stamp <= stamp || !f.selects(e) {
 			continue
 		}
+		if equal != nil && equal[bucket(id)] && IsLive(e.record) {
+			continue
+		}
 		if stamp > 0 && e.source == f.Peer {
 			continue
 		}
