--- /dev/null
+++ b/core/floor/floor_test.go
@@ -0,0 +1,84 @@
+package floor
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards invariant 1 without a quorum: with three recorders, whatever of them
+// restarts or misses a record, two answers never give a floor below the applied
+// revision. Recorders forget other nodes' floors by eviction, too.
+func TestFloorIsNeverBelowAppliedRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fresh := func() *Recorder { return NewRecorder(2) }
+		recorders := []*Recorder{fresh(), fresh(), fresh()}
+		var accepted, applied uint64 = 1, 0
+		pick := func() *Recorder { return recorders[rapid.IntRange(0, 2).Draw(t, "recorder")] }
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				accepted++
+			case 1: // the node applies a revision that at least two recorders hold
+				missing := rapid.IntRange(0, 3).Draw(t, "missing")
+				revision := rapid.Uint64Range(applied, accepted).Draw(t, "revision")
+				for i, r := range recorders {
+					if i != missing {
+						r.Record("node", revision)
+					}
+				}
+				applied = revision
+			case 2:
+				recorders[rapid.IntRange(0, 2).Draw(t, "restarted")] = fresh()
+			case 3: // a quorum answers with everything accepted so far
+				pick().Confirm(accepted)
+			case 4: // recorded, but not applied: the node crashed in between
+				pick().Record("node", rapid.Uint64Range(applied, accepted).Draw(t, "recorded"))
+			case 5:
+				other := fmt.Sprintf("other-%d", rapid.IntRange(0, 3).Draw(t, "other"))
+				pick().Record(other, rapid.Uint64Range(1, accepted).Draw(t, "revision"))
+			}
+			silent := rapid.IntRange(0, 3).Draw(t, "silent")
+			var answers []Answer
+			for i, r := range recorders {
+				if i != silent {
+					answers = append(answers, r.Read("node"))
+				}
+			}
+			if floor, known := Decide(answers, Needed(len(recorders))); known && floor < applied {
+				t.Fatalf("floor %d, applied %d, answers %+v", floor, applied, answers)
+			}
+		}
+	})
+}
+
+// Guards: silence of a restarted recorder is not taken for "no floor", and one
+// answer is not enough where two recorders exist.
+func TestAnswersThatCount(t *testing.T) {
+	is := is.New(t)
+	forgot := NewRecorder(10).Read("node")
+	complete := NewRecorder(10)
+	complete.Confirm(7)
+	complete.Confirm(3) // later confirmations do not change the bound
+	for _, c := range []struct {
+		answers []Answer
+		needed  int
+		floor   uint64
+		known   bool
+	}{
+		{nil, 1, 0, false},
+		{[]Answer{forgot, forgot, forgot}, 2, 0, false},
+		{[]Answer{forgot, complete.Read("node")}, 2, 7, false},
+		{[]Answer{complete.Read("node")}, 2, 7, false},
+		{[]Answer{complete.Read("node"), {Known: true, Floor: 9}}, 2, 9, true},
+		{[]Answer{complete.Read("node"), {Complete: true}}, 2, 7, true},
+	} {
+		floor, known := Decide(c.answers, c.needed)
+		is.Equal(floor, c.floor)
+		is.Equal(known, c.known)
+	}
+	is.Equal([]int{Needed(0), Needed(1), Needed(2), Needed(9)}, []int{1, 1, 2, 2})
+	is.Equal(NewRecorder(1).Record("", 5), uint64(0)) // a request without a node id is not kept
+}
