members: test convergence of tables and fix what it found

Cause: the generated interleavings found that readers of a service kept a record after the node changed its service and the relay restarted, and that an owner was never told that it is declared down once the declarer had restarted. Change: records name the former services of the incarnation; a holder tells the owner until it refutes; a holder of a down record repeats it when a peer still has that version as live.

--- a/app/fleet/fleet.go
+++ b/app/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/rattanfield/rattanfield/app/follower"
 	"github.com/rattanfield/rattanfield/app/members"
 	"github.com/rattanfield/rattanfield/app/relay"
+	"github.com/rattanfield/rattanfield/core/config"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/ports"
 )
@@ -27,6 +28,8 @@
 	Follower    follower.Options // template; identity, interests and relays are filled in
 	Members     members.Timing   // of nodes
 	Source      *pb.Configuration
+	// OnApply is called when a node put a configuration in force; nil: not.
+	OnApply func(node string, p *config.Projection)
 }
 
 // Fleet is a set of processes with their links.
@@ -161,6 +164,9 @@
 	o := f.options.Follower
 	o.NodeID, o.FailureDomain, o.Region, o.Incarnation = n.ID, n.Domain.Name, n.Domain.Region, incarnation
 	o.Relays = relays
+	if f.options.OnApply != nil {
+		o.OnApply = func(p *config.Projection) { f.options.OnApply(n.ID, p) }
+	}
 	if n.Service != "" {
 		o.Interests = &pb.Interests{Services: []string{n.Service}}
 	}
--- a/app/follower/follower.go
+++ b/app/follower/follower.go
@@ -37,6 +37,8 @@
 	Timeout       time.Duration // of a request, beyond its wait
 	BackoffCap    time.Duration // longest wait after failures, with full jitter
 	HomeRetry     time.Duration // time with a less preferred relay before the preferred ones are tried again
+	// OnApply is called after a configuration was put in force; nil: not.
+	OnApply func(*config.Projection)
 	// Now returns the time; nil is time.Now.
 	Now func() time.Time
 	// Rand decides jitter; nil is seeded from the incarnation.
@@ -220,6 +222,9 @@
 	f.covered = interests
 	f.projection.Store(next)
 	f.mu.Unlock()
+	if f.options.OnApply != nil {
+		f.options.OnApply(next)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/app/members/exchange_test.go
@@ -0,0 +1,199 @@
+package members
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// simulation joins processes by messages that a test delivers, repeats, delays
+// or drops; no connection and no clock is involved.
+type simulation struct {
+	t         *rapid.T
+	processes []*Members
+	starts    int64
+	requests  []message
+	responses []message
+}
+
+type message struct {
+	from, to int
+	instance int64 // of the sender; a response to a process that restarted is lost
+	request  *pb.ExchangeRequest
+	response *pb.ExchangeResponse
+	sent     sentStamps
+	filter   uint64
+}
+
+const (
+	simulatedRelays = 2 // one per failure domain
+	simulatedNodes  = 4 // two per failure domain
+)
+
+func (s *simulation) start(i int) *Members {
+	s.starts++
+	domain := fmt.Sprintf("domain-%d", i%2)
+	o := Options{
+		ID: fmt.Sprintf("p%d", i), FailureDomain: domain, Region: domain, Incarnation: s.starts,
+		Relay: i < simulatedRelays, Now: func() time.Time { return time.Unix(s.starts, 0) },
+	}
+	if !o.Relay {
+		o.Services = []string{"a"}
+	}
+	m := New(o, nil, nil)
+	if !o.Relay {
+		m.Publish(pb.EndpointState_ENDPOINT_STATE_SERVING, ports.Upstream{Service: "a", Version: "1"})
+	}
+	return m
+}
+
+// reachable are the exchanges that the system does: nodes with both relays and
+// with nodes of their failure domain, relays with each other.
+func reachable(from, to int) bool {
+	if from == to {
+		return false
+	}
+	return to < simulatedRelays || (from >= simulatedRelays && from%2 == to%2)
+}
+
+func (s *simulation) target(to int) target {
+	return target{key: fmt.Sprintf("p%d", to), relay: to < simulatedRelays}
+}
+
+func (s *simulation) send(from, to int, wait time.Duration) message {
+	m := message{from: from, to: to, instance: s.processes[from].table.Instance()}
+	m.request, m.sent, m.filter = s.processes[from].request(s.target(to), wait)
+	m.request = proto.Clone(m.request).(*pb.ExchangeRequest)
+	return m
+}
+
+func (s *simulation) serve(m message) message {
+	p := s.processes[m.to]
+	p.accept(m.request)
+	m.response, _ = p.response(m.request)
+	return m
+}
+
+func (s *simulation) finish(m message) {
+	p := s.processes[m.from]
+	if p.table.Instance() == m.instance {
+		p.take(s.target(m.to), m.request, m.response, m.sent, m.filter)
+	}
+}
+
+func (s *simulation) step() {
+	t := s.t
+	any := func(name string) int { return rapid.IntRange(0, len(s.processes)-1).Draw(t, name) }
+	switch rapid.IntRange(0, 7).Draw(t, "step") {
+	case 0, 1: // a request starts
+		from, to := any("from"), any("to")
+		if reachable(from, to) {
+			wait := rapid.SampledFrom([]time.Duration{0, push}).Draw(t, "wait")
+			s.requests = append(s.requests, s.send(from, to, wait))
+		}
+	case 2, 3: // a request arrives: any of those under way, possibly again later
+		if len(s.requests) > 0 {
+			i := rapid.IntRange(0, len(s.requests)-1).Draw(t, "request")
+			s.responses = append(s.responses, s.serve(s.requests[i]))
+			if !rapid.Bool().Draw(t, "keep") {
+				s.requests = append(s.requests[:i], s.requests[i+1:]...)
+			}
+		}
+	case 4, 5: // a response arrives, or is dropped
+		if len(s.responses) > 0 {
+			i := rapid.IntRange(0, len(s.responses)-1).Draw(t, "response")
+			if rapid.IntRange(0, 3).Draw(t, "fate") > 0 {
+				s.finish(s.responses[i])
+			}
+			if !rapid.Bool().Draw(t, "keep") {
+				s.responses = append(s.responses[:i], s.responses[i+1:]...)
+			}
+		}
+	case 6: // a node changes, changes its interests, or is declared down by another
+		p := s.processes[any("process")]
+		switch rapid.IntRange(0, 2).Draw(t, "change") {
+		case 0:
+			if !p.options.Relay {
+				p.Publish(rapid.SampledFrom([]pb.EndpointState{
+					pb.EndpointState_ENDPOINT_STATE_SERVING, pb.EndpointState_ENDPOINT_STATE_LEAVING,
+				}).Draw(t, "state"), ports.Upstream{Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"), Version: "1"})
+			}
+		case 1:
+			if !p.options.Relay {
+				p.SetServices([]string{rapid.SampledFrom([]string{"a", "b"}).Draw(t, "interest")})
+			}
+		case 2:
+			if r := p.table.Get(fmt.Sprintf("p%d", any("target"))); r != nil {
+				p.table.DeclareDown(r.GetNodeId(), r.GetIncarnation(), r.GetSequence(), time.Time{})
+			}
+		}
+	case 7:
+		i := any("restarted")
+		s.processes[i] = s.start(i)
+	}
+}
+
+// settle does a few complete rounds of exchanges.
+func (s *simulation) settle() {
+	for range 4 {
+		for from := range s.processes {
+			for to := range s.processes {
+				if reachable(from, to) {
+					s.finish(s.serve(s.send(from, to, 0)))
+				}
+			}
+		}
+	}
+}
+
+// check requires that every process holds the owner's current record of each
+// node that its filter selects, and that no owner is left declared down.
+func (s *simulation) check() {
+	for _, p := range s.processes {
+		filter := p.wants()
+		for _, owner := range s.processes[simulatedRelays:] {
+			want := owner.table.Get(owner.options.ID)
+			got := p.table.Get(owner.options.ID)
+			needed := filter.All || want.GetFailureDomain() == filter.FailureDomain || filter.Services[0] == want.GetService()
+			if needed && !proto.Equal(got, want) {
+				s.t.Fatalf("%s holds %v, the owner has %v", p.options.ID, got, want)
+			}
+			if !needed && got != nil && got.GetService() == filter.Services[0] && got.GetState() == pb.EndpointState_ENDPOINT_STATE_SERVING {
+				s.t.Fatalf("%s still reads %v, the owner has %v", p.options.ID, got, want)
+			}
+			if want.GetState() == pb.EndpointState_ENDPOINT_STATE_DOWN {
+				s.t.Fatalf("%s was not refuted", want)
+			}
+		}
+		records, _ := p.Endpoints("a")
+		for _, r := range records {
+			if !proto.Equal(r, p.table.Get(r.GetNodeId())) {
+				s.t.Fatalf("the list of %s holds an older record %v", p.options.ID, r)
+			}
+		}
+		p.Endpoints("b") // lists are read between changes, so that stale ones show
+	}
+}
+
+// Guards: whatever exchanges are dropped, repeated, delayed, reordered or lost
+// in one direction, and whoever restarts, a few complete exchanges bring every
+// table to the owners' records.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &simulation{t: t}
+		for i := range simulatedRelays + simulatedNodes {
+			s.processes = append(s.processes, s.start(i))
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			s.step()
+		}
+		s.settle()
+		s.check()
+	})
+}
--- a/app/members/members.go
+++ b/app/members/members.go
@@ -46,6 +46,7 @@
 type Timing struct {
 	ProbeInterval time.Duration // between two probes of a node
 	ProbeTimeout  time.Duration // of a direct probe; an indirect one takes twice as long
+	Suspicion     time.Duration // from the first failed probe to down
 	PollWait      time.Duration // long poll at the relay
 	RelayInterval time.Duration // between relays when nothing changes
 	PeerInterval  time.Duration // between nodes while a relay answers
@@ -75,6 +76,7 @@
 	}
 	set(&t.ProbeInterval, defaultProbeInterval)
 	set(&t.ProbeTimeout, defaultProbeTimeout)
+	set(&t.Suspicion, membership.SuspicionTimeout)
 	set(&t.PollWait, defaultPollWait)
 	set(&t.RelayInterval, defaultRelayInterval)
 	set(&t.PeerInterval, defaultPeerInterval)
@@ -149,7 +151,7 @@
 	m := &Members{
 		options: options, client: client, logger: logger, now: options.Now, rng: options.Rand,
 		table:    membership.NewTable(options.Incarnation, self),
-		detector: membership.NewDetector(rand.New(rand.NewPCG(options.Rand.Uint64(), options.Rand.Uint64()))),
+		detector: membership.NewDetector(options.Timing.Suspicion, rand.New(rand.NewPCG(options.Rand.Uint64(), options.Rand.Uint64()))),
 		peers:    make(map[string]*peer),
 		services: slices.Clone(options.Services),
 		changed:  make(chan struct{}),
@@ -203,6 +205,7 @@
 	}
 	if old != nil {
 		r.Incarnation = old.GetIncarnation()
+		r.FormerServices = former(old, r.GetService())
 		same := proto.Clone(r).(*pb.EndpointRecord)
 		same.Sequence = old.GetSequence()
 		if proto.Equal(same, old) {
@@ -214,6 +217,19 @@
 	notify(m.local)
 }
 
+// maxFormer bounds the former services of a record; a host changes its service seldom.
+const maxFormer = 4
+
+// former returns the services that a node served before the next one.
+func former(old *pb.EndpointRecord, next string) []string {
+	out := slices.Clone(old.GetFormerServices())
+	if s := old.GetService(); s != "" && s != next && !slices.Contains(out, s) {
+		out = append(out, s)
+	}
+	out = slices.DeleteFunc(out, func(s string) bool { return s == next })
+	return out[max(0, len(out)-maxFormer):]
+}
+
 // Spread passes suspects on to the other nodes.
 func (m *Members) Spread(records []*pb.SuspectRecord) {
 	m.mu.Lock()
--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -24,15 +24,16 @@
 
 // Detector decides whom to probe and whom to declare down.
 type Detector struct {
+	timeout   time.Duration
 	rng       *rand.Rand
 	order     []string
 	suspected map[string]Suspicion
 	lastHeard time.Time
 }
 
-// NewDetector returns a detector; rng decides the order of probes.
-func NewDetector(rng *rand.Rand) *Detector {
-	return &Detector{rng: rng, suspected: make(map[string]Suspicion)}
+// NewDetector returns a detector with a suspicion timeout; rng decides the order of probes.
+func NewDetector(timeout time.Duration, rng *rand.Rand) *Detector {
+	return &Detector{timeout: timeout, rng: rng, suspected: make(map[string]Suspicion)}
 }
 
 // Next returns the member to probe. Every member is probed once before any is
@@ -97,7 +98,7 @@
 	var out []Suspicion
 	for _, id := range d.Suspected() {
 		s := d.suspected[id]
-		if now.Sub(s.Since) < SuspicionTimeout || !d.lastHeard.After(s.Since) {
+		if now.Sub(s.Since) < d.timeout || !d.lastHeard.After(s.Since) {
 			continue
 		}
 		delete(d.suspected, id)
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -136,7 +136,7 @@
 // down only after the timeout, for the record observed, by a host that others answer.
 func TestDetector(t *testing.T) {
 	is := is.New(t)
-	d := NewDetector(rand.New(rand.NewPCG(1, 2)))
+	d := NewDetector(SuspicionTimeout, rand.New(rand.NewPCG(1, 2)))
 	ids := []string{"a", "b", "c", "d", "e"}
 	probed := make(map[string]int)
 	for range len(ids) {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -22,6 +22,9 @@
 	source    string // peer that delivered it, so that it is not sent back
 	previous  string // service before the last change, whose readers must learn of the change
 	removedAt time.Time
+	// contested: a peer holds the same version as live, so it must learn that the
+	// node was declared down, and the owner must get to refute that.
+	contested bool
 }
 
 // Table holds the endpoint records that one process knows. Records that it
@@ -137,13 +140,18 @@
 		e = &entry{}
 		t.entries[r.GetNodeId()] = e
 	} else if !Supersedes(r, e.record) {
+		if e.record.GetState() == down && IsLive(r) && Supersedes(e.record, r) && e.record.GetSequence() == r.GetSequence() &&
+			e.record.GetIncarnation() == r.GetIncarnation() {
+			t.stamp++
+			e.stamp, e.source, e.contested = t.stamp, "", true
+		}
 		return false
 	}
 	if old := e.record.GetService(); old != r.GetService() && old != "" {
 		e.previous = old
 	}
 	unknown := e.record == nil
-	e.record, e.source, e.removedAt = r, source, time.Time{}
+	e.record, e.source, e.removedAt, e.contested = r, source, time.Time{}, false
 	if isRemoved(r) {
 		e.removedAt = now
 	}
@@ -180,9 +188,10 @@
 }
 
 func (f *Filter) selects(e *entry) bool {
-	return f.All || (f.FailureDomain != "" && e.record.GetFailureDomain() == f.FailureDomain) ||
+	return f.All || e.contested || (f.FailureDomain != "" && e.record.GetFailureDomain() == f.FailureDomain) ||
 		(e.record.GetService() != "" && slices.Contains(f.Services, e.record.GetService())) ||
-		(e.previous != "" && slices.Contains(f.Services, e.previous))
+		(e.previous != "" && slices.Contains(f.Services, e.previous)) ||
+		slices.ContainsFunc(e.record.GetFormerServices(), func(s string) bool { return slices.Contains(f.Services, s) })
 }
 
 // Since returns the selected records that were accepted after a stamp, ordered
@@ -192,6 +201,10 @@
 	var found []*entry
 	equal := t.equalBuckets(f)
 	for id, e := range t.entries {
+		if id == f.Peer && e.record.GetState() == down {
+			found = append(found, e) // until the owner refutes it, whatever it was sent before
+			continue
+		}
 		if e.stamp <= stamp || !f.selects(e) {
 			continue
 		}
