simupstream: test that calls after the leave are still answered

Cause: with the wait for quiet taken out, all tests passed. Change: the test sends one more call after the upstream has left. Measured: go test -race -count=2 ./app/simupstream passes; with the wait taken out it fails.

--- a/app/simupstream/simupstream_test.go
+++ b/app/simupstream/simupstream_test.go
@@ -180,6 +180,9 @@
 	}
 	stop()
 	is.NoErr(VerifyBody("t2", 50, []byte(<-finished)))
+	// What the node's gate accepted before it heard of the leave may still arrive.
+	_, body = call(t, base+"/fares", map[string]string{HeaderToken: "t3", HeaderLength: "40"})
+	is.NoErr(VerifyBody("t3", 40, []byte(body)))
 	is.NoErr(<-ended)
 	mu.Lock()
 	defer mu.Unlock()
