--- /dev/null
+++ b/app/control/wire.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/adapters/settings"
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/consensus"
+	"github.com/rattanfield/rattanfield/app/moves"
+	"github.com/rattanfield/rattanfield/app/relay"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Program is the name in logs, metrics and status.
+const Program = "rattanfield-control"
+
+func newTopology(s *settings.Control) *settings.Topology {
+	return settings.NewTopology(s.Site, s.FailureDomain)
+}
+
+func newClient(s *settings.Control, t *settings.Topology) *rpc.Client {
+	return rpc.NewClient(rpc.Options{Topology: t, LocalIP: hostIP(s.Addresses.Peer), Delay: t.Delay})
+}
+
+// hostIP makes connections start at the host's own address, which tells other
+// hosts in which failure domain they come from.
+func hostIP(address string) net.IP {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
+
+func newLogger(s *settings.Control) log.Logger {
+	return telemetry.NewLogger(os.Stderr, Program, s.ID, s.LogLevel)
+}
+
+func newMetrics(client *rpc.Client) *metrics.Set {
+	set := metrics.NewSet()
+	telemetry.AddLinks(set, client)
+	return set
+}
+
+func members(site *settings.Site) []*pb.Member {
+	out := make([]*pb.Member, 0, len(site.ControlHosts))
+	for _, h := range site.ControlHosts {
+		out = append(out, &pb.Member{
+			Id: h.ID, Address: h.Address, FailureDomain: h.FailureDomain,
+			Region: site.RegionOf(h.FailureDomain), Voter: true,
+		})
+	}
+	return out
+}
+
+func newHost(s *settings.Control, client *rpc.Client, logger log.Logger) (*consensus.Host, error) {
+	return consensus.New(consensus.Options{ID: s.ID, Members: members(s.Site), DataDir: s.DataDirectory}, client, logger)
+}
+
+func moveOptions(s *settings.Control, host *consensus.Host) moves.Options {
+	return moves.Options{ID: s.ID, FailureDomain: s.FailureDomain, Incarnation: time.Now().UnixNano(), State: host}
+}
+
+func newCollector(s *settings.Control, host *consensus.Host, client *rpc.Client, logger log.Logger) *moves.Collector {
+	return moves.NewCollector(moveOptions(s, host), host, client, logger)
+}
+
+func newDecider(s *settings.Control, host *consensus.Host, c *moves.Collector, logger log.Logger) *moves.Decider {
+	return moves.NewDecider(moveOptions(s, host), host, host, host, c, logger)
+}
+
+func newRelay(s *settings.Control, host *consensus.Host, c *moves.Collector, client *rpc.Client, logger log.Logger) *relay.Relay {
+	options := relay.Options{
+		ID: s.ID, FailureDomain: s.FailureDomain, Region: s.Site.RegionOf(s.FailureDomain),
+		Peers:         members(s.Site),
+		NoCompression: s.Site.Compression == settings.CompressionNone,
+	}
+	if s.Site.Urgency == settings.UrgencyBatched {
+		options.Batch = s.Site.BatchInterval.Std()
+	}
+	r := relay.New(options, relay.Dependencies{
+		State: host, Quorum: host, Client: client, Sink: c, Brakes: c, Logger: logger,
+	})
+	host.SetNodeStatusReader(r)
+	return r
+}
--- /dev/null
+++ b/app/node/run.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"context"
+
+	"go.uber.org/dig"
+
+	"github.com/rattanfield/rattanfield/adapters/settings"
+)
+
+// Run builds the node from its settings and runs it until the context ends or
+// a part fails.
+func Run(ctx context.Context, s *settings.Node) error {
+	container, err := newContainer(s)
+	if err != nil {
+		return err
+	}
+	return container.Invoke(func(p *process) error { return p.run(ctx) })
+}
+
+func newContainer(s *settings.Node) (*dig.Container, error) {
+	c := dig.New()
+	constructors := []any{
+		func() *settings.Node { return s },
+		newIncarnation, newTopology, newClient, newLogger, newMetrics,
+		newMembers, newInterests, newFollower, newRecorder, newBelowMarks, newEntry, newGate, newAdmin, newProcess,
+	}
+	for _, f := range constructors {
+		if err := c.Provide(f); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/app/node/wire.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/rattanfield/rattanfield/adapters/httpproxy"
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/adapters/settings"
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/follower"
+	"github.com/rattanfield/rattanfield/app/members"
+	"github.com/rattanfield/rattanfield/app/moves"
+	"github.com/rattanfield/rattanfield/core/membership"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// Program is the name in logs, metrics and status.
+const Program = "rattanfield-node"
+
+// incarnation is the start time of this process in Unix nanoseconds.
+type incarnation int64
+
+func newIncarnation() incarnation { return incarnation(time.Now().UnixNano()) }
+
+func newTopology(s *settings.Node) *settings.Topology {
+	return settings.NewTopology(s.Site, s.FailureDomain)
+}
+
+func newClient(s *settings.Node, t *settings.Topology) *rpc.Client {
+	return rpc.NewClient(rpc.Options{Topology: t, LocalIP: hostIP(s.Addresses.Peer), Delay: t.Delay})
+}
+
+// hostIP makes connections start at the host's own address, which tells other
+// hosts in which failure domain they come from.
+func hostIP(address string) net.IP {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
+
+func newLogger(s *settings.Node) log.Logger {
+	return telemetry.NewLogger(os.Stderr, Program, s.ID, s.LogLevel)
+}
+
+func newMetrics(client *rpc.Client) *metrics.Set {
+	set := metrics.NewSet()
+	telemetry.AddLinks(set, client)
+	return set
+}
+
+func relays(site *settings.Site) []membership.Relay {
+	out := make([]membership.Relay, 0, len(site.ControlHosts))
+	for _, h := range site.ControlHosts {
+		out = append(out, membership.Relay{
+			ID: h.ID, Address: h.Address, FailureDomain: h.FailureDomain, Region: site.RegionOf(h.FailureDomain),
+		})
+	}
+	return out
+}
+
+// revision breaks the cycle between the endpoint table, which reports the
+// revision in force, and the follower, which finds its peers in the table.
+type revision struct{ follower *follower.Follower }
+
+func (r *revision) applied() uint64 {
+	if r.follower == nil {
+		return 0
+	}
+	return r.follower.Revision()
+}
+
+func newMembers(s *settings.Node, i incarnation, client *rpc.Client, logger log.Logger) (*members.Members, *revision) {
+	r := &revision{}
+	return members.New(members.Options{
+		ID: s.ID, FailureDomain: s.FailureDomain, Region: s.Site.RegionOf(s.FailureDomain),
+		GateAddress: s.Addresses.Gate, PeerAddress: s.Addresses.Peer, Incarnation: int64(i),
+		Relays: relays(s.Site), Seeds: s.Seeds, Services: s.EntryServices, Applied: r.applied,
+	}, client, logger), r
+}
+
+func newInterests(s *settings.Node, m *members.Members) *interests {
+	return &interests{members: m, entry: s.EntryServices}
+}
+
+// brakes breaks the cycle between the follower, which receives the braked
+// moves, and the recorder, which sends its reports through the follower.
+type brakes struct{ recorder *moves.Recorder }
+
+// SetBraked implements ports.BrakeSink.
+func (b *brakes) SetBraked(ids []string) {
+	if b.recorder != nil {
+		b.recorder.SetBraked(ids)
+	}
+}
+
+func newFollower(s *settings.Node, i incarnation, n *interests, r *revision, m *members.Members, client *rpc.Client, logger log.Logger) (*follower.Follower, *brakes) {
+	b := &brakes{}
+	f := follower.New(follower.Options{
+		NodeID: s.ID, FailureDomain: s.FailureDomain, Region: s.Site.RegionOf(s.FailureDomain),
+		Incarnation: int64(i), Interests: n.current(), Relays: relays(s.Site), OnApply: n.applied,
+	}, follower.Dependencies{Client: client, Members: m, Sink: b, Logger: logger})
+	n.changed = f.SetInterests
+	r.follower = f
+	return f, b
+}
+
+func newRecorder(s *settings.Node, i incarnation, f *follower.Follower, b *brakes, logger log.Logger) *moves.Recorder {
+	r := moves.NewRecorder(moves.Options{ID: s.ID, FailureDomain: s.FailureDomain, Incarnation: int64(i)}, f, f, logger)
+	b.recorder = r
+	return r
+}
+
+func newBelowMarks() *httpproxy.BelowMarks { return httpproxy.NewBelowMarks() }
+
+func newEntry(s *settings.Node, i incarnation, f *follower.Follower, m *members.Members, r *moves.Recorder, b *httpproxy.BelowMarks, set *metrics.Set) *httpproxy.Entry {
+	return httpproxy.NewEntry(httpproxy.EntryOptions{
+		Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
+		LocalIP: hostIP(s.Addresses.Gate), Seed: uint64(i), Metrics: set,
+		RemoteBytesPerSecond: remoteCallBytesPerSecond,
+	}, httpproxy.EntryDependencies{Configuration: f, Endpoints: m, Outcomes: r, Versions: r, Below: b})
+}
+
+// remoteCallBytesPerSecond bounds the calls that one node sends to another
+// region when its own has no capacity: 1% of the link of 30 Mbit/s.
+const remoteCallBytesPerSecond = 37_500
+
+func newGate(s *settings.Node, f *follower.Follower, n *interests, m *members.Members, b *httpproxy.BelowMarks, set *metrics.Set) *httpproxy.Gate {
+	g := httpproxy.NewGate(
+		httpproxy.GateOptions{LocalIP: hostIP(s.Addresses.Gate), Metrics: set},
+		httpproxy.GateDependencies{Configuration: f, Local: ports.LocalEndpoint(n), Suspects: m, Below: b})
+	m.SetReceiver(g)
+	return g
+}
--- a/app/operator/client.go
+++ b/app/operator/client.go
@@ -164,7 +164,7 @@
 	answer, err := c.clients[at].Submit(attempt, connect.NewRequest(&pb.SubmitRequest{Command: command}))
 	if err != nil {
 		c.current = (at + 1) % len(c.clients)
-		return nil, !isRefused(err), unreachable(c.hosts[at]+": "+connect.CodeOf(err).String())
+		return nil, !isRefused(err), unreachable(c.hosts[at] + ": " + connect.CodeOf(err).String())
 	}
 	if !final(answer.Msg.GetResult().GetOutcome()) {
 		c.current = (at + 1) % len(c.clients)
