demo: wait for the first revision; loadgen: pass on from a stopping entry

Cause: first run with the daemons: nodes are ready before they have the first configuration, and a call that crossed the closing response of a stopping entry was counted as rejected although it was not read. Change: the demo waits until all nodes have applied the configuration; the load generator sends such a call to another entry, which is always safe.

--- a/app/demo/convergence.go
+++ b/app/demo/convergence.go
@@ -46,15 +46,18 @@
 		if result.GetOutcome() != pb.Outcome_OUTCOME_ACCEPTED {
 			return fmt.Errorf("change %d: %s: %v %s", i, result.GetOutcome(), result.GetProblems(), result.GetMessage())
 		}
-		if err := d.awaitRevision(ctx, result.GetRevision(), time.UnixMilli(result.GetAcceptedUnixMs())); err != nil {
+		took, err := d.awaitRevision(ctx, result.GetRevision(), time.UnixMilli(result.GetAcceptedUnixMs()))
+		if err != nil {
 			return err
 		}
+		d.convergence.nodes = append(d.convergence.nodes, took...)
+		d.convergence.everywhere = append(d.convergence.everywhere, slices.Max(took))
 	}
 	return nil
 }
 
-// awaitRevision waits until all nodes have applied a revision and records how long each took.
-func (d *demo) awaitRevision(ctx context.Context, revision uint64, accepted time.Time) error {
+// awaitRevision waits until all nodes have applied a revision and returns how long each took.
+func (d *demo) awaitRevision(ctx context.Context, revision uint64, accepted time.Time) ([]time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*convergenceLimit)
 	defer cancel()
 	took := make([]time.Duration, len(d.layout.nodes))
@@ -76,12 +79,10 @@
 	wait.Wait()
 	for i, t := range took {
 		if t < 0 {
-			return fmt.Errorf("node %s did not apply revision %d within %s", d.layout.nodes[i].id, revision, 2*convergenceLimit)
+			return nil, fmt.Errorf("node %s did not apply revision %d within %s", d.layout.nodes[i].id, revision, 2*convergenceLimit)
 		}
 	}
-	d.convergence.nodes = append(d.convergence.nodes, took...)
-	d.convergence.everywhere = append(d.convergence.everywhere, slices.Max(took))
-	return nil
+	return took, nil
 }
 
 // quantile of durations; 0 when there are none.
--- a/app/demo/scenario.go
+++ b/app/demo/scenario.go
@@ -100,10 +100,16 @@
 		return err
 	}
 	d.say("apply: %s", firstLine(out))
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	if r, err = d.operator.query(ctx, pb.Subject_SUBJECT_CONFIGURATION); err != nil {
+		return err
+	}
+	if _, err := d.awaitRevision(ctx, r.GetConfiguration().GetRevision(), time.Now()); err != nil {
+		return err
+	}
+	ready, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, n := range d.layout.nodes {
-		if err := d.admin.waitReady(ctx, n.admin()); err != nil {
+		if err := d.admin.waitReady(ready, n.admin()); err != nil {
 			return err
 		}
 	}
--- a/app/loadgen/client.go
+++ b/app/loadgen/client.go
@@ -48,10 +48,15 @@
 	keyed  bool
 }
 
+// closingCallID marks the response that an entry which stops sends on an idle
+// connection: it read no request, so a request that crossed it was not run.
+const closingCallID = "-"
+
 // response is what the caller keeps of an answer.
 type response struct {
 	status               int
 	ran, reason, version string
+	closing              bool
 	verified             error
 }
 
@@ -83,6 +88,7 @@
 		status: answer.StatusCode(),
 		ran:    string(answer.Header.Peek(HeaderRan)), reason: string(answer.Header.Peek(HeaderReason)),
 		version: string(answer.Header.Peek(simupstream.HeaderVersion)),
+		closing: string(answer.Header.Peek(headerCallID)) == closingCallID,
 	}
 	if r.status < http.StatusBadRequest {
 		r.verified = verify(c.token, g.options.ResponseBytes, answer)
@@ -98,7 +104,7 @@
 }
 
 // send a call, and again through other entries where a repetition is safe: after
-// an attempt that reached no listener always, otherwise when the call is
+// an attempt that reached no listener or a stopping entry always, otherwise when the call is
 // idempotent or has a key.
 func (g *generator) send(c call, first int) Result {
 	r := Result{Token: c.token, Tenant: c.tenant, Route: c.route.Method + " " + c.route.Path, Sent: time.Now()}
@@ -116,6 +122,9 @@
 			if r.Failovers < len(g.options.Entries) {
 				continue
 			}
+		case err == nil && answer.closing && r.Failovers < len(g.options.Entries):
+			r.Failovers++
+			continue
 		case err != nil:
 			r.Outcome = Lost
 		default:
--- a/app/loadgen/loadgen_test.go
+++ b/app/loadgen/loadgen_test.go
@@ -95,6 +95,12 @@
 		h.Set(HeaderRan, ranNotRun)
 		h.Set(HeaderReason, "queue full")
 		c.SetStatusCode(429)
+	case "/stopping":
+		if first {
+			h.Set(headerCallID, closingCallID)
+			h.Set(HeaderRan, ranNotRun)
+			c.SetStatusCode(503)
+		}
 	case "/fail":
 		c.SetStatusCode(500)
 	case "/foreign":
@@ -140,6 +146,9 @@
 			is.Equal(s.Reasons["rejected: queue full"], uint64(20))
 			is.Equal(s.Resends, uint64(0))
 		}},
+		{"stopping entry", Route{Method: "POST", Path: "/stopping"}, Counts{Answered: 20}, func(is *is.I, s *Summary) {
+			is.True(s.Failovers >= 20)
+		}},
 		{"failed", Route{Method: "GET", Path: "/fail"}, Counts{Failed: 20}, nil},
 		{"foreign", Route{Method: "GET", Path: "/foreign"}, Counts{Corrupt: 20}, nil},
 		{"token", Route{Method: "GET", Path: "/token"}, Counts{Corrupt: 20}, nil},
--- a/app/loadgen/result.go
+++ b/app/loadgen/result.go
@@ -31,6 +31,7 @@
 	HeaderReason   = "X-Rattanfield-Reason"
 	HeaderTenant   = "X-Rattanfield-Tenant"
 	HeaderDeadline = "X-Rattanfield-Deadline-Ms"
+	headerCallID   = "X-Rattanfield-Call-Id"
 )
 
 // Result of one call.
@@ -48,7 +49,7 @@
 	Reason    string
 	Version   string
 	Attempts  int
-	Failovers int // attempts that found no listener at their entry, so surely did nothing
+	Failovers int // attempts that found no listener or a stopping entry, so surely did nothing
 	Err       error
 	// Direct is the latency of the paired direct call; 0 means that there is none.
 	Direct time.Duration
--- a/app/loadgen/summary.go
+++ b/app/loadgen/summary.go
@@ -64,7 +64,7 @@
 	Direct         Latencies          `json:"direct"`
 	Added          Added              `json:"added"`
 	Resends        uint64             `json:"resends"`     // repeated attempts
-	Failovers      uint64             `json:"failovers"`   // attempts that reached no listener
+	Failovers      uint64             `json:"failovers"`   // attempts that reached no listener or a stopping entry
 	KeyResends     map[Outcome]uint64 `json:"key_resends"` // outcomes of resent keyed calls
 	Unmarked       uint64             `json:"unmarked"`    // answers without X-Rattanfield-Ran
 	Reasons        map[string]uint64  `json:"reasons"`     // of calls that were not answered
