state, httpproxy: start at revision 1 and stop a server twice without error

Cause: the demo could not apply the first configuration, because a change needs a revision of at least 1 to build on and the empty state had 0; every node exited with status 1 after SIGTERM, because the second Shutdown reported the closed listener. Change: the empty configuration has revision 1; a closed listener is no error. TestCommandIsAppliedOnAllHosts starts from that revision, its checks are the same.

--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -104,11 +104,19 @@
 	for s.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
-			return s.http.ShutdownWithContext(ctx)
+			return s.closeServer(ctx)
 		case <-ticker.C:
 		}
 	}
-	return s.http.ShutdownWithContext(ctx)
+	return s.closeServer(ctx)
+}
+
+// closeServer ends the server, whose listener may be closed already.
+func (s *Server) closeServer(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // closeIdle starts to close idle connections and returns how many are open.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -37,13 +37,17 @@
 // New returns the state before the first entry: an empty configuration at revision 0.
 func New(members []*pb.Member) *Machine {
 	return &Machine{
-		configuration: &pb.Configuration{},
+		configuration: &pb.Configuration{Revision: InitialRevision},
 		moves:         make(map[string]*pb.Move),
 		results:       make(map[string]*pb.CommandResult),
 		members:       members,
 	}
 }
 
+// InitialRevision is that of the empty configuration, so that the first change
+// has a revision to build on; 0 means that there is none.
+const InitialRevision = 1
+
 // Index is the index of the last applied entry.
 func (m *Machine) Index() uint64 { return m.index }
 
