--- a/core/raft/lease.go
+++ b/core/raft/lease.go
@@ -22,6 +22,12 @@
 	}
 	if l.transferTo != "" && n.now >= l.transferAt {
 		l.transferTo = ""
+		if l.leaseLost {
+			// Votes of the failed transfer may still arrive; they count for nothing in a new term.
+			n.becomeFollower(n.state.Term, "")
+			n.campaign(Candidate, true)
+			return
+		}
 	}
 	if n.now >= l.nextHeartbeat {
 		n.startRound()
@@ -128,7 +134,7 @@
 	if p.snapshot == 0 && p.match < n.log.last() && p.sentRound < m.GetContext() {
 		p.probe(p.match + 1)
 		if p.match == 0 {
-			p.next = min(max(m.GetLogIndex(), n.log.offset), n.log.last()) + 1
+			p.next = min(m.GetLogIndex(), n.log.last()) + 1
 		}
 	}
 	n.maintainMembers()
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -105,8 +105,12 @@
 }
 
 // lastAtMost returns the highest index up to a bound whose term is at most term.
-// It lets a conflict skip a whole term per message.
+// It lets a conflict skip a whole term per message. An index before the log
+// stays as it is, which makes the leader send a snapshot.
 func (l *raftLog) lastAtMost(index, term uint64) (uint64, uint64) {
+	if index < l.offset {
+		return index, 0
+	}
 	for index = min(index, l.last()); index > l.offset; index-- {
 		if t, _ := l.term(index); t <= term {
 			return index, t
--- /dev/null
+++ b/core/raft/raft_test.go
@@ -0,0 +1,316 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// act applies one random event to the cluster.
+func (s *sim) act() {
+	t := s.t
+	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
+	switch a := rapid.IntRange(0, 99).Draw(t, "event"); {
+	case a < 30: // let time pass with most messages delivered in any order
+		s.busy(rapid.IntRange(1, 25).Draw(t, "ticks"))
+	case a < 45:
+		if h.node != nil && !h.paused && h.node.role == Leader {
+			s.propose(h)
+		} else if l := s.leader(); l != nil {
+			s.propose(l)
+		}
+	case a < 52:
+		if h.node != nil && !h.paused {
+			s.read(h)
+		}
+	case a < 57:
+		if len(s.net) > 0 { // a duplicate stays under way
+			s.deliver(rapid.IntRange(0, len(s.net)-1).Draw(t, "message"), true)
+		}
+	case a < 62: // one-way cut, or all links of a host
+		if other := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "peer")]; other != h {
+			s.cut[[2]string{h.id, other.id}] = true
+			return
+		}
+		for _, o := range s.hosts {
+			s.cut[[2]string{h.id, o.id}], s.cut[[2]string{o.id, h.id}] = true, true
+		}
+	case a < 70:
+		clear(s.cut)
+	case a < 74:
+		if h.node != nil && !s.unproven() {
+			s.crash(h, rapid.IntRange(0, 4).Draw(t, "reached"))
+		}
+	case a < 82:
+		if h.node == nil && !s.unproven() {
+			s.start(h)
+		}
+	case a < 85: // a pause of the whole process that can exceed the lease
+		h.paused = !h.paused
+	case a < 88:
+		if h.node != nil {
+			s.compact(h, uint64(rapid.IntRange(0, 4).Draw(t, "keep")))
+		}
+	case a < 90:
+		if h.node != nil && !h.paused && h.node.TransferLeadership(s.now) {
+			s.process(h)
+		}
+	case a < 92:
+		s.changeMembers(h)
+	case a < 95:
+		s.loseDisk(h)
+	case a < 97:
+		s.restoreOlder(h)
+	default:
+		if h.node != nil {
+			h.backups = append(h.backups, h.disk)
+		}
+	}
+}
+
+func (s *sim) unproven() bool {
+	return slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.unproven })
+}
+
+// busy lets time pass; each message is lost, reordered or delivered, and disks sync at different speeds.
+func (s *sim) busy(ticks int) {
+	r := rapid.Uint64().Draw(s.t, "order")
+	roll := func(n int) int {
+		r = r*6364136223846793005 + 1442695040888963407
+		return int(r>>33) % n
+	}
+	loss := []int{0, 0, 5, 30}[roll(4)]
+	for range ticks {
+		for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
+			i := 0
+			if roll(3) == 0 {
+				i = roll(len(s.net))
+			}
+			switch {
+			case roll(100) < loss:
+				s.net = slices.Delete(s.net, i, i+1)
+			case roll(10) > 0:
+				s.deliver(i, false)
+			}
+		}
+		for _, h := range s.hosts {
+			if roll(3) > 0 {
+				s.sync(h, 1+roll(4))
+			}
+		}
+		s.now += simTick
+		for _, h := range s.hosts {
+			s.tick(h)
+		}
+	}
+}
+
+func (s *sim) changeMembers(h *simHost) {
+	l := s.leader()
+	if l == nil || s.damagedHosts() > 0 {
+		return
+	}
+	members := slices.Clone(l.node.members())
+	if m := find(members, h.id); m == nil {
+		members = append(members, &pb.Member{Id: h.id, CatchingUp: true})
+	} else if !m.GetVoter() || voterCount(members) > 3 {
+		members = slices.DeleteFunc(members, func(m *pb.Member) bool { return m.GetId() == h.id })
+	}
+	_, _, _ = l.node.ProposeMembers(members)
+	s.process(l)
+}
+
+// mayDamage: a minority of the voters may be without what they acknowledged at any time.
+func (s *sim) mayDamage(h *simHost) bool {
+	l := s.leader()
+	if l == nil || l == h || h.damaged || !l.node.mayChangeMembers() {
+		return false
+	}
+	voters := voterCount(l.node.members())
+	return find(l.node.members(), h.id) != nil && s.damagedHosts()+1 <= (voters-1)/2
+}
+
+func (s *sim) loseDisk(h *simHost) {
+	if !s.mayDamage(h) || s.unproven() {
+		return
+	}
+	s.crash(h, 0)
+	h.disk = simDisk{state: HardState{Incarnation: fmt.Appendf(nil, "%s-%d", h.id, s.next+uint64(s.now))}}
+	h.damaged = true
+	h.backups = nil
+	s.start(h)
+}
+
+// restoreOlder brings back a disk that has the right incarnation and lacks
+// entries that it acknowledged. Somebody must know of the acknowledgements, so
+// the others are up and connected while the host is away.
+func (s *sim) restoreOlder(h *simHost) {
+	if len(h.backups) == 0 || !s.mayDamage(h) || s.damagedHosts() > 0 {
+		return
+	}
+	old := h.backups[0]
+	if string(old.state.Incarnation) != string(h.disk.state.Incarnation) {
+		return
+	}
+	s.crash(h, 0)
+	s.heal()
+	s.crash(h, 0)
+	s.calm(3 * time.Second)
+	if h.disk.state.Incarnation == nil || s.leader() == nil {
+		s.start(h)
+		return
+	}
+	h.disk = old
+	h.damaged, h.unproven = true, true
+	h.backups = nil
+	s.start(h)
+}
+
+// Guards against two leaders in a term, diverging logs, the loss of a committed
+// entry and stale reads, under loss, duplication and reordering of messages,
+// one-way partitions, crashes between write and sync, pauses longer than the
+// lease, snapshots, membership changes, lost and older disks. At the end a
+// cluster without faults must work again with every voter entitled to vote.
+func TestLogSurvivesFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
+		s := newSim(t, voters, rapid.IntRange(0, 1).Draw(t, "spares"), rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		if rapid.Bool().Draw(t, "started") {
+			s.calm(time.Second)
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "events") {
+			s.act()
+		}
+		s.heal()
+		s.calm(8 * time.Second)
+		s.requireWorking()
+	})
+}
+
+func (s *sim) requireWorking() {
+	l := s.leader()
+	s.require(l != nil, "no leader after all faults ended: %s", s.describe())
+	before := s.maxCommit
+	s.require(s.propose(l), "the leader takes no proposal")
+	s.calm(time.Second)
+	s.require(s.maxCommit > before, "nothing is committed after all faults ended: %s", s.describe())
+	for _, m := range s.leader().node.members() {
+		h := s.host(m.GetId())
+		s.require(h.applied == s.maxCommit, "%s applied %d of %d", h.id, h.applied, s.maxCommit)
+		s.require(h.node.eligible(), "%s is not admitted: %s", h.id, s.describe())
+	}
+}
+
+func (s *sim) describe() string {
+	out := ""
+	for _, h := range s.hosts {
+		if h.node != nil {
+			st := h.node.Status()
+			out += fmt.Sprintf("\n%s %v term %d last %d commit %d eligible %v confirmed %v members %v", h.id, st.Role, st.Term, st.Last, st.Commit, st.Eligible, h.node.confirmation.done, st.Members)
+		}
+	}
+	return out
+}
+
+// repair describes a host whose disk comes back worse than it was.
+type repair struct {
+	name string
+	disk func(h *simHost, backup simDisk) simDisk
+}
+
+var repairs = []repair{
+	{"lost", func(*simHost, simDisk) simDisk {
+		return simDisk{state: HardState{Incarnation: []byte("replacement")}}
+	}},
+	{"older", func(_ *simHost, backup simDisk) simDisk { return backup }},
+}
+
+// Guards against the loss of an accepted entry when the leader is lost right
+// after another host came back with a lost or older disk: that host and the one
+// that lagged must not elect a leader without the entry.
+func TestSecondHostLostRightAfterRepair(t *testing.T) {
+	for _, r := range repairs {
+		t.Run(r.name, rapid.MakeCheck(func(t *rapid.T) {
+			s := newSim(t, 3, 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+			s.calm(2 * time.Second)
+			l := s.leader()
+			var repaired, lagging *simHost
+			for _, h := range s.hosts {
+				if h != l && repaired == nil {
+					repaired = h
+				} else if h != l {
+					lagging = h
+				}
+			}
+			backup := repaired.disk
+			s.propose(l)
+			s.calm(time.Second)
+			backup = simDisk{state: backup.state, entries: slices.Clone(backup.entries)}
+			// The newest entries reach the leader and the host to be repaired only.
+			s.dropAppends(lagging, l, 5)
+			accepted := s.maxCommit
+			s.crash(repaired, 0)
+			s.calm(simBeat * 2)
+			repaired.disk = r.disk(repaired, backup)
+			s.start(repaired)
+			s.busy(rapid.IntRange(0, 40).Draw(t, "ticks after the repair"))
+			s.crash(l, 0)
+			s.calm(5 * time.Second)
+			s.require(s.maxCommit >= accepted, "lost")
+			s.start(l)
+			s.calm(8 * time.Second)
+			s.requireWorking()
+			s.require(uint64(len(s.committed)) > accepted, "an accepted entry is gone")
+		}))
+	}
+}
+
+// dropAppends commits entries without one host, to which only heartbeats get through.
+func (s *sim) dropAppends(lagging, l *simHost, count int) {
+	for range count {
+		s.propose(l)
+		for range 12 {
+			s.net = slices.DeleteFunc(s.net, func(m simMessage) bool {
+				return m.m.GetTo() == lagging.id && m.m.GetKind() == pb.RaftKind_RAFT_KIND_APPEND
+			})
+			for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
+				s.deliver(0, false)
+			}
+			for _, h := range s.hosts {
+				s.sync(h, len(h.pending))
+			}
+			s.now += simTick / 2
+			for _, h := range s.hosts {
+				s.tick(h)
+			}
+		}
+	}
+	s.require(lagging.node.log.last() < s.maxCommit, "the host does not lag")
+}
+
+// Guards against a membership change that could let two majorities exist.
+func TestProposeMembersChangesOneVoter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, 3, 2, 7)
+		s.calm(2 * time.Second)
+		l := s.leader()
+		two := append(slices.Clone(l.node.members()), &pb.Member{Id: "h3", Voter: true}, &pb.Member{Id: "h4", Voter: true})
+		_, _, err := l.node.ProposeMembers(two)
+		s.require(err == ErrMemberChange, "two voters at once: %v", err)
+		_, _, err = l.node.ProposeMembers(append(slices.Clone(l.node.members()), &pb.Member{Id: "h3", CatchingUp: true}))
+		s.require(err == nil, "one member: %v", err)
+		_, _, err = l.node.ProposeMembers(l.node.members())
+		s.require(err == ErrMemberPending, "a second change before the first is committed: %v", err)
+		s.calm(2 * time.Second)
+		m := find(l.node.members(), "h3")
+		s.require(m.GetVoter() && !m.GetCatchingUp() && s.host("h3").node.eligible(), "the new member is not promoted: %v", m)
+		before := proto.CloneOf(m)
+		s.require(proto.Equal(before, m), "members are immutable")
+	})
+}
--- /dev/null
+++ b/core/raft/sim_test.go
@@ -0,0 +1,366 @@
+package raft
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const (
+	simTick     = 10 * time.Millisecond
+	simElection = 200 * time.Millisecond
+	simBeat     = 40 * time.Millisecond
+)
+
+// simDisk is what survives a crash.
+type simDisk struct {
+	state   HardState
+	snap    Snapshot
+	entries []*pb.Entry
+}
+
+func (d *simDisk) write(r Ready) {
+	if r.State != nil {
+		d.state = *r.State
+	}
+	if r.Snapshot != nil {
+		d.install(*r.Snapshot)
+	}
+	for _, e := range r.Entries {
+		for i, old := range d.entries {
+			if old.GetIndex() >= e.GetIndex() {
+				d.entries = d.entries[:i:i]
+				break
+			}
+		}
+		d.entries = append(d.entries, e)
+	}
+}
+
+func (d *simDisk) install(s Snapshot) {
+	holds := slices.ContainsFunc(d.entries, func(e *pb.Entry) bool { return e.GetIndex() == s.Index && e.GetTerm() == s.Term })
+	if !holds {
+		d.entries = nil
+	}
+	d.snap = s
+	d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *pb.Entry) bool { return e.GetIndex() <= s.Index })
+}
+
+type simHost struct {
+	id       string
+	node     *Node // nil while down
+	disk     simDisk
+	pending  []Ready // not synced yet
+	backups  []simDisk
+	applied  uint64
+	digest   uint64
+	paused   bool
+	damaged  bool // lost or older disk that is not admitted again
+	unproven bool // older disk that nobody has noticed yet
+	seed     uint64
+	reads    map[uint64]uint64 // context to the commit index at the question
+}
+
+type simMessage struct{ m *pb.RaftMessage }
+
+// sim runs hosts with a faulty network and faulty disks, and checks the log's guarantees after each event.
+type sim struct {
+	t       *rapid.T
+	now     time.Duration
+	hosts   []*simHost
+	initial []*pb.Member
+	net     []simMessage
+	cut     map[[2]string]bool // one-way
+
+	committed []*pb.Entry // by index, 1-based with a nil at 0
+	digests   []uint64
+	leaders   map[uint64]string
+	maxCommit uint64
+	commitAt  []simCommit
+	next      uint64
+}
+
+type simCommit struct {
+	at     time.Duration
+	commit uint64
+}
+
+func newSim(t *rapid.T, voters, spares int, seed uint64) *sim {
+	s := &sim{t: t, now: time.Second, cut: make(map[[2]string]bool), leaders: make(map[uint64]string), committed: []*pb.Entry{nil}, digests: []uint64{0}}
+	for i := range voters + spares {
+		h := &simHost{id: fmt.Sprintf("h%d", i), seed: seed + uint64(i)*1000}
+		h.disk.state.Incarnation = []byte(fmt.Sprintf("disk-%d-0", i))
+		s.hosts = append(s.hosts, h)
+		if i < voters {
+			s.initial = append(s.initial, &pb.Member{Id: h.id, Voter: true})
+		}
+	}
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	return s
+}
+
+func (s *sim) start(h *simHost) {
+	h.seed++
+	h.node = New(Config{
+		ID: h.id, Members: s.initial, ElectionTimeout: simElection, HeartbeatInterval: simBeat,
+		Rand: rand.New(rand.NewPCG(h.seed, 1)),
+	}, Stored{State: h.disk.state, Snapshot: h.disk.snap, Entries: h.disk.entries}, s.now)
+	h.applied, h.digest = h.disk.snap.Index, 0
+	if h.applied > 0 {
+		h.digest = binary.BigEndian.Uint64(h.disk.snap.Data)
+	}
+	h.pending, h.paused, h.reads = nil, false, make(map[uint64]uint64)
+}
+
+// crash loses what is not synced, except for a prefix that reached the disk unacknowledged.
+func (s *sim) crash(h *simHost, reached int) {
+	for _, r := range h.pending[:min(reached, len(h.pending))] {
+		h.disk.write(r)
+	}
+	h.node, h.pending = nil, nil
+}
+
+func (s *sim) host(id string) *simHost {
+	for _, h := range s.hosts {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// process takes the work of a host and checks it.
+func (s *sim) process(h *simHost) {
+	for {
+		r, ok := h.node.Ready()
+		if !ok {
+			break
+		}
+		s.emit(r.Messages)
+		if r.NeedsSync() {
+			h.pending = append(h.pending, r)
+		}
+		if r.Snapshot != nil {
+			h.applied, h.digest = r.Snapshot.Index, binary.BigEndian.Uint64(r.Snapshot.Data)
+			s.require(h.digest == s.digests[h.applied], "%s installed a snapshot with another content at %d", h.id, h.applied)
+		}
+		for _, e := range r.Committed {
+			s.apply(h, e)
+		}
+		for _, rs := range r.Reads {
+			s.require(rs.Err != nil || rs.Index >= h.reads[rs.Context], "%s: read at %d is stale, %d was committed", h.id, rs.Index, h.reads[rs.Context])
+		}
+	}
+	s.check(h)
+}
+
+func (s *sim) emit(messages []*pb.RaftMessage) {
+	for _, m := range messages {
+		s.net = append(s.net, simMessage{proto.CloneOf(m)})
+	}
+}
+
+func (s *sim) apply(h *simHost, e *pb.Entry) {
+	s.require(e.GetIndex() == h.applied+1, "%s applied %d after %d", h.id, e.GetIndex(), h.applied)
+	if e.GetIndex() == uint64(len(s.committed)) {
+		s.committed = append(s.committed, e)
+		s.digests = append(s.digests, chain(s.digests[len(s.digests)-1], e))
+	}
+	was := s.committed[e.GetIndex()]
+	s.require(was.GetTerm() == e.GetTerm() && bytes.Equal(was.GetPayload(), e.GetPayload()),
+		"%s applied another entry at %d: term %d, before it was term %d", h.id, e.GetIndex(), e.GetTerm(), was.GetTerm())
+	h.applied, h.digest = e.GetIndex(), s.digests[e.GetIndex()]
+}
+
+func chain(d uint64, e *pb.Entry) uint64 {
+	for _, b := range append(binary.BigEndian.AppendUint64(nil, e.GetTerm()), e.GetPayload()...) {
+		d = d*1099511628211 + uint64(b) + 1
+	}
+	return d
+}
+
+// check holds the guarantees against the state of one host.
+func (s *sim) check(h *simHost) {
+	n := h.node
+	if h.damaged && n.eligible() {
+		h.damaged = false
+	}
+	if h.unproven && (n.confirmation.done || len(n.state.Incarnation) != len(h.disk.state.Incarnation)) {
+		h.unproven = false
+	}
+	if n.role != Leader {
+		s.checkConfirmed(h)
+		return
+	}
+	other, known := s.leaders[n.state.Term]
+	s.require(!known || other == h.id, "%s and %s both lead term %d", other, h.id, n.state.Term)
+	if !known {
+		s.leaders[n.state.Term] = h.id
+		s.checkComplete(h)
+	}
+	if n.log.commit > s.maxCommit {
+		s.maxCommit = n.log.commit
+		s.commitAt = append(s.commitAt, simCommit{s.now, s.maxCommit})
+	}
+	if n.HoldsLease(s.now) {
+		s.require(n.log.commit >= s.maxCommit, "%s holds the lease at %d, but %d is committed", h.id, n.log.commit, s.maxCommit)
+	}
+	s.checkConfirmed(h)
+}
+
+// checkComplete: a new leader holds everything that was committed.
+func (s *sim) checkComplete(h *simHost) {
+	for i := h.node.log.offset + 1; i < uint64(len(s.committed)); i++ {
+		s.require(h.node.log.matches(i, s.committed[i].GetTerm()), "new leader %s of term %d lacks committed entry %d", h.id, h.node.state.Term, i)
+	}
+	s.require(h.node.log.last() >= s.maxCommit, "new leader %s ends at %d, %d is committed", h.id, h.node.log.last(), s.maxCommit)
+}
+
+// checkConfirmed: a host that says its commit index was current at a time held what was committed then.
+func (s *sim) checkConfirmed(h *simHost) {
+	at, ok := h.node.ConfirmedAt(s.now)
+	if !ok {
+		return
+	}
+	for _, c := range slices.Backward(s.commitAt) {
+		if c.at < at {
+			s.require(h.node.log.commit >= c.commit, "%s was confirmed at %v with %d, %d was committed at %v", h.id, at, h.node.log.commit, c.commit, c.at)
+			return
+		}
+	}
+}
+
+func (s *sim) require(ok bool, format string, args ...any) {
+	if !ok {
+		s.t.Fatalf("%v: "+format, append([]any{s.now}, args...)...)
+	}
+}
+
+func (s *sim) tick(h *simHost) {
+	if h.node != nil && !h.paused {
+		h.node.Tick(s.now)
+		s.process(h)
+	}
+}
+
+// deliver hands over the message at a position, unless its link is cut.
+func (s *sim) deliver(i int, keep bool) {
+	m := s.net[i].m
+	if !keep {
+		s.net = slices.Delete(s.net, i, i+1)
+	}
+	to := s.host(m.GetTo())
+	if s.cut[[2]string{m.GetFrom(), m.GetTo()}] || to == nil || to.node == nil || to.paused {
+		return
+	}
+	to.node.Step(s.now, proto.CloneOf(m))
+	s.process(to)
+}
+
+// sync finishes the first k writes of a host with one sync.
+func (s *sim) sync(h *simHost, k int) {
+	if h.node == nil || h.paused || len(h.pending) == 0 {
+		return
+	}
+	k = min(k, len(h.pending))
+	batch := h.pending[:k]
+	h.pending = h.pending[k:]
+	var last *pb.Entry
+	for _, r := range batch {
+		h.disk.write(r)
+		if len(r.Entries) > 0 {
+			last = r.Entries[len(r.Entries)-1]
+		}
+	}
+	for _, r := range batch {
+		s.emit(r.AfterSync)
+	}
+	if last != nil {
+		h.node.Synced(s.now, last.GetIndex(), last.GetTerm())
+	}
+	s.process(h)
+}
+
+func (s *sim) leader() *simHost {
+	for _, h := range s.hosts {
+		if h.node != nil && !h.paused && h.node.HoldsLease(s.now) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *sim) propose(h *simHost) bool {
+	s.next++
+	_, _, err := h.node.Propose(s.now, binary.BigEndian.AppendUint64(nil, s.next))
+	s.process(h)
+	return err == nil
+}
+
+func (s *sim) read(h *simHost) {
+	s.next++
+	h.reads[s.next] = s.maxCommit
+	h.node.ReadIndex(s.now, s.next)
+	s.process(h)
+}
+
+func (s *sim) compact(h *simHost, keep uint64) {
+	if h.applied == 0 {
+		return
+	}
+	h.node.Compact(h.applied, binary.BigEndian.AppendUint64(nil, h.digest), keep)
+	if snap := h.node.Snapshot(); snap.Index > h.disk.snap.Index && len(h.pending) == 0 {
+		h.disk.install(snap)
+	}
+}
+
+// calm runs without faults: every message arrives, every write is synced.
+func (s *sim) calm(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
+			s.deliver(0, false)
+		}
+		for _, h := range s.hosts {
+			s.sync(h, len(h.pending))
+		}
+		for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
+			s.deliver(0, false)
+		}
+		s.now += simTick
+		for _, h := range s.hosts {
+			s.tick(h)
+		}
+	}
+}
+
+// heal ends all faults.
+func (s *sim) heal() {
+	clear(s.cut)
+	for _, h := range s.hosts {
+		h.paused = false
+		if h.node == nil {
+			s.start(h)
+		}
+	}
+}
+
+// damagedHosts counts the disks that do not hold what they acknowledged.
+func (s *sim) damagedHosts() int {
+	count := 0
+	for _, h := range s.hosts {
+		if h.damaged {
+			count++
+		}
+	}
+	return count
+}
