httpproxy: keep calls that were not run out of the evidence of moves

Cause: in the demo a good version was rolled back for latency on reservations-write, whose calls were all rejected as not run in under 1 ms (key-owner-unreachable); the entry recorded them as quick calls of a version. Ruled out: a slow new version, its p99 was 1 ms against 20 ms. Change: a call that was not run is evidence only when the upstream sheds load.

--- a/adapters/httpproxy/forward.go
+++ b/adapters/httpproxy/forward.go
@@ -232,13 +232,14 @@
 		e.state(f.service).balancer.Done(time.Now(), f.pick.Address, o)
 	}
 	e.mu.Unlock()
-	if e.deps.Outcomes == nil || a.unreached() || a.reason() == ReasonCancelledAfter {
+	// A call that was not run says nothing about the version, unless the upstream sheds load.
+	if e.deps.Outcomes == nil || a.unreached() || (a.ran == RanNotRun && !a.overload()) || a.reason() == ReasonCancelledAfter {
 		return
 	}
 	e.deps.Outcomes.Record(ports.CallOutcome{
 		Service: f.service.GetName(), Route: f.route.GetName(), Version: f.pick.Version,
 		Tenant: f.call.tenant, Class: f.call.class, Latency: a.latency,
-		Error: a.failed() && !a.below && a.ran != RanNotRun, Overload: a.overload(),
+		Error: a.failed() && !a.below, Overload: a.overload(),
 		Suspect:       a.reason() == ReasonSuspect || a.reason() == ReasonUpstreamCrashed || f.crashes > 0,
 		FreshEndpoint: f.pick.Fresh,
 	})
