--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -108,16 +108,16 @@
 	for s.closeIdle() > 0 {
 		select {
 		case <-ctx.Done():
-			return s.shutdownHTTP(ctx)
+			return s.closeServer(ctx)
 		case <-ticker.C:
 		}
 	}
-	return s.shutdownHTTP(ctx)
+	return s.closeServer(ctx)
 }
 
-func (s *Server) shutdownHTTP(ctx context.Context) error {
-	// The listener is closed already, which fasthttp reports as an error.
-	if err := s.http.ShutdownWithContext(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+// closeServer ends the server, whose listener may be closed already.
+func (s *Server) closeServer(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
