node: run calls with their ledger service

Cause: keyed requests were rejected, because no keeper of claims was wired. Change: app/calls brings entry, gate, servers and ledger; the node wires it.

--- a/app/node/admin.go
+++ b/app/node/admin.go
@@ -5,9 +5,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/rattanfield/rattanfield/adapters/httpproxy"
 	"github.com/rattanfield/rattanfield/adapters/settings"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/calls"
 	"github.com/rattanfield/rattanfield/app/follower"
 	"github.com/rattanfield/rattanfield/app/members"
 )
@@ -20,7 +20,7 @@
 	Endpoints  int    `json:"endpoints"` // records in the endpoint table
 }
 
-func newAdmin(s *settings.Node, f *follower.Follower, m *members.Members, g *httpproxy.Gate, set *metrics.Set) *telemetry.Admin {
+func newAdmin(s *settings.Node, f *follower.Follower, m *members.Members, c *calls.Calls, set *metrics.Set) *telemetry.Admin {
 	read := func() any {
 		out := status{Revision: f.Revision(), FloorKnown: f.FloorKnown(), Endpoints: len(m.Records())}
 		if p := f.Projection(); p != nil {
@@ -35,7 +35,7 @@
 		}
 		return nil
 	})
-	announce := httpproxy.NewAnnounceHandler(g)
+	announce := c.AnnounceHandler()
 	admin.Router().POST("/v1/announce", announce)
 	admin.Router().POST("/v1/leave", announce)
 	set.NewGauge("rattanfield_revision", func() float64 { return float64(f.Revision()) })
--- a/app/node/process.go
+++ b/app/node/process.go
@@ -8,10 +8,10 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
-	"github.com/rattanfield/rattanfield/adapters/httpproxy"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/adapters/settings"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/calls"
 	"github.com/rattanfield/rattanfield/app/follower"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/members"
@@ -35,24 +35,20 @@
 	members  *members.Members
 	follower *follower.Follower
 	recorder *moves.Recorder
-	entry    *httpproxy.Entry
-	gate     *httpproxy.Gate
+	calls    *calls.Calls
 	admin    *telemetry.Admin
 	logger   log.Logger
 
-	entryServer, gateServer *httpproxy.Server
-	peerServer              *rpc.Server
+	peerServer *rpc.Server
 }
 
 func newProcess(
 	s *settings.Node, client *rpc.Client, m *members.Members, f *follower.Follower, r *moves.Recorder,
-	e *httpproxy.Entry, g *httpproxy.Gate, admin *telemetry.Admin, logger log.Logger,
+	c *calls.Calls, admin *telemetry.Admin, logger log.Logger,
 ) *process {
 	return &process{
-		settings: s, client: client, members: m, follower: f, recorder: r, entry: e, gate: g, admin: admin, logger: logger,
-		entryServer: httpproxy.NewServer(e.Handler()),
-		gateServer:  httpproxy.NewServer(g.Handler()),
-		peerServer:  rpc.NewServer(append(m.Handlers(), f.Handlers()...)...),
+		settings: s, client: client, members: m, follower: f, recorder: r, calls: c, admin: admin, logger: logger,
+		peerServer: rpc.NewServer(append(append(m.Handlers(), f.Handlers()...), c.Handler())...),
 	}
 }
 
@@ -63,8 +59,7 @@
 		return err
 	}
 	servers := lifecycle.NewGroup(context.WithoutCancel(ctx))
-	servers.Go("entry server", func(context.Context) error { return p.entryServer.Serve(listeners[0]) })
-	servers.Go("gate server", func(context.Context) error { return p.gateServer.Serve(listeners[1]) })
+	p.calls.Start(listeners[0], listeners[1])
 	servers.Go("peer server", func(context.Context) error { return p.peerServer.Serve(listeners[2]) })
 	servers.Go("admin server", func(context.Context) error { return p.admin.Serve(listeners[3]) })
 
@@ -77,10 +72,10 @@
 
 	select {
 	case <-ctx.Done():
-		err = p.drain(context.WithoutCancel(ctx))
 	case <-servers.Done():
 	case <-duties.Done():
 	}
+	err = p.drain(context.WithoutCancel(ctx))
 	return p.stop(servers, duties, err)
 }
 
@@ -91,18 +86,11 @@
 	defer cancel()
 	p.admin.AddReadiness("stopping", func() error { return eris.New("the node stops") })
 	_ = p.logger.Log("event", "draining")
-	p.gate.Leave()
-	if err := p.entryServer.Shutdown(ctx); err != nil {
-		return eris.Wrap(err, "drain the entry")
-	}
-	if err := p.entry.Shutdown(ctx); err != nil {
-		return eris.Wrap(err, "drain the entry's calls")
-	}
-	if err := p.gate.Shutdown(ctx); err != nil {
-		return eris.Wrap(err, "drain the gate")
+	if err := p.calls.Shutdown(ctx); err != nil {
+		return eris.Wrap(err, "drain the calls")
 	}
 	time.Sleep(goneSpread)
-	return eris.Wrap(p.gateServer.Shutdown(ctx), "close the gate")
+	return nil
 }
 
 func (p *process) stop(servers, duties *lifecycle.Group, err error) error {
@@ -111,8 +99,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	_ = p.entryServer.Shutdown(ctx)
-	_ = p.gateServer.Shutdown(ctx)
 	_ = p.peerServer.Shutdown(ctx)
 	_ = p.admin.Shutdown(ctx)
 	if serveErr := servers.Stop(); err == nil {
--- a/app/node/run.go
+++ b/app/node/run.go
@@ -23,7 +23,7 @@
 	constructors := []any{
 		func() *settings.Node { return s },
 		newIncarnation, newTopology, newClient, newLogger, newMetrics,
-		newMembers, newInterests, newFollower, newRecorder, newBelowMarks, newEntry, newGate, newAdmin, newProcess,
+		newMembers, newInterests, newFollower, newRecorder, newCalls, newAdmin, newProcess,
 	}
 	for _, f := range constructors {
 		if err := c.Provide(f); err != nil {
--- a/app/node/wire.go
+++ b/app/node/wire.go
@@ -8,15 +8,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
-	"github.com/rattanfield/rattanfield/adapters/httpproxy"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/adapters/settings"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/calls"
 	"github.com/rattanfield/rattanfield/app/follower"
 	"github.com/rattanfield/rattanfield/app/members"
 	"github.com/rattanfield/rattanfield/app/moves"
 	"github.com/rattanfield/rattanfield/core/membership"
-	"github.com/rattanfield/rattanfield/ports"
 )
 
 // Program is the name in logs, metrics and status.
@@ -117,24 +116,19 @@
 	return r
 }
 
-func newBelowMarks() *httpproxy.BelowMarks { return httpproxy.NewBelowMarks() }
-
-func newEntry(s *settings.Node, i incarnation, f *follower.Follower, m *members.Members, r *moves.Recorder, b *httpproxy.BelowMarks, set *metrics.Set) *httpproxy.Entry {
-	return httpproxy.NewEntry(httpproxy.EntryOptions{
-		Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
-		LocalIP: hostIP(s.Addresses.Gate), Seed: uint64(i), Metrics: set,
-		RemoteBytesPerSecond: remoteCallBytesPerSecond,
-	}, httpproxy.EntryDependencies{Configuration: f, Endpoints: m, Outcomes: r, Versions: r, Below: b})
-}
-
 // remoteCallBytesPerSecond bounds the calls that one node sends to another
 // region when its own has no capacity: 1% of the link of 30 Mbit/s.
 const remoteCallBytesPerSecond = 37_500
 
-func newGate(s *settings.Node, f *follower.Follower, n *interests, m *members.Members, b *httpproxy.BelowMarks, set *metrics.Set) *httpproxy.Gate {
-	g := httpproxy.NewGate(
-		httpproxy.GateOptions{LocalIP: hostIP(s.Addresses.Gate), Metrics: set},
-		httpproxy.GateDependencies{Configuration: f, Local: ports.LocalEndpoint(n), Suspects: m, Below: b})
-	m.SetReceiver(g)
-	return g
+func newCalls(s *settings.Node, i incarnation, f *follower.Follower, n *interests, m *members.Members, r *moves.Recorder, client *rpc.Client, set *metrics.Set) *calls.Calls {
+	c := calls.New(calls.Options{
+		NodeID: s.ID, Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
+		Incarnation: int64(i), Started: time.Unix(0, int64(i)), LocalIP: hostIP(s.Addresses.Gate), Seed: uint64(i),
+		RemoteBytesPerSecond: remoteCallBytesPerSecond,
+	}, calls.Dependencies{
+		Configuration: f, Endpoints: m, Local: n, Outcomes: r, Versions: r, Suspects: m,
+		HTTP: client.HTTP(), Metrics: set,
+	})
+	m.SetReceiver(c.Gate())
+	return c
 }
