rollout: tell partition and overload from a bad version

Cause: traces of good moves that were rolled back showed two ways: at the start of a partition both versions lose calls, and the comparison with the past kept that score for minutes; and after a first overload the usual demand had risen so far that a second one was noticed 2 s late.

--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -196,10 +196,11 @@
 	p := j.profile
 	total := time.UnixMilli(m.GetDeadlineUnixMs()).Sub(time.UnixMilli(m.GetStartedUnixMs()))
 	if at < 0 {
-		if !j.demand.known() {
+		rate, _ := j.demand.sum()
+		if rate <= 0 {
 			return 0, "waiting for the rate of calls"
 		}
-		return p.canary(j.demand.recent, total), ""
+		return p.canary(rate, total), ""
 	}
 	dwell, spent := p.dwell(at, m, began), now.Sub(began)
 	if spent < dwell {
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -23,7 +23,7 @@
 	last      time.Time
 	// unconfirmed counts the intervals in a row with that judgement.
 	unconfirmed int
-	demand      demand
+	demand      demands
 	step        uint64
 	stepKnown   bool
 	// pooledShare is the share of the failure domains that are pooled.
@@ -76,7 +76,6 @@
 func (j *Judge) observe(m *pb.Move, e *Evidence, now time.Time) {
 	j.beginStep(m, e)
 	first := j.last.IsZero()
-	elapsed := now.Sub(j.last).Seconds()
 	j.last = now
 	shares, pooled := sharesOf(m)
 	if pooled != j.pooledShare {
@@ -85,7 +84,6 @@
 		}
 		j.pooledShare = pooled
 	}
-	var offered float64
 	for i := range e.Cells {
 		c := j.cell(e.Cells[i].Cell)
 		if e.Cells[i].same(&c.seen) {
@@ -93,7 +91,7 @@
 		}
 		delta := Pair{Old: e.Cells[i].Old.minus(&c.seen.Old), New: e.Cells[i].New.minus(&c.seen.New)}
 		c.seen = e.Cells[i].Pair
-		offered += float64(delta.Old.Calls + delta.Old.Overloads + delta.New.Calls + delta.New.Overloads)
+		j.demand.offer(c.Domain, &delta)
 		if first {
 			// The past before this Judge: a base for the old version, no evidence.
 			continue
@@ -107,11 +105,18 @@
 			j.streams[s].take(&t)
 		}
 	}
-	if !first {
-		j.demand.add(offered, elapsed)
-	}
+	j.demand.settle(e, now)
 	lim := j.limits(m)
 	j.spread()
+	all := j.streams[0]
+	for m := range metricCount {
+		lim.inflation[m] = 1
+		if t := &all.sums[m]; t.newTrials > 0 {
+			r := all.old[m]
+			r.add(t, t.expected/t.newTrials)
+			lim.inflation[m] = r.inflation(t.expected / t.newTrials)
+		}
+	}
 	for _, s := range j.streams {
 		s.collect(&lim)
 	}
@@ -206,37 +211,3 @@
 	}
 	return shares, highest
 }
-
-// demand follows the offered calls per second.
-type demand struct {
-	recent, usual float64
-	seconds       float64
-}
-
-const (
-	recentSeconds = 4.0
-	usualSeconds  = 120.0
-	highDemand    = 1.4 // times the usual demand
-	warmupSeconds = 5.0
-)
-
-func (d *demand) add(calls, elapsed float64) {
-	if elapsed <= 0 {
-		return
-	}
-	rate := calls / elapsed
-	d.seconds += elapsed
-	if d.seconds <= warmupSeconds {
-		share := elapsed / d.seconds
-		d.recent += share * (rate - d.recent)
-		d.usual = d.recent
-		return
-	}
-	d.recent += min(1, elapsed/recentSeconds) * (rate - d.recent)
-	d.usual += min(1, elapsed/usualSeconds) * (rate - d.usual)
-}
-
-func (d *demand) high() bool { return d.seconds > warmupSeconds && d.recent > highDemand*d.usual }
-
-// known reports that the rate of calls can be planned with.
-func (d *demand) known() bool { return d.seconds >= warmupSeconds/2 }
--- a/core/rollout/stream.go
+++ b/core/rollout/stream.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "math"
+
 // stream is one sequence of comparisons: all calls, one route or one failure
 // domain. An empty route or domain stands for all of them.
 type stream struct {
@@ -10,6 +12,8 @@
 	sums, top  [metricCount]tally // of the interval
 	concurrent [metricCount][ratioCount]float64
 	reference  [metricCount][ratioCount]float64
+	old        [metricCount]recentRate
+	ages       [metricCount]age // of the concurrent and the reference scores
 }
 
 // Each score is a cumulative sum that starts again at zero: evidence of a long
@@ -20,6 +24,8 @@
 func (s *stream) collect(limits *limits) {
 	for m := range metricCount {
 		t := &s.sums[m]
+		s.fade(m)
+		s.inflate(m, limits.inflation[m])
 		if t.newTrials > 0 && !limits.muteReference[m] {
 			rest := t.without(&s.top[m])
 			for i := range ratios {
@@ -53,6 +59,20 @@
 	s.sums, s.top = [metricCount]tally{}, [metricCount]tally{}
 }
 
+// inflate raises the expected events by what the old version shows now, here or
+// over all calls.
+func (s *stream) inflate(m metric, everywhere float64) {
+	t := &s.sums[m]
+	if t.newTrials == 0 {
+		return
+	}
+	rate := t.expected / t.newTrials
+	s.old[m].add(t, rate)
+	f := max(everywhere, s.old[m].inflation(rate))
+	t.expected = min(t.expected*f, t.newTrials)
+	s.top[m].expected *= f
+}
+
 // take adds the calls of one cell; cells of a route differ by failure domain.
 func (s *stream) take(t *[metricCount]tally) {
 	for m := range metricCount {
@@ -77,6 +97,8 @@
 	// confirmable is false at the full share: without concurrent calls a burst that
 	// concerns both versions, such as the start of a partition, looks like a fault.
 	confirmable bool
+	// inflation of the old version's rates over all calls.
+	inflation [metricCount]float64
 	// ceiling lets a reference score fall again in bounded time.
 	ceiling        float64
 	muteReference  [metricCount]bool
@@ -90,3 +112,59 @@
 	}
 	return top
 }
+
+// recentRate is the old version's rate over the last few intervals.
+type recentRate struct{ hits, trials, expected float64 }
+
+const (
+	recentDecay = 0.8 // per interval: about 5 intervals count
+	// A prior of normal calls keeps a single event from looking like a change.
+	recentPrior = 20
+)
+
+// add takes an interval; rate is the old version's rate before it.
+func (r *recentRate) add(t *tally, rate float64) {
+	r.hits = r.hits*recentDecay + t.oldHits
+	r.trials = r.trials*recentDecay + t.oldTrials
+	r.expected = r.expected*recentDecay + rate*t.oldTrials
+}
+
+// inflation is how many times its earlier rate the old version surely shows now.
+// What raises it raises the new version's rate too: a partition, a failing
+// dependency, overload.
+func (r *recentRate) inflation(rate float64) float64 {
+	trials, hits := r.trials+recentPrior, r.hits+recentPrior*rate
+	now := hits / trials
+	sure := now - math.Sqrt(now*(1-now)/trials)
+	usual := (r.expected + recentPrior*rate) / trials
+	if usual <= 0 {
+		return 1
+	}
+	return max(1, sure/usual)
+}
+
+// age counts the intervals since the scores of a metric last reached a new peak.
+type age struct {
+	peak      float64
+	intervals int
+}
+
+// staleIntervals without a new peak halve the scores of a metric: calls of a rare
+// route are too few to lower what a short burst of errors raised.
+const staleIntervals = 100
+
+func (s *stream) fade(m metric) {
+	a, top := &s.ages[m], max(best(&s.concurrent[m]), best(&s.reference[m]))
+	a.intervals++
+	if top > a.peak || top == 0 {
+		*a = age{peak: top}
+	}
+	if a.intervals < staleIntervals {
+		return
+	}
+	for i := range ratios {
+		s.concurrent[m][i] /= 2
+		s.reference[m][i] /= 2
+	}
+	*a = age{peak: top / 2}
+}
