--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -116,6 +116,9 @@
 			return index, t
 		}
 	}
+	if l.offsetTerm > term {
+		return max(l.offset, 1) - 1, 0
+	}
 	return l.offset, l.offsetTerm
 }
 
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -202,7 +202,7 @@
 	s.require(s.maxCommit > before, "nothing is committed after all faults ended: %s", s.describe())
 	for _, m := range s.leader().node.members() {
 		h := s.host(m.GetId())
-		s.require(h.applied == s.maxCommit, "%s applied %d of %d", h.id, h.applied, s.maxCommit)
+		s.require(h.applied == s.maxCommit, "%s applied %d of %d: %s", h.id, h.applied, s.maxCommit, s.describe())
 		s.require(h.node.eligible(), "%s is not admitted: %s", h.id, s.describe())
 	}
 }
@@ -215,6 +215,11 @@
 			out += fmt.Sprintf("\n%s %v term %d last %d commit %d eligible %v confirmed %v members %v", h.id, st.Role, st.Term, st.Last, st.Commit, st.Eligible, h.node.confirmation.done, st.Members)
 		}
 	}
+	if l := s.leader(); l != nil {
+		for id, p := range l.node.lead.progress {
+			out += fmt.Sprintf("\n%s %+v", id, p)
+		}
+	}
 	return out
 }
 
