state, ledger: record the history of ledger groups and start a first group at once

Cause: every keyed call of the demo was rejected with key-owner-unreachable: nothing wrote the fields on the previous group, and a member that cannot tell that no earlier claim exists waits out the retention of 10 minutes. Ruled out: lookup of the members, all three were found. Change: the state machine writes previous group, time and revision of a change and rejects a second change while claims of the group before may live; a member that had a configuration from before the group was named may grant at once, judged by revision and not by clocks. The demo names the group when nodes run.

--- a/app/calls/calls.go
+++ b/app/calls/calls.go
@@ -31,6 +31,8 @@
 	RemoteBytesPerSecond float64
 	MaxQueue             int           // 0 selects the default
 	LedgerRetention      time.Duration // 0 selects the value of the design
+	// FirstRevision is the first configuration revision that this process applied; may be nil.
+	FirstRevision func() uint64
 }
 
 // Dependencies are the parts of the node that calls need.
@@ -64,7 +66,7 @@
 
 // New wires the calls of a node; Start opens them.
 func New(o Options, d Dependencies) *Calls {
-	lo := ledger.Options{NodeID: o.NodeID, Incarnation: o.Incarnation, Started: o.Started, Retention: o.LedgerRetention}
+	lo := ledger.Options{NodeID: o.NodeID, Incarnation: o.Incarnation, Started: o.Started, Retention: o.LedgerRetention, FirstRevision: o.FirstRevision}
 	peers := d.Peers
 	if peers == nil {
 		peers = ledger.NewEndpointResolver(d.Endpoints, func() []string { return serviceNames(d.Configuration) })
--- a/app/demo/scenario.go
+++ b/app/demo/scenario.go
@@ -84,10 +84,25 @@
 			return err
 		}
 	}
+	// A ledger group may grant claims at once when its members run before it is named.
+	if err := d.awaitNodes(ctx); err != nil {
+		return err
+	}
 	d.say("%d nodes and %d upstreams are started", len(d.layout.nodes), len(d.layout.nodes))
 	return nil
 }
 
+func (d *demo) awaitNodes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, n := range d.layout.nodes {
+		if err := d.admin.waitReady(ctx, n.admin()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // apply submits the first configuration with the operator program and waits for all nodes.
 func (d *demo) apply(ctx context.Context) error {
 	r, err := d.operator.query(ctx, pb.Subject_SUBJECT_CONFIGURATION)
@@ -106,14 +121,7 @@
 	if _, err := d.awaitRevision(ctx, r.GetConfiguration().GetRevision(), time.Now()); err != nil {
 		return err
 	}
-	ready, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	for _, n := range d.layout.nodes {
-		if err := d.admin.waitReady(ready, n.admin()); err != nil {
-			return err
-		}
-	}
-	return nil
+	return d.awaitNodes(ctx)
 }
 
 // measureQuiet takes added latency and control traffic while nothing changes.
--- a/app/follower/follower.go
+++ b/app/follower/follower.go
@@ -85,7 +85,8 @@
 	relays  []Relay // by preference
 
 	projection atomic.Pointer[config.Projection]
-	current    atomic.Int64 // index into relays of the one in use
+	first      atomic.Uint64 // revision of the first projection
+	current    atomic.Int64  // index into relays of the one in use
 	kick       chan struct{}
 	group      sync.WaitGroup // requests that outlive their caller
 
@@ -151,6 +152,9 @@
 // Revision in force; 0 until the first one is applied.
 func (f *Follower) Revision() uint64 { return f.projection.Load().Revision() }
 
+// FirstRevision is the first one that this process put in force; 0 before that.
+func (f *Follower) FirstRevision() uint64 { return f.first.Load() }
+
 // SetInterests changes the services that this node needs. The configuration in
 // force stays until one for the new interests is applied.
 func (f *Follower) SetInterests(i *pb.Interests) {
@@ -221,6 +225,7 @@
 	f.mu.Lock() // peers are served from both, which must belong together
 	f.covered = interests
 	f.projection.Store(next)
+	f.first.CompareAndSwap(0, next.Revision())
 	f.mu.Unlock()
 	if f.options.OnApply != nil {
 		f.options.OnApply(next)
--- a/app/ledger/service.go
+++ b/app/ledger/service.go
@@ -21,6 +21,9 @@
 	Started     time.Time // start of the process; what members granted before is forgotten
 	// Retention of claims; 0 selects the value of the design. Tests shorten it.
 	Retention time.Duration
+	// FirstRevision is the first configuration revision that this process applied, 0 before
+	// that; nil when it is not known.
+	FirstRevision func() uint64
 	// Now is the clock; nil selects time.Now.
 	Now func() time.Time
 }
@@ -68,19 +71,16 @@
 	return m
 }
 
-// clockMargin is the largest difference between the clocks of hosts that is assumed.
-const clockMargin = 5 * time.Second
-
 // isFirstGroup reports that this process cannot have forgotten a grant for the
-// service: it was running before the group was named, and was not in the group before.
+// service: it had a configuration from before the group was named, and was not
+// in the group before.
 func (s *Service) isFirstGroup(service string) bool {
 	p := s.configuration.Projection()
-	if p == nil {
+	if p == nil || s.options.FirstRevision == nil {
 		return false
 	}
-	c := p.Service(service)
-	changed := time.UnixMilli(c.GetLedgerChangedUnixMs())
-	return c.GetLedgerChangedUnixMs() > 0 && s.options.Started.Add(clockMargin).Before(changed) &&
+	c, first := p.Service(service), s.options.FirstRevision()
+	return first > 0 && first < c.GetLedgerRevision() &&
 		!slices.Contains(c.GetPreviousLedgerMembers(), s.options.NodeID)
 }
 
--- a/app/node/wire.go
+++ b/app/node/wire.go
@@ -124,7 +124,7 @@
 	c := calls.New(calls.Options{
 		NodeID: s.ID, Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
 		Incarnation: int64(i), Started: time.Unix(0, int64(i)), LocalIP: hostIP(s.Addresses.Gate), Seed: uint64(i),
-		RemoteBytesPerSecond: remoteCallBytesPerSecond,
+		RemoteBytesPerSecond: remoteCallBytesPerSecond, FirstRevision: f.FirstRevision,
 	}, calls.Dependencies{
 		Configuration: f, Endpoints: m, Local: n, Outcomes: r, Versions: r, Suspects: m,
 		HTTP: client.HTTP(), Metrics: set,
--- a/core/state/configuration.go
+++ b/core/state/configuration.go
@@ -13,7 +13,7 @@
 	if r := m.checkExpected(c.GetExpectedRevision()); r != nil {
 		return r
 	}
-	next, problems := m.plan(s)
+	next, problems := m.plan(s, c.GetSubmittedUnixMs())
 	if len(problems) > 0 {
 		return invalid(problems...)
 	}
@@ -25,18 +25,20 @@
 
 // Check returns the problems that a configuration change would be rejected for
 // now, so that an invalid one need not be proposed.
-func (m *Machine) Check(s *pb.SubmitConfiguration) []*pb.Problem {
-	_, problems := m.plan(s)
+func (m *Machine) Check(s *pb.SubmitConfiguration, submittedUnixMs int64) []*pb.Problem {
+	_, problems := m.plan(s, submittedUnixMs)
 	return problems
 }
 
 // plan validates the whole configuration that the changes would make.
-func (m *Machine) plan(s *pb.SubmitConfiguration) (*pb.Configuration, []*pb.Problem) {
+func (m *Machine) plan(s *pb.SubmitConfiguration, submittedUnixMs int64) (*pb.Configuration, []*pb.Problem) {
 	if len(s.GetChanges()) == 0 {
 		return nil, []*pb.Problem{problem("changes", "there is no change")}
 	}
 	problems := m.checkChanges(s.GetChanges())
-	next := config.Apply(m.configuration, s.GetChanges(), m.Revision()+1)
+	changes, ledgerProblems := m.withLedgerGroups(s.GetChanges(), submittedUnixMs)
+	problems = append(problems, ledgerProblems...)
+	next := config.Apply(m.configuration, changes, m.Revision()+1)
 	next = dropShares(next, s.GetChanges())
 	return next, append(problems, config.Validate(next)...)
 }
--- /dev/null
+++ b/core/state/ledger.go
@@ -0,0 +1,59 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rattanfield/rattanfield/core/ledger"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// withLedgerGroups returns the changes with the history of each ledger group
+// filled in. Claims need a majority of the old and the new group until those of
+// the old one have expired, so only one earlier group is kept and a second
+// change within that time is rejected.
+func (m *Machine) withLedgerGroups(changes []*pb.Change, atUnixMs int64) ([]*pb.Change, []*pb.Problem) {
+	out := slices.Clone(changes)
+	var problems []*pb.Problem
+	for i, ch := range changes {
+		put, ok := ch.GetChange().(*pb.Change_PutService)
+		if !ok {
+			continue
+		}
+		next, problem := m.withLedgerGroup(put.PutService, atUnixMs)
+		if problem != nil {
+			problems = append(problems, problem)
+			continue
+		}
+		out[i] = &pb.Change{Change: &pb.Change_PutService{PutService: next}}
+	}
+	return out, problems
+}
+
+func (m *Machine) withLedgerGroup(s *pb.Service, atUnixMs int64) (*pb.Service, *pb.Problem) {
+	next := proto.Clone(s).(*pb.Service)
+	next.PreviousLedgerMembers, next.LedgerChangedUnixMs, next.LedgerRevision = nil, 0, 0
+	old := m.service(s.GetName())
+	switch {
+	case slices.Equal(old.GetLedgerMembers(), next.GetLedgerMembers()):
+		next.PreviousLedgerMembers = old.GetPreviousLedgerMembers()
+		next.LedgerChangedUnixMs = old.GetLedgerChangedUnixMs()
+		next.LedgerRevision = old.GetLedgerRevision()
+		return next, nil
+	case groupMayHoldClaims(old, atUnixMs):
+		return nil, problem("service/"+s.GetName(),
+			"ledger_members changed less than %s ago; claims of two earlier groups cannot be kept", ledger.GroupWindow)
+	}
+	next.PreviousLedgerMembers = old.GetLedgerMembers()
+	next.LedgerChangedUnixMs = atUnixMs
+	next.LedgerRevision = m.Revision() + 1
+	return next, nil
+}
+
+// groupMayHoldClaims reports that the group before the present one still counts.
+func groupMayHoldClaims(s *pb.Service, atUnixMs int64) bool {
+	age := time.Duration(atUnixMs-s.GetLedgerChangedUnixMs()) * time.Millisecond
+	return len(s.GetPreviousLedgerMembers()) > 0 && age < ledger.GroupWindow
+}
