rollout: watch the full share longer and calibrate the false alarms

Change: the full share is watched until 92% (cautious) or 85% (punctual) of the move; a suspicion of 45 s at the small share needs less confirmation; the nominal probability of a false alarm is 2% and 1% per move, since the bound counts correlated comparisons as independent.

--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -165,7 +165,7 @@
 	if v.judgement != fine {
 		return keep(m, "waiting: "+j.describe(v))
 	}
-	if j.demand.high() {
+	if j.demand.high() && (unfinished(domains, shares) || !j.last.After(lastCall(m))) {
 		return keep(m, "waiting: the service gets far more calls than usual")
 	}
 	began := time.UnixMilli(max(m.GetChangedUnixMs(), m.GetStartedUnixMs()))
@@ -191,6 +191,10 @@
 	return j.conclude(m, e, out, silent, at)
 }
 
+func unfinished(domains []string, shares map[string]uint32) bool {
+	return slices.ContainsFunc(domains, func(d string) bool { return shares[d] < fullShare })
+}
+
 // next returns the share after the current rung, or what the move waits for.
 func (j *Judge) next(m *pb.Move, e *Evidence, at int, began, now time.Time) (uint32, string) {
 	p := j.profile
@@ -232,6 +236,13 @@
 	return j.profile.rungs[min(at+1, len(j.profile.rungs)-1)].permille
 }
 
+// lastCall is when a move whose shares are all full no longer waits for reports of
+// a partitioned failure domain: nothing gets larger there.
+func lastCall(m *pb.Move) time.Time {
+	start, deadline := time.UnixMilli(m.GetStartedUnixMs()), time.UnixMilli(m.GetDeadlineUnixMs())
+	return deadline.Add(-deadline.Sub(start) / 50)
+}
+
 // conclude turns planned shares into a decision.
 func (j *Judge) conclude(m *pb.Move, e *Evidence, out []*pb.DomainShare, silent []string, at int) Decision {
 	shares, _ := sharesOf(m)
@@ -243,7 +254,7 @@
 	}
 	v := verifications(m)
 	switch {
-	case complete && !larger && len(silent) == 0:
+	case complete && !larger && (len(silent) == 0 || j.last.After(lastCall(m))):
 		return j.changed(e, pb.MovePhase_MOVE_PHASE_DONE, out, v,
 			fmt.Sprintf("all traffic is on %s and it is no worse than %s", m.GetNewVersion(), m.GetOldVersion()))
 	case !larger && len(silent) > 0:
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -22,6 +22,9 @@
 	patience float64
 	// margin before the deadline that the plan leaves, as a fraction.
 	margin float64
+	// watchUntil is the fraction of the move until which the full share is watched,
+	// when it was reached earlier: rare routes need that time.
+	watchUntil float64
 	// alpha is the probability of a false alarm over a whole move.
 	alpha float64
 }
@@ -30,14 +33,14 @@
 	rungs: []rung{
 		{40, 0.25, 350}, {60, 0.07, 350}, {200, 0.11, 400}, {500, 0.15, 600}, {900, 0.11, 600}, {1000, 0.09, 0},
 	},
-	minDwell: 8 * time.Second, patience: 1.6, margin: 0.22, alpha: 0.002,
+	minDwell: 8 * time.Second, patience: 1.6, margin: 0.22, watchUntil: 0.92, alpha: 0.02,
 }
 
 var punctual = profile{
 	rungs: []rung{
 		{50, 0.18, 200}, {100, 0.08, 250}, {300, 0.11, 300}, {600, 0.12, 400}, {900, 0.10, 400}, {1000, 0.10, 0},
 	},
-	minDwell: 5 * time.Second, patience: 1.25, margin: 0.25, alpha: 0.0005,
+	minDwell: 5 * time.Second, patience: 1.25, margin: 0.25, watchUntil: 0.85, alpha: 0.01,
 }
 
 func profileOf(p pb.RiskPreference) *profile {
@@ -95,5 +98,9 @@
 	if planned := ahead * total.Seconds(); planned > left {
 		scale = max(0, left/planned)
 	}
-	return max(p.minDwell, time.Duration(p.rungs[at].dwell*scale*float64(total)))
+	planned := time.Duration(p.rungs[at].dwell * scale * float64(total))
+	if at == len(p.rungs)-1 {
+		planned = max(planned, start.Add(time.Duration(p.watchUntil*float64(total))).Sub(began))
+	}
+	return max(p.minDwell, planned)
 }
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -35,10 +35,17 @@
 	// confirmScore is what the concurrent comparison must add to the comparison
 	// with the past: a change that concerns both versions passes it once in 200 times.
 	confirmScore = 5.3
+	// At a small share a suspicion that lasts for longIntervals needs less: the
+	// expected rate follows the old version, so a general change has passed by then.
+	longIntervals    = 45
+	longConfirmScore = 2
 )
 
 func (j *Judge) verdict() verdict {
-	v := verdict{}
+	v, confirm := verdict{}, confirmScore
+	if j.unconfirmed > longIntervals {
+		confirm = longConfirmScore
+	}
 	worst := func(k judgement, s *stream, m metric, score float64) {
 		if k > v.judgement || (k == v.judgement && score > v.score) {
 			v = verdict{k, s, m, score}
@@ -50,7 +57,7 @@
 			switch {
 			case concurrent >= j.threshold:
 				worst(bad, s, m, concurrent)
-			case reference >= j.threshold && concurrent >= confirmScore:
+			case reference >= j.threshold && concurrent >= confirm:
 				worst(bad, s, m, reference)
 			case reference >= j.threshold:
 				worst(unconfirmed, s, m, reference)
