rollout: take first counts as a base and start quiet services

The first counts of a cell under a new leader hold the past of several shares, and pooling those compares different times; a service without calls never began its move; one node of two could end a good move with a false alarm at the probability meant for a whole move. Change: the first counts of each cell are no evidence; a service without calls begins after a tenth of its time; breakers have a nominal probability of 0.02%.

--- a/core/rollout/breaker.go
+++ b/core/rollout/breaker.go
@@ -21,10 +21,12 @@
 
 // NewBreaker returns a closed breaker.
 func NewBreaker(domain string) *Breaker {
-	return &Breaker{
+	b := &Breaker{
 		judge: NewJudge(pb.RiskPreference_RISK_PREFERENCE_PUNCTUAL), domain: domain, limit: fullShare,
 		move: pb.Move{DeadlineUnixMs: breakerLooks.Milliseconds()},
 	}
+	b.judge.profile = &breakers
+	return b
 }
 
 // Observe adds cumulative counts while the accepted share is permille.
--- a/core/rollout/cells.go
+++ b/core/rollout/cells.go
@@ -10,9 +10,11 @@
 	// thresholds are latency buckets of the old version, -1 while unknown.
 	thresholds thresholds
 	// rates are the old version's earlier rates per metric.
-	rates  [metricCount]float64
-	route  *routeBase
-	stream [3]int // all, its route, its domain
+	rates [metricCount]float64
+	route *routeBase
+	// Streams besides the one over all calls.
+	inRoute, inDomain int
+	known             bool // seen holds counts
 }
 
 // histogramBase is the old version's recent past. It decays, so that it follows
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -201,7 +201,7 @@
 	total := time.UnixMilli(m.GetDeadlineUnixMs()).Sub(time.UnixMilli(m.GetStartedUnixMs()))
 	if at < 0 {
 		rate, _ := j.demand.sum()
-		if rate <= 0 {
+		if rate <= 0 && now.Sub(began).Seconds() < quietStart*total.Seconds() {
 			return 0, "waiting for the rate of calls"
 		}
 		return p.canary(rate, total), ""
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -43,6 +43,14 @@
 	minDwell: 5 * time.Second, patience: 1.25, margin: 0.25, watchUntil: 0.85, alpha: 0.01,
 }
 
+// breakers decide for one node or failure domain. There are many of them and one
+// of them can end a move, so each has a smaller probability of a false alarm.
+var breakers = func() profile {
+	p := punctual
+	p.alpha = 0.0002
+	return p
+}()
+
 func profileOf(p pb.RiskPreference) *profile {
 	if p == pb.RiskPreference_RISK_PREFERENCE_PUNCTUAL {
 		return &punctual
@@ -53,6 +61,8 @@
 const (
 	fullShare = 1000
 	minCanary = 1 // permille
+	// A service without calls begins its move after this part of the time.
+	quietStart = 0.1
 	// verifyShare is where a suspicion without concurrent calls is examined:
 	// enough calls for both versions, and most of them on the old one.
 	verifyShare = 300
