rollout: count slow calls from cumulative histograms

Cause: a profile of whole moves spent half of the time in differences of histograms, of which only the calls above three thresholds are used. Change: the calls above the thresholds are counted from the cumulative histogram and compared with the last count; the gain outside the worst failure domain is computed only when a limit applies. Tests of core/rollout/... and app/moves pass.

--- a/core/rollout/cells.go
+++ b/core/rollout/cells.go
@@ -8,7 +8,8 @@
 	inBase Counts // cumulative counts of the old version that base holds
 	base   histogramBase
 	// thresholds are latency buckets of the old version, -1 while unknown.
-	thresholds thresholds
+	thresholds       thresholds
+	slowOld, slowNew slowCounts // of seen
 	// rates are the old version's earlier rates per metric.
 	rates [metricCount]float64
 	route *routeBase
@@ -115,50 +116,77 @@
 			c.rates[int(metricSlow75)+i] = above + 1/source.latencyCalls
 		}
 	}
+	c.recount()
 }
 
-// tallies of an interval's counts, per metric.
-func (c *cellState) tallies(d *Pair, out *[metricCount]tally) {
-	n, o := &d.New, &d.Old
+// slowCounts are the calls of one version above each threshold.
+type slowCounts struct {
+	above [len(slowQuantiles)]uint64
+	all   uint64
+}
+
+// count brings the slow calls of a histogram up to date. The new version is
+// allowed one bucket (12.5%) more than the old one.
+func (t *thresholds) count(h *[BucketCount]uint64, margin int) (s slowCounts) {
+	if t[0] < 0 {
+		return s
+	}
+	at := len(t) - 1
+	for i := BucketCount - 1; i >= 0; i-- {
+		for at >= 0 && i == min(t[at]+margin, BucketCount-1) {
+			s.above[at] = s.all
+			at--
+		}
+		s.all += h[i]
+	}
+	return s
+}
+
+const newMargin = 1
+
+type thresholds [len(slowQuantiles)]int
+
+// recount follows new thresholds.
+func (c *cellState) recount() {
+	c.slowOld = c.thresholds.count(&c.seen.Old.Latency, 0)
+	c.slowNew = c.thresholds.count(&c.seen.New.Latency, newMargin)
+}
+
+// advance takes the cumulative counts of the cell and returns what is new since
+// the last ones, per metric.
+func (c *cellState) advance(now *Pair, out *[metricCount]tally) {
+	if now.Old.shrunk(&c.seen.Old) || now.New.shrunk(&c.seen.New) {
+		c.seen, c.slowOld, c.slowNew = Pair{}, slowCounts{}, slowCounts{}
+	}
+	o, n := &now.Old, &now.New
+	was := c.seen
+	oldCalls, newCalls := float64(o.Calls-was.Old.Calls), float64(n.Calls-was.New.Calls)
 	out[metricErrors] = tally{
-		newHits: float64(n.Errors), newTrials: float64(n.Calls),
-		oldHits: float64(o.Errors), oldTrials: float64(o.Calls),
-		expected: float64(n.Calls) * c.rates[metricErrors],
+		newHits: float64(n.Errors - was.New.Errors), newTrials: newCalls,
+		oldHits: float64(o.Errors - was.Old.Errors), oldTrials: oldCalls,
+		expected: newCalls * c.rates[metricErrors],
 	}
-	newOffered, oldOffered := n.Calls+n.Overloads, o.Calls+o.Overloads
+	oldRejected, newRejected := float64(o.Overloads-was.Old.Overloads), float64(n.Overloads-was.New.Overloads)
 	out[metricRejections] = tally{
-		newHits: float64(n.Overloads), newTrials: float64(newOffered),
-		oldHits: float64(o.Overloads), oldTrials: float64(oldOffered),
-		expected: float64(newOffered) * c.rates[metricRejections],
+		newHits: newRejected, newTrials: newCalls + newRejected,
+		oldHits: oldRejected, oldTrials: oldCalls + oldRejected,
+		expected: (newCalls + newRejected) * c.rates[metricRejections],
+	}
+	slowOld, slowNew := c.slowOld, c.slowNew
+	if oldCalls > 0 {
+		slowOld = c.thresholds.count(&o.Latency, 0)
 	}
-	if c.thresholds[0] < 0 {
-		clear(out[metricSlow75:])
-		return
+	if newCalls > 0 {
+		slowNew = c.thresholds.count(&n.Latency, newMargin)
 	}
-	// The new version is allowed one bucket (12.5%) more.
-	newSlow, newAll := above(&n.Latency, &c.thresholds, 1)
-	oldSlow, oldAll := above(&o.Latency, &c.thresholds, 0)
 	for i := range c.thresholds {
 		m := int(metricSlow75) + i
+		trials := float64(slowNew.all - c.slowNew.all)
 		out[m] = tally{
-			newHits: newSlow[i], newTrials: newAll, oldHits: oldSlow[i], oldTrials: oldAll,
-			expected: newAll * c.rates[m],
-		}
-	}
-}
-
-type thresholds = [len(slowQuantiles)]int
-
-// above counts the calls in buckets above each threshold plus margin.
-func above(h *[BucketCount]uint64, t *thresholds, margin int) (slow [len(slowQuantiles)]float64, all float64) {
-	var sum uint64
-	at := len(t) - 1
-	for i := BucketCount - 1; i >= 0; i-- {
-		for at >= 0 && i == min(t[at]+margin, BucketCount-1) {
-			slow[at] = float64(sum)
-			at--
+			newHits: float64(slowNew.above[i] - c.slowNew.above[i]), newTrials: trials,
+			oldHits: float64(slowOld.above[i] - c.slowOld.above[i]), oldTrials: float64(slowOld.all - c.slowOld.all),
+			expected: trials * c.rates[m],
 		}
-		sum += h[i]
 	}
-	return slow, float64(sum)
+	c.seen, c.slowOld, c.slowNew = *now, slowOld, slowNew
 }
--- a/core/rollout/counts.go
+++ b/core/rollout/counts.go
@@ -44,11 +44,16 @@
 	}
 }
 
+// shrunk reports counts that have restarted since base.
+func (c *Counts) shrunk(base *Counts) bool {
+	return c.Calls < base.Calls || c.Errors < base.Errors || c.Overloads < base.Overloads
+}
+
 // minus returns c - base, or c itself when a counter would become negative:
 // counts that shrink have restarted.
 func (c *Counts) minus(base *Counts) Counts {
 	d := *c
-	if c.Calls < base.Calls || c.Errors < base.Errors || c.Overloads < base.Overloads {
+	if c.shrunk(base) {
 		return d
 	}
 	d.Calls -= base.Calls
--- a/core/rollout/demand.go
+++ b/core/rollout/demand.go
@@ -31,13 +31,13 @@
 )
 
 // offer adds the calls of a cell.
-func (ds *demands) offer(domain string, d *Pair) {
+func (ds *demands) offer(domain string, calls float64) {
 	i := slices.IndexFunc(ds.list, func(d *demand) bool { return d.domain == domain })
 	if i < 0 {
 		i = len(ds.list)
 		ds.list = append(ds.list, &demand{domain: domain})
 	}
-	ds.list[i].calls += float64(d.Old.Calls + d.Old.Overloads + d.New.Calls + d.New.Overloads)
+	ds.list[i].calls += calls
 }
 
 // settle ends an interval for the failure domains that reported in it.
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -105,17 +105,15 @@
 	if counts.same(&c.seen) {
 		return
 	}
-	delta := Pair{Old: counts.Old.minus(&c.seen.Old), New: counts.New.minus(&c.seen.New)}
-	c.seen = counts.Pair
+	var t [metricCount]tally
+	c.advance(&counts.Pair, &t)
 	if !c.known {
 		// The first counts can hold the past of several shares, for a new leader: a
 		// base for the old version, but no evidence.
 		c.known = true
 		return
 	}
-	j.demand.offer(c.Domain, &delta)
-	var t [metricCount]tally
-	c.tallies(&delta, &t)
+	j.demand.offer(c.Domain, t[metricRejections].oldTrials+t[metricRejections].newTrials)
 	j.streams[c.inDomain].take(&t)
 	if shares[c.Domain] != j.pooledShare {
 		return // another share: pooling would compare different failure domains
--- a/core/rollout/stream.go
+++ b/core/rollout/stream.go
@@ -29,11 +29,11 @@
 		if t.newTrials > 0 && !limits.muteReference[m] {
 			rest := t.without(&s.top[m])
 			for i := range ratios {
-				limit := limits.perInterval
-				if limits.confirmable && rest.newTrials > 0 {
+				gain, limit := referenceGain(t, m, i), limits.perInterval
+				if gain > limit && limits.confirmable && rest.newTrials > 0 {
 					limit += min(limits.spreadBonus, max(0, referenceGain(&rest, m, i)))
 				}
-				raise(&s.reference[m][i], referenceGain(t, m, i), limit)
+				raise(&s.reference[m][i], gain, limit)
 				s.reference[m][i] = min(s.reference[m][i], limits.ceiling)
 			}
 		}
@@ -48,11 +48,11 @@
 		}
 		rest := p.without(top)
 		for i := range ratios {
-			limit := limits.perInterval
-			if rest.comparable() {
+			gain, limit := concurrentGain(p, m, i), limits.perInterval
+			if gain > limit && rest.comparable() {
 				limit += min(limits.spreadBonus, max(0, concurrentGain(&rest, m, i)))
 			}
-			raise(&s.concurrent[m][i], concurrentGain(p, m, i), limit)
+			raise(&s.concurrent[m][i], gain, limit)
 		}
 		*p, *top = tally{}, tally{}
 	}
