raft: tell a slow member the commit index when it acknowledges

Cause: nodes of the region across the slow link applied a change 230 ms after the others. The commit message that follows a majority's acknowledgements is bounded by what the member itself has acknowledged; a member that acknowledges after the majority got nothing more until the next heartbeat (200 ms). Change: an acknowledgement of entries that are committed already is answered with the commit index, unless an append follows. TestSlowMemberLearnsCommitAtOnce fails without the change.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -149,6 +149,7 @@
 	if p.inflight > 0 {
 		p.inflight--
 	}
+	matched, committed := p.match, n.log.commit
 	if m.GetReject() {
 		// A reject of a position that matched since is late.
 		if m.GetLogIndex() > p.match {
@@ -159,6 +160,9 @@
 		n.noteMatch(m.GetFrom(), p, m.GetLogIndex())
 	}
 	n.advanceCommit()
+	if n.role == Leader && n.log.commit == committed && matched < committed && p.match > matched {
+		n.tellCommit(m.GetFrom(), p) // it is slower than the majority that committed
+	}
 	n.maintainMembers()
 	n.replicate(m.GetFrom())
 	n.continueTransfer(m.GetFrom(), p)
@@ -216,11 +220,17 @@
 // broadcastCommit tells idle members of a new commit index without waiting for the next heartbeat.
 func (n *Node) broadcastCommit() {
 	for _, m := range n.members() {
-		p := n.lead.progress[m.GetId()]
-		if p == nil || m.GetId() == n.config.ID || p.probing || p.next <= n.log.last() {
-			continue
+		if p := n.lead.progress[m.GetId()]; p != nil && m.GetId() != n.config.ID {
+			n.tellCommit(m.GetId(), p)
 		}
-		n.sendHeartbeat(m.GetId(), p)
+	}
+}
+
+// tellCommit sends a member the commit index as far as it is known to hold the
+// log, unless the next append will carry it.
+func (n *Node) tellCommit(id string, p *progress) {
+	if !p.probing && p.next > n.log.last() {
+		n.sendHeartbeat(id, p)
 	}
 }
 
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -314,3 +314,41 @@
 		s.require(proto.Equal(before, m), "members are immutable")
 	})
 }
+
+// Guards against a member across a slow link that applies a change only at the next heartbeat,
+// because the change was committed before its acknowledgement arrived.
+func TestSlowMemberLearnsCommitAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, 3, 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.calm(2 * time.Second)
+		l := s.leader()
+		slow := s.hosts[(slices.Index(s.hosts, l)+rapid.IntRange(1, 2).Draw(t, "slow"))%3]
+		s.settle("")
+		s.propose(l)
+		s.settle(slow.id)
+		committed := l.node.log.commit
+		s.require(committed == l.node.log.last() && slow.node.log.last() < committed, "the others do not commit first: %s", s.describe())
+		s.settle("")
+		s.require(slow.node.log.commit == committed, "no time passed, but the slow member lacks the commit index: %s", s.describe())
+	})
+}
+
+// settle delivers and syncs all that is under way without time passing, except
+// messages to or from one host.
+func (s *sim) settle(except string) {
+	held := func(m simMessage) bool { return m.m.GetTo() == except || m.m.GetFrom() == except }
+	for {
+		i := slices.IndexFunc(s.net, func(m simMessage) bool { return !held(m) })
+		if i >= 0 {
+			s.deliver(i, false)
+		}
+		pending := false
+		for _, h := range s.hosts {
+			pending = pending || len(h.pending) > 0
+			s.sync(h, len(h.pending))
+		}
+		if i < 0 && !pending {
+			return
+		}
+	}
+}
