--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -84,7 +84,11 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
+	draining := s.draining
 	s.mu.Unlock()
+	if draining {
+		return l.Close() // Shutdown came first
+	}
 	return s.http.Serve(&drainListener{Listener: l, server: s})
 }
 
