--- a/adapters/settings/settings_test.go
+++ b/adapters/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -160,3 +161,28 @@
 	domain, region := topology.Locate("127.2.1.9:1")
 	is.Equal(domain+" "+region, "d3 r2")
 }
+
+// A setting that is missing on its page is not known to those who need it.
+func TestPageNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var walk func(reflect.Type)
+	walk = func(typ reflect.Type) {
+		switch typ.Kind() {
+		case reflect.Pointer, reflect.Slice:
+			walk(typ.Elem())
+		case reflect.Struct:
+			for i := range typ.NumField() {
+				name := jsonName(typ.Field(i))
+				if !strings.Contains(string(page), "`"+name+"`") && !strings.Contains(string(page), "`"+name+".") && !strings.Contains(string(page), "."+name+"`") {
+					t.Errorf("docs/settings.md does not name %q", name)
+				}
+				walk(typ.Field(i).Type)
+			}
+		}
+	}
+	walk(reflect.TypeFor[Node]())
+	walk(reflect.TypeFor[Control]())
+}
