moves, control: use the site's risk preference

Cause: the setting risk of the site had no effect: a service without a preference of its own was always moved as cautious. Change: the decider falls back to the preference of the deployment.

--- a/app/control/wire.go
+++ b/app/control/wire.go
@@ -64,7 +64,14 @@
 }
 
 func moveOptions(s *settings.Control, host *consensus.Host) moves.Options {
-	return moves.Options{ID: s.ID, FailureDomain: s.FailureDomain, Incarnation: time.Now().UnixNano(), State: host}
+	return moves.Options{ID: s.ID, FailureDomain: s.FailureDomain, Incarnation: time.Now().UnixNano(), State: host, Risk: risk(s.Site)}
+}
+
+func risk(site *settings.Site) pb.RiskPreference {
+	if site.Risk == settings.RiskPunctual {
+		return pb.RiskPreference_RISK_PREFERENCE_PUNCTUAL
+	}
+	return pb.RiskPreference_RISK_PREFERENCE_CAUTIOUS
 }
 
 func newCollector(s *settings.Control, host *consensus.Host, client *rpc.Client, logger log.Logger) *moves.Collector {
--- a/app/moves/decider.go
+++ b/app/moves/decider.go
@@ -80,7 +80,7 @@
 func (d *Decider) decide(ctx context.Context, state *ports.AppliedState, m *pb.Move) {
 	j := d.judges[m.GetMoveId()]
 	if j == nil {
-		j = rollout.NewJudge(riskOf(state.Configuration, m.GetService()))
+		j = rollout.NewJudge(riskOf(state.Configuration, m.GetService(), d.options.Risk))
 		d.judges[m.GetMoveId()] = j
 	}
 	evidence := d.collector.evidence(m.GetMoveId())
@@ -126,11 +126,12 @@
 	}
 }
 
-func riskOf(c *pb.Configuration, service string) pb.RiskPreference {
+// riskOf is the preference of a service, or that of the deployment when it has none.
+func riskOf(c *pb.Configuration, service string, deployment pb.RiskPreference) pb.RiskPreference {
 	for _, s := range c.GetServices() {
-		if s.GetName() == service {
+		if s.GetName() == service && s.GetRisk() != pb.RiskPreference_RISK_PREFERENCE_UNSPECIFIED {
 			return s.GetRisk()
 		}
 	}
-	return pb.RiskPreference_RISK_PREFERENCE_UNSPECIFIED
+	return deployment
 }
--- a/app/moves/recorder.go
+++ b/app/moves/recorder.go
@@ -31,6 +31,8 @@
 	// State lets a Collector report its failure domain while no node calls the
 	// service; nil turns that off. Only Collectors use it.
 	State ports.StateReader
+	// Risk is the deployment's preference, for services without their own. Only Deciders use it.
+	Risk pb.RiskPreference
 }
 
 func (o Options) withDefaults() Options {
