loadgen, demo: try stopping entries twice around, name repeated calls

Cause: TestRunOutcomes/stopping_entry failed: with one entry down and two that answer 'stopping' once, a call gave up after as many attempts as entries. Change: two rounds over the entries; the first loss of a repeated call is kept and printed by the demo; idle and busy control bytes are separate rows. Measured: go test -race -count=2 ./app/loadgen ./app/demo passes.

--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -37,7 +37,7 @@
 	versions    versionLog
 	steadyLoad  *loadgen.Summary
 	load        *loadgen.Summary
-	traffic     traffic
+	idle, busy  traffic // without calls, and with calls but without changes
 	good, bad   *pb.Move
 	badCalls    uint64 // requests that the bad version ran until 1 s after the decision
 	badLate     uint64 // and later
--- a/app/demo/load.go
+++ b/app/demo/load.go
@@ -14,7 +14,7 @@
 	resendShare    = 0.1
 	callTimeout    = 3 * time.Second
 	loadRun        = 5 * time.Minute // ended by the demo
-	steadyDuration = 4 * time.Second
+	steadyDuration = 3 * time.Second
 	steadyWarmup   = time.Second
 )
 
@@ -74,7 +74,12 @@
 	o.Seed++
 	go func() {
 		defer close(done)
-		d.load = loadgen.Run(ctx, o, d.versions.observe)
+		d.load = loadgen.Run(ctx, o, func(r *loadgen.Result) {
+			d.versions.observe(r)
+			if r.FirstLoss != nil {
+				d.say("%s was repeated: %v", r.Route, r.FirstLoss)
+			}
+		})
 	}()
 	return func() {
 		cancel()
--- a/app/loadgen/client.go
+++ b/app/loadgen/client.go
@@ -108,6 +108,8 @@
 // idempotent or has a key.
 func (g *generator) send(c call, first int) Result {
 	r := Result{Token: c.token, Tenant: c.tenant, Route: c.route.Method + " " + c.route.Path, Sent: time.Now()}
+	// Twice around: an entry that stopped a moment ago may be back.
+	maxFailovers := 2 * len(g.options.Entries)
 	repeatable := c.keyed || c.route.Method == http.MethodGet
 	for try := 0; ; try++ {
 		r.Entry = g.options.Entries[(first+try)%len(g.options.Entries)]
@@ -119,10 +121,10 @@
 		case errors.As(err, &dial):
 			r.Failovers++
 			r.Outcome = Lost
-			if r.Failovers < len(g.options.Entries) {
+			if r.Failovers < maxFailovers {
 				continue
 			}
-		case err == nil && answer.closing && r.Failovers < len(g.options.Entries):
+		case err == nil && answer.closing && r.Failovers < maxFailovers:
 			r.Failovers++
 			continue
 		case err != nil:
@@ -132,6 +134,9 @@
 			r.Err, r.Outcome = answer.verified, classify(answer.status, answer.ran, answer.verified)
 		}
 		again := r.Outcome == Lost || r.Outcome == Unknown
+		if again && r.FirstLoss == nil {
+			r.FirstLoss = fmt.Errorf("entry %s after %s: %s %s: %w", r.Entry, r.Finished.Sub(r.Sent).Round(time.Millisecond), r.Outcome, r.Reason, err)
+		}
 		if !again || !repeatable || r.Attempts-r.Failovers > g.options.MaxResends {
 			return r
 		}
--- a/app/loadgen/result.go
+++ b/app/loadgen/result.go
@@ -51,6 +51,7 @@
 	Attempts  int
 	Failovers int // attempts that found no listener or a stopping entry, so surely did nothing
 	Err       error
+	FirstLoss error // of an attempt that was repeated
 	// Direct is the latency of the paired direct call; 0 means that there is none.
 	Direct time.Duration
 	// Resent is the outcome of the resend of a keyed call; empty means that there was none.
