--- a/app/demo/scenario.go
+++ b/app/demo/scenario.go
@@ -14,14 +14,15 @@
 
 const (
 	startTimeout  = 15 * time.Second
-	goodDeadline  = 40 * time.Second
-	badDeadline   = 40 * time.Second
-	moveGrace     = 5 * time.Second // after the deadline, until the demo gives up
-	beforeKill    = 2 * time.Second // after the start of the good move
+	goodDeadline  = 45 * time.Second
+	badDeadline   = 45 * time.Second
+	moveGrace     = 3 * time.Second // after the deadline, until the demo gives up
+	beforeKill    = 8 * time.Second // after the start of the good move
 	beforeStop    = 2 * time.Second // after the kill
 	movePoll      = 50 * time.Millisecond
-	afterRollback = 3 * time.Second // time in which calls are watched after a rollback
-	trafficWindow = 5 * time.Second
+	rollbackLimit = time.Second     // after the decision the bad version gets nothing more
+	afterRollback = 3 * time.Second // time in which calls are watched after that
+	trafficWindow = 1500 * time.Millisecond
 	upstreamTime  = 3 * time.Millisecond // run time of the simulated upstreams
 	badErrorRate  = "/fares=0.5"
 )
@@ -126,12 +127,21 @@
 
 // measureQuiet takes added latency and control traffic while nothing changes.
 func (d *demo) measureQuiet(ctx context.Context) error {
-	d.say("%d changes are in force everywhere; calls begin at %.0f/s", convergenceChanges, d.options.Rate)
-	if err := d.traffic.begin(ctx, d); err != nil {
+	d.say("%d changes are in force everywhere", convergenceChanges)
+	if err := d.idle.begin(ctx, d); err != nil {
+		return err
+	}
+	if !pause(ctx, trafficWindow) {
+		return ctx.Err()
+	}
+	if err := d.idle.end(ctx, d); err != nil {
+		return err
+	}
+	if err := d.busy.begin(ctx, d); err != nil {
 		return err
 	}
 	d.steady(ctx)
-	return d.traffic.end(ctx, d)
+	return d.busy.end(ctx, d)
 }
 
 // moves runs the good move of bookings; while it runs, the leader is killed, a
@@ -203,8 +213,9 @@
 	return nil
 }
 
+// badMove counts what the bad version ran until 1 s after the decision, and later.
 func (d *demo) badMove(ctx context.Context) error {
-	_, _, before := d.versions.of(versionBad)
+	_, before := d.versions.of(versionBad)
 	if err := d.startMove(ctx, serviceTills, versionBad, badDeadline); err != nil {
 		return err
 	}
@@ -213,14 +224,20 @@
 	if err != nil {
 		return err
 	}
-	_, _, after := d.versions.of(versionBad)
+	_, after := d.versions.of(versionBad)
 	d.badLoad = after - before
+	if !pause(ctx, time.Until(time.UnixMilli(m.GetChangedUnixMs()).Add(rollbackLimit))) {
+		return ctx.Err()
+	}
+	if d.badCalls, err = d.executed(ctx, versionBad); err != nil {
+		return err
+	}
 	if !pause(ctx, afterRollback) {
 		return ctx.Err()
 	}
-	calls, last, _ := d.versions.of(versionBad)
-	d.badCalls, d.badLast = calls, last.Sub(time.UnixMilli(m.GetChangedUnixMs()))
-	return nil
+	late, err := d.executed(ctx, versionBad)
+	d.badLate = late - d.badCalls
+	return err
 }
 
 func (d *demo) startMove(ctx context.Context, service, to string, deadline time.Duration) error {
