--- a/core/state/configuration.go
+++ b/core/state/configuration.go
@@ -37,7 +37,6 @@
 	}
 	problems := m.checkChanges(s.GetChanges())
 	next := config.Apply(m.configuration, s.GetChanges(), m.Revision()+1)
-	next = dropShares(next, s.GetChanges())
 	return next, append(problems, config.Validate(next)...)
 }
 
@@ -76,18 +75,6 @@
 	return nil
 }
 
-// dropShares removes the version shares of deleted services.
-func dropShares(c *pb.Configuration, changes []*pb.Change) *pb.Configuration {
-	for _, ch := range changes {
-		if x, ok := ch.GetChange().(*pb.Change_DeleteService); ok {
-			c.Shares = slices.DeleteFunc(slices.Clone(c.GetShares()), func(s *pb.ServiceShares) bool {
-				return s.GetService() == x.DeleteService
-			})
-		}
-	}
-	return c
-}
-
 func (m *Machine) service(name string) *pb.Service {
 	for _, s := range m.configuration.GetServices() {
 		if s.GetName() == name {
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -34,7 +34,7 @@
 	members       []*pb.Member
 }
 
-// New returns the state before the first entry: an empty configuration at revision 0.
+// New returns the state before the first entry: an empty configuration at InitialRevision.
 func New(members []*pb.Member) *Machine {
 	return &Machine{
 		configuration: &pb.Configuration{Revision: InitialRevision},
