--- a/adapters/disk/load.go
+++ b/adapters/disk/load.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -54,9 +55,13 @@
 		return true
 	}
 	first := r.entries[0].GetIndex()
-	if e.GetIndex() < first || e.GetIndex() > r.last()+1 {
+	if e.GetIndex() <= r.baseIndex || e.GetIndex() > r.last()+1 {
 		return false
 	}
+	if e.GetIndex() < first { // the segment with the entries between was removed as covered by a snapshot
+		r.entries = []*pb.Entry{e}
+		return true
+	}
 	r.entries = append(r.entries[:e.GetIndex()-first], e)
 	return true
 }
@@ -98,33 +103,44 @@
 		}
 		s.snapshots = snapshots
 	}
+	if err := s.checkSegments(segments); err != nil {
+		return stored, err
+	}
 	r := &replay{}
 	for i, n := range segments {
 		if err := s.loadSegment(n, i == len(segments)-1, r); err != nil {
 			return stored, err
 		}
 	}
-	stored.Entries, err = s.joinSnapshot(stored.Snapshot, r)
+	stored.Entries, s.rebase, err = s.joinSnapshot(stored.Snapshot, r)
 	return stored, err
 }
 
 // joinSnapshot returns the entries of the log when they continue the newest
 // snapshot. A snapshot that was installed over another log, just before a
-// crash, leaves entries that do not.
-func (s *Store) joinSnapshot(snap raft.Snapshot, r *replay) ([]*pb.Entry, error) {
-	if t, ok := r.term(snap.Index); ok && t == snap.Term {
-		return r.entries, nil
-	}
-	if snap.Index == 0 {
-		if len(r.entries) > 0 && r.entries[0].GetIndex() != 1 {
-			return nil, &CorruptionError{File: s.path(snapshotPrefix), Reason: "the log starts after index 1 and there is no snapshot"}
-		}
-		return r.entries, nil
+// crash, leaves entries that do not; rebase then makes the log start anew.
+func (s *Store) joinSnapshot(snap raft.Snapshot, r *replay) (entries []*pb.Entry, rebase bool, err error) {
+	if len(r.entries) > 0 && snap.Index == 0 && r.entries[0].GetIndex() != 1 {
+		return nil, false, &CorruptionError{File: s.path(s.segments[0].name), Reason: "the log starts after index 1 and there is no snapshot"}
 	}
-	if len(r.entries) > 0 && r.entries[0].GetIndex() == snap.Index+1 {
-		return r.entries, nil
+	t, ok := r.term(snap.Index)
+	if (ok && t == snap.Term) || (len(r.entries) > 0 && r.entries[0].GetIndex() == snap.Index+1) {
+		return r.entries, false, nil
 	}
-	return nil, nil
+	return nil, true, nil
+}
+
+// checkSegments finds a missing segment by its number.
+func (s *Store) checkSegments(names []string) error {
+	var last uint64
+	for i, n := range names {
+		var number uint64
+		if _, err := fmt.Sscanf(n, segmentPrefix+"%x", &number); err != nil || (i > 0 && number != last+1) {
+			return &CorruptionError{File: s.path(n), Reason: "the segment before it is missing"}
+		}
+		last = number
+	}
+	return nil
 }
 
 // loadMeta reads meta, or creates it for a new data directory.
@@ -213,7 +229,7 @@
 			return err.Error()
 		}
 		if !r.addEntry(e) {
-			return "the entry does not continue the log"
+			return fmt.Sprintf("entry %d does not continue the log after %d", e.GetIndex(), r.last())
 		}
 		seg.last = max(seg.last, e.GetIndex())
 	case recordSnapshot:
--- a/adapters/disk/record.go
+++ b/adapters/disk/record.go
@@ -11,7 +11,7 @@
 const (
 	recordEntry    recordType = 1 // Entry
 	recordBatch    recordType = 2 // offset of this record; everything before it is synced
-	recordSnapshot recordType = 3 // index and term; the log continues from a snapshot
+	recordSnapshot recordType = 3 // index and term; the log starts anew after a snapshot of the leader
 	recordMeta     recordType = 4 // DiskMeta
 	recordSnapFile recordType = 5 // DiskSnapshot
 )
--- a/adapters/disk/snapshot.go
+++ b/adapters/disk/snapshot.go
@@ -19,9 +19,6 @@
 	if err := s.writeSnapshot(snap); err != nil {
 		return err
 	}
-	if err := s.appendSynced(appendRecord(nil, recordSnapshot, snapshotPayload(snap))); err != nil {
-		return err
-	}
 	return s.clean(min(keepFrom, snap.Index))
 }
 
--- a/adapters/disk/store.go
+++ b/adapters/disk/store.go
@@ -45,7 +45,8 @@
 	segments       []segment // the last one is open
 	snapshots      []string
 	file           File
-	torn           int // bytes cut off at the start
+	torn           int  // bytes cut off at the start
+	rebase         bool // the log does not lead up to the newest snapshot
 	syncs          uint64
 	failed         error
 }
@@ -79,6 +80,9 @@
 	if err == nil {
 		err = s.openSegment()
 	}
+	if err == nil && s.rebase {
+		err = s.appendSynced(appendRecord(nil, recordSnapshot, snapshotPayload(stored.Snapshot)))
+	}
 	if err != nil {
 		_ = s.Close()
 		return nil, raft.Stored{}, err
