raft: make the generated faults harder

Change: power losses, disks that stay slow, and isolated leaders with commands and reads in progress.

--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -17,8 +17,15 @@
 	t := s.t
 	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
 	switch a := rapid.IntRange(0, 99).Draw(t, "event"); {
-	case a < 30: // let time pass with most messages delivered in any order
-		s.busy(rapid.IntRange(1, 25).Draw(t, "ticks"))
+	case a < 22: // let time pass with most messages delivered in any order
+		s.busy(rapid.IntRange(1, 40).Draw(t, "ticks"))
+	case a < 25: // power loss: nothing that waits for the disk survives
+		if h.node != nil && !s.unproven() {
+			s.crash(h, 0)
+			s.start(h)
+		}
+	case a < 30:
+		s.isolateLeader(rapid.IntRange(0, 2).Draw(t, "direction"))
 	case a < 45:
 		if h.node != nil && !h.paused && h.node.role == Leader {
 			s.propose(h)
@@ -74,6 +81,30 @@
 	}
 }
 
+// isolateLeader cuts one or both directions of the leader's links while commands arrive, for longer than the lease.
+func (s *sim) isolateLeader(direction int) {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	for _, o := range s.hosts {
+		s.cut[[2]string{l.id, o.id}] = direction != 1
+		s.cut[[2]string{o.id, l.id}] = direction != 0
+	}
+	for range 6 {
+		for _, h := range s.hosts {
+			if h.node != nil && !h.paused && h.node.role == Leader {
+				s.propose(h)
+				s.read(h)
+			}
+		}
+		s.busy(rapid.IntRange(4, 12).Draw(s.t, "ticks"))
+	}
+	if rapid.Bool().Draw(s.t, "reconnected") {
+		clear(s.cut)
+	}
+}
+
 func (s *sim) unproven() bool {
 	return slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.unproven })
 }
@@ -86,6 +117,8 @@
 		return int(r>>33) % n
 	}
 	loss := []int{0, 0, 5, 30}[roll(4)]
+	// A slow disk keeps its writes waiting for the whole time.
+	slow := roll(2 * len(s.hosts))
 	for range ticks {
 		for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
 			i := 0
@@ -99,8 +132,8 @@
 				s.deliver(i, false)
 			}
 		}
-		for _, h := range s.hosts {
-			if roll(3) > 0 {
+		for i, h := range s.hosts {
+			if i != slow && roll(3) > 0 {
 				s.sync(h, 1+roll(4))
 			}
 		}
