fleet: run nodes without sockets for measurements

Cause: 980 nodes with their relays need more sockets than one machine has to spare, and there was no baseline to compare with.

Measured: go test ./app/fleet passes.

--- a/adapters/rpc/client.go
+++ b/adapters/rpc/client.go
@@ -32,6 +32,8 @@
 	Delay func(address string) time.Duration
 	// Blocked reports a destination that is cut off; nil blocks none. Tests use it for partitions.
 	Blocked func(address string) bool
+	// Transport replaces the network; nil uses TCP. Measurements with more processes than sockets use it.
+	Transport http.RoundTripper
 }
 
 // LinkBytes counts the bytes of one link class.
@@ -57,7 +59,11 @@
 		IdleConnTimeout: idleConnTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
 	}
-	c.http = &http.Client{Transport: &delayTransport{base: transport, options: options}}
+	var base http.RoundTripper = transport
+	if options.Transport != nil {
+		base = options.Transport
+	}
+	c.http = &http.Client{Transport: &delayTransport{base: base, options: options}}
 	return c
 }
 
@@ -111,6 +117,13 @@
 	options Options
 }
 
+// CloseIdleConnections passes on what http.Client asks of its transport.
+func (t *delayTransport) CloseIdleConnections() {
+	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // RoundTrip adds the delay once per request, which is the round trip of the link.
 func (t *delayTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	if t.options.Blocked != nil && t.options.Blocked(r.URL.Host) {
--- a/app/fleet/fleet.go
+++ b/app/fleet/fleet.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -28,6 +30,9 @@
 	Follower    follower.Options // template; identity, interests and relays are filled in
 	Members     members.Timing   // of nodes
 	Source      *pb.Configuration
+	// InMemory replaces connections by calls of handlers; message bodies are still
+	// encoded and counted, see Traffic.
+	InMemory bool
 	// OnApply is called when a node put a configuration in force; nil: not.
 	OnApply func(node string, p *config.Projection)
 }
@@ -43,6 +48,7 @@
 	domains map[string]Domain // by address
 	blocked map[[2]string]bool
 	started int64
+	memory  *memory // nil with connections
 }
 
 // Relay is one control host.
@@ -74,15 +80,22 @@
 		options: options, source: NewSource(options.Source), nodes: make(map[string]*Node),
 		domains: make(map[string]Domain), blocked: make(map[[2]string]bool),
 	}
-	listeners := make([]net.Listener, len(options.Domains))
+	if options.InMemory {
+		f.memory = &memory{handlers: make(map[string]http.Handler)}
+	}
+	listeners := make([]listener, len(options.Domains))
 	var peers []*pb.Member
 	for i, d := range options.Domains {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := f.listen("")
 		if err != nil {
 			return nil, err
 		}
 		listeners[i] = l
-		r := &Relay{ID: "control-" + d.Name, Domain: d, Address: l.Addr().String(), Replica: f.source.Replica()}
+		delay := time.Duration(0)
+		if d.Region != options.Domains[0].Region {
+			delay = options.RegionDelay
+		}
+		r := &Relay{ID: "control-" + d.Name, Domain: d, Address: l.address, Replica: f.source.Replica(delay)}
 		f.relays = append(f.relays, r)
 		f.domains[r.Address] = d
 		peers = append(peers, &pb.Member{Id: r.ID, Address: r.Address, FailureDomain: d.Name, Region: d.Region})
@@ -100,18 +113,18 @@
 // Relays of the fleet, in the order of the domains.
 func (f *Fleet) Relays() []*Relay { return f.relays }
 
-func (f *Fleet) startRelay(r *Relay, l net.Listener) {
+func (f *Fleet) startRelay(r *Relay, l listener) {
 	o := f.options.Relay
 	o.ID, o.FailureDomain, o.Region, o.Incarnation = r.ID, r.Domain.Name, r.Domain.Region, f.incarnation()
 	client := f.client(r.Address, r.Domain)
 	r.Relay = relay.New(o, relay.Dependencies{State: r.Replica, Quorum: r.Replica, Client: client})
-	r.process = start(l, client, r.Handlers(), r.Run)
+	r.process = f.start(l, client, r.Handlers(), r.Run)
 }
 
 // RestartRelay stops a relay, if it runs, and starts it again without its memory.
 func (f *Fleet) RestartRelay(r *Relay) error {
 	r.Stop()
-	l, err := net.Listen("tcp", r.Address)
+	l, err := f.listen(r.Address)
 	if err != nil {
 		return err
 	}
@@ -136,16 +149,16 @@
 // StartNode starts a node that serves a service. A node that ran before keeps
 // its address and starts without memory.
 func (f *Fleet) StartNode(id string, d Domain, service string) (*Node, error) {
-	address := "127.0.0.1:0"
+	address := ""
 	if old := f.Node(id); old != nil {
 		old.Stop()
 		address = old.Address
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := f.listen(address)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{ID: id, Domain: d, Address: l.Addr().String(), Service: service}
+	n := &Node{ID: id, Domain: d, Address: l.address, Service: service}
 	f.mu.Lock()
 	f.nodes[id] = n
 	f.domains[n.Address] = d
@@ -154,7 +167,7 @@
 	return n, nil
 }
 
-func (f *Fleet) startNode(n *Node, l net.Listener) {
+func (f *Fleet) startNode(n *Node, l listener) {
 	var relays []follower.Relay
 	for _, r := range f.relays {
 		relays = append(relays, follower.Relay{ID: r.ID, Address: r.Address, FailureDomain: r.Domain.Name, Region: r.Domain.Region})
@@ -177,7 +190,7 @@
 	}, client, nil)
 	n.Follower = follower.New(o, follower.Dependencies{Client: client, Members: n.Members})
 	n.Members.Publish(pb.EndpointState_ENDPOINT_STATE_SERVING, ports.Upstream{Service: n.Service, Version: "1", Slots: 9})
-	n.process = start(l, client, append(n.Follower.Handlers(), n.Members.Handlers()...), n.Follower.Run, n.Members.Run)
+	n.process = f.start(l, client, append(n.Follower.Handlers(), n.Members.Handlers()...), n.Follower.Run, n.Members.Run)
 }
 
 // seeds are up to two nodes of the same failure domain, as settings name them.
@@ -236,8 +249,13 @@
 }
 
 func (f *Fleet) client(own string, d Domain) *rpc.Client {
+	var transport http.RoundTripper
+	if f.memory != nil {
+		transport = memoryTransport{f, d}
+	}
 	return rpc.NewClient(rpc.Options{
-		Topology: topology{f, d},
+		Transport: transport,
+		Topology:  topology{f, d},
 		Delay: func(address string) time.Duration {
 			if f.linkTo(d, address) == ports.LinkRemote {
 				return f.options.RegionDelay
@@ -275,16 +293,40 @@
 // process is a server with the responsibilities that run beside it.
 type process struct {
 	client *rpc.Client
-	server *rpc.Server
+	close  func() // of the server
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 	once   sync.Once
 }
 
-func start(l net.Listener, client *rpc.Client, handlers []rpc.Handler, runs ...func(context.Context) error) *process {
+// listener is an address that a process serves; it has no socket in memory.
+type listener struct {
+	address string
+	net     net.Listener
+}
+
+// listen on an address, or on a free one.
+func (f *Fleet) listen(address string) (listener, error) {
+	if f.memory != nil {
+		return listener{address: cmp.Or(address, f.memory.newAddress())}, nil
+	}
+	l, err := net.Listen("tcp", cmp.Or(address, "127.0.0.1:0"))
+	if err != nil {
+		return listener{}, err
+	}
+	return listener{address: l.Addr().String(), net: l}, nil
+}
+
+func (f *Fleet) start(l listener, client *rpc.Client, handlers []rpc.Handler, runs ...func(context.Context) error) *process {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{client: client, server: rpc.NewServer(handlers...), cancel: cancel}
-	p.group.Go(func() { _ = p.server.Serve(l) }) // ends with the process
+	p := &process{client: client, cancel: cancel}
+	if f.memory != nil {
+		p.close = f.memory.serve(l.address, handlers)
+	} else {
+		server := rpc.NewServer(handlers...)
+		p.close = func() { _ = server.Close() }
+		p.group.Go(func() { _ = server.Serve(l.net) }) // ends with the process
+	}
 	for _, run := range runs {
 		p.group.Go(func() { _ = run(ctx) }) // returns nil when the context ends
 	}
@@ -294,7 +336,7 @@
 func (p *process) stop() {
 	p.once.Do(func() {
 		p.cancel()
-		_ = p.server.Close()
+		p.close()
 		p.group.Wait()
 		p.client.Close()
 	})
--- a/app/fleet/source.go
+++ b/app/fleet/source.go
@@ -30,6 +30,10 @@
 	defer s.mu.Unlock()
 	s.current = config.Apply(s.current, changes, s.current.GetRevision()+1)
 	for _, r := range s.replicas {
+		if r.delay > 0 {
+			time.AfterFunc(r.delay, func() { r.offer(s.Configuration()) })
+			continue
+		}
 		r.offer(s.current)
 	}
 	return s.current
@@ -45,6 +49,7 @@
 // Replica is the state of one control host.
 type Replica struct {
 	source *Source
+	delay  time.Duration // until a change arrives
 
 	mu         sync.Mutex
 	state      *ports.AppliedState
@@ -52,11 +57,11 @@
 	isolatedAt time.Time
 }
 
-// Replica adds a control host.
-func (s *Source) Replica() *Replica {
+// Replica adds a control host, at which changes arrive after a delay.
+func (s *Source) Replica(delay time.Duration) *Replica {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := &Replica{source: s, state: &ports.AppliedState{Configuration: s.current}, changed: make(chan struct{})}
+	r := &Replica{source: s, delay: delay, state: &ports.AppliedState{Configuration: s.current}, changed: make(chan struct{})}
 	s.replicas = append(s.replicas, r)
 	return r
 }
@@ -64,7 +69,7 @@
 func (r *Replica) offer(c *pb.Configuration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isolatedAt.IsZero() {
+	if !r.isolatedAt.IsZero() || c.GetRevision() <= r.state.Configuration.GetRevision() {
 		return
 	}
 	r.state = &ports.AppliedState{Index: r.state.Index + 1, Configuration: c}
--- a/app/relay/relay.go
+++ b/app/relay/relay.go
@@ -31,6 +31,9 @@
 	Batch time.Duration
 	// NoCompression turns zstd off.
 	NoCompression bool
+	// FullSnapshots answers every change with the whole projection. It is the
+	// baseline of measurements.
+	FullSnapshots bool
 	// SnapshotsPerSecond and SnapshotBurst limit the answers that carry a whole projection.
 	SnapshotsPerSecond float64
 	SnapshotBurst      int
--- a/app/relay/serve.go
+++ b/app/relay/serve.go
@@ -64,7 +64,7 @@
 		return r.unconfirmed(m), false, nil
 	}
 	a, err := r.views.get(m.GetInterests()).answer(h, m.GetHaveRevision(), m.GetHaveHash(), m.GetSnapshot(),
-		!r.options.NoCompression, r.options.Now())
+		!r.options.FullSnapshots, !r.options.NoCompression, r.options.Now())
 	if err != nil {
 		return nil, false, err
 	}
--- a/app/relay/view.go
+++ b/app/relay/view.go
@@ -73,16 +73,16 @@
 }
 
 // answer returns the smallest answer for a node that has a revision with a hash.
-func (v *view) answer(h history, haveRevision, haveHash uint64, snapshot, compress bool, now time.Time) (*answer, error) {
+func (v *view) answer(h history, haveRevision, haveHash uint64, snapshot, deltas, compress bool, now time.Time) (*answer, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.usedAt = now
 	v.advance(h)
-	if !snapshot && haveHash == v.current.hash {
+	if !snapshot && haveHash == v.current.hash && (deltas || haveRevision == v.revision) {
 		return &answer{kind: pb.SyncKind_SYNC_KIND_UNCHANGED, revision: v.revision, hash: haveHash}, nil
 	}
 	full, err := v.full(compress)
-	if err != nil || snapshot || haveRevision == 0 {
+	if err != nil || snapshot || !deltas || haveRevision == 0 {
 		return full, err
 	}
 	delta, err := v.delta(h, haveRevision, haveHash, compress)
