--- a/adapters/httpproxy/harness_test.go
+++ b/adapters/httpproxy/harness_test.go
@@ -145,17 +145,21 @@
 // testUpstream is an upstream with a handler of the test.
 type testUpstream struct {
 	ports.Upstream
-	server *Server
-	runs   atomic.Int64
+	server   *Server
+	listener net.Listener
+	runs     atomic.Int64
+	active   atomic.Int64
 }
 
 func (n *node) upstream(handler fasthttp.RequestHandler) *testUpstream {
 	l := listen(n.mesh.t)
-	u := &testUpstream{Upstream: ports.Upstream{
+	u := &testUpstream{listener: l, Upstream: ports.Upstream{
 		Service: "bookings", Version: "v1", Address: l.Addr().String(), Slots: 9, MaxConnections: 120, Instance: l.Addr().String(),
 	}}
 	u.server = NewServer(func(ctx *fasthttp.RequestCtx) {
 		u.runs.Add(1)
+		u.active.Add(1)
+		defer u.active.Add(-1)
 		handler(ctx)
 	})
 	go func() { _ = u.server.Serve(l) }()
@@ -170,6 +174,16 @@
 	_ = u.server.Shutdown(ctx)
 }
 
+// kill ends the upstream as the exit of its process would.
+func (u *testUpstream) kill() {
+	_ = u.listener.Close()
+	u.server.mu.Lock()
+	defer u.server.mu.Unlock()
+	for c := range u.server.conns {
+		_ = c.Conn.Close()
+	}
+}
+
 // rawUpstream gives the test each accepted connection.
 func (n *node) rawUpstream(serve func(c net.Conn)) net.Listener {
 	l := listen(n.mesh.t)
--- a/adapters/httpproxy/integrity_test.go
+++ b/adapters/httpproxy/integrity_test.go
@@ -46,8 +46,16 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			l := n.rawUpstream(func(conn net.Conn) {
-				if id, ok := readRequest(bufio.NewReader(conn)); ok {
+				br := bufio.NewReader(conn)
+				for {
+					id, ok := readRequest(br)
+					if !ok {
+						return
+					}
 					_, _ = fmt.Fprint(conn, strings.Replace(c.response, "%s", id, 1))
+					if c.status == 502 {
+						return // the connection of a complete response stays open
+					}
 				}
 			})
 			defer func() { _ = l.Close() }()
