demo, consensus: prove faults with real processes and leave a frozen leader

Cause: no fault had been tried on the daemons. With the leader frozen (SIGSTOP) a change was accepted only when it resumed: a follower waited for the answer to its forwarded command as long as the caller did. Ruled out: the election, the new leader was there after 1.2 s. A follower gives up a forwarded command after one election timeout and asks the next leader with the same command id. Found and not mended: when a herd takes 2 of 3 members of a ledger group, keyed calls are rejected until its claims expire (10 minutes).

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,18 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test check fmt generate capacity
+.PHONY: build demo faults test check fmt generate capacity
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 # Main job with real processes on loopback; exits non-zero when a check fails.
 demo: build
-	$(BIN)/rattanfield-demo -bin $(BIN)
+	$(BIN)/rattanfield-demo --bin $(BIN)
+
+# Kills, freezes and isolates real processes under load; exits non-zero when a check fails.
+faults: build
+	$(BIN)/rattanfield-demo --faults --bin $(BIN) --timeout 5m
 
 test:
 	./.ci/test
--- a/app/consensus/submit.go
+++ b/app/consensus/submit.go
@@ -197,6 +197,10 @@
 // forward sends a command to the leader. Only a connection that was never made
 // proves that the command did not arrive.
 func (h *Host) forward(ctx context.Context, address string, c *pb.Command) *pb.CommandResult {
+	// A frozen leader takes the request and never answers; another one is elected
+	// in the meantime and gets the same command id.
+	ctx, cancel := context.WithTimeout(ctx, h.options.ElectionTimeout)
+	defer cancel()
 	client := rattanfieldv1connect.NewRaftServiceClient(h.client.HTTP(), rpc.URL(address))
 	resp, err := client.Forward(ctx, connect.NewRequest(&pb.ForwardRequest{Command: c}))
 	if err == nil && resp.Msg.GetResult() != nil {
--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -45,11 +45,22 @@
 	stopped     error  // of the node that is stopped under load
 	double      int    // keys that ran more than once
 	keys        int
+	executions  map[string]int // by key, over all upstreams
+	service     *pb.Service    // that changes of the scenario put
 	rejoined    time.Duration
 }
 
 // Run the demo and end every process that it started.
 func Run(ctx context.Context, o Options) (*Report, error) {
+	var d *demo
+	return runSite(ctx, o, func(site *demo) error {
+		d = site
+		return d.scenario(ctx)
+	}, func(stopErrs []error) *Report { return d.report(stopErrs) })
+}
+
+// runSite prepares a site, runs a scenario on it, stops it and reports.
+func runSite(ctx context.Context, o Options, scenario func(*demo) error, makeReport func(stopErrs []error) *Report) (*Report, error) {
 	dir, err := os.MkdirTemp("", "rattanfield-demo-")
 	if err != nil {
 		return nil, err
@@ -65,9 +76,9 @@
 	}
 	defer close(d.processes.start)
 	defer d.processes.killAll()
-	err = d.scenario(ctx)
+	err = scenario(d)
 	stopErrs := d.shutdown()
-	report := d.report(stopErrs)
+	report := makeReport(stopErrs)
 	if err != nil {
 		d.explain()
 	}
--- a/app/demo/measure.go
+++ b/app/demo/measure.go
@@ -84,7 +84,7 @@
 			total[key] += count
 		}
 	}
-	d.keys = len(total)
+	d.keys, d.executions = len(total), total
 	for _, count := range total {
 		if count > 1 {
 			d.double++
--- a/cmd/rattanfield-demo/main.go
+++ b/cmd/rattanfield-demo/main.go
@@ -27,6 +27,7 @@
 	Rate    float64       `default:"600" help:"calls per second"`
 	Timeout time.Duration `default:"2m" help:"longest duration of the run"`
 	Seed    uint64        `default:"1"`
+	Faults  bool          `help:"run the fault scenarios in place of the main job"`
 }
 
 // Description is the first line of the help.
@@ -48,7 +49,11 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
-	report, err := demo.Run(ctx, demo.Options{Bin: a.Bin, Keep: a.Keep, Rate: a.Rate, Seed: a.Seed, Out: os.Stdout})
+	run := demo.Run
+	if a.Faults {
+		run = demo.RunFaults
+	}
+	report, err := run(ctx, demo.Options{Bin: a.Bin, Keep: a.Keep, Rate: a.Rate, Seed: a.Seed, Out: os.Stdout})
 	if report != nil {
 		if failed := report.Write(os.Stdout); failed != nil {
 			fmt.Fprintln(os.Stderr, "rattanfield-demo:", failed)
