rollout: let the old version's calls refute a suspicion

Cause: the demo with real processes on a busy machine took a good move from 90% back to 30%: latencies of both versions had risen, the comparison with the past said so about the new one, and the concurrent one was never asked whether the old version had changed too. Change: a comparison with the past is dropped when the old version's calls of the same time fit the new rate at odds of 7 to 1; a drift of slow calls of 30% (60% at the full share) is allowed where calls are many; the last interval alone can show a burst; a third suspicion at a large share rolls back instead of the second.

--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -36,6 +36,10 @@
 // freshAge is how old the last report of a failure domain may be for a larger share there.
 const freshAge = 5 * time.Second
 
+// maxVerifications is how often a suspicion is examined at a small share; changes
+// of the surroundings at the full share can cause one by chance.
+const maxVerifications = 2
+
 // Decide adds the evidence and returns what to do now. It is to be called about
 // once a second.
 func (j *Judge) Decide(m *pb.Move, e *Evidence, now time.Time) Decision {
@@ -58,8 +62,8 @@
 	case v.judgement == bad:
 		return j.rollBack(m, e, j.describe(v))
 	case j.unconfirmed > confirmIntervals(highest) && highest > verifyShare && !j.demand.high():
-		if verifications(m) > 0 {
-			// The fault went away at a small share and is back at a large one.
+		if verifications(m) >= maxVerifications {
+			// The fault went away at a small share and is back at a large one, again.
 			return j.rollBack(m, e, "again at a large share, "+j.describe(v))
 		}
 		return j.stepBack(m, e, "to compare both versions: "+j.describe(v))
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -133,7 +133,7 @@
 		if t := &all.sums[m]; t.newTrials > 0 {
 			r, rate := all.old[m], t.expected/t.newTrials
 			r.add(t, rate)
-			lim.inflation[m] = r.inflation(rate)
+			lim.inflation[m] = r.inflation(t, rate)
 		}
 	}
 }
--- a/core/rollout/simulate/calls.go
+++ b/core/rollout/simulate/calls.go
@@ -115,7 +115,7 @@
 	rejected := binomial(w.rand, n, w.rejected[v])
 	n -= rejected
 	c.Overloads += uint64(rejected)
-	errorRate, slow := baseErrors, w.slower[v]
+	errorRate, slow := baseErrors, w.slower[v]*w.process.slowness()
 	if v == newVersion {
 		slow *= w.factor
 	}
--- a/core/rollout/simulate/model.go
+++ b/core/rollout/simulate/model.go
@@ -102,11 +102,12 @@
 	SourceOutage          // no new configuration from outside; moves do not need it
 	PoisonRequest         // crashes two upstreams
 	LateReports           // reports arrive up to 5 s late and in bursts
+	Slowdown              // both versions are 1.8 times slower for 60 s
 	ProcessCount
 )
 
 var processNames = [...]string{
-	"none", "cold start", "crashed host", "leader change", "partition", "overload", "source outage", "poison request", "late reports",
+	"none", "cold start", "crashed host", "leader change", "partition", "overload", "source outage", "poison request", "late reports", "general slowdown",
 }
 
 func (p Process) String() string { return processNames[p] }
--- a/core/rollout/simulate/process.go
+++ b/core/rollout/simulate/process.go
@@ -1,6 +1,9 @@
 package simulate
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 // process plays the fault that is not the version's, twice: early and late, at
 // random times, because faults can come twice.
@@ -11,6 +14,7 @@
 	starts  [2]int
 	version [2]int // whose host crashes
 	domain  [2]int
+	phase   float64
 	late    []int // per failure domain: silent until this second
 }
 
@@ -24,10 +28,15 @@
 	lossAtCut       = 0.15
 	lossAtCutLength = 3
 	maxLateSeconds  = 5
+	slowdownSeconds = 60
+	slowdownFactor  = 1.8
+	driftSize       = 0.05
+	driftPeriod     = 240 // s
 )
 
 func newProcess(t *Trial, r *rand.Rand) *process {
 	p := &process{trial: t, rand: r, late: make([]int, len(t.Service.Domains))}
+	p.phase = r.Float64()
 	half := int(t.Deadline.Seconds()) / 2
 	for i := range p.starts {
 		p.starts[i] = i*half + 5 + r.IntN(half-10)
@@ -64,6 +73,16 @@
 	return 1
 }
 
+// slowness is a factor of the latency of both versions: a slow drift over the
+// whole move, and the general slowdown.
+func (p *process) slowness() float64 {
+	drift := 1 + driftSize*math.Sin(2*math.Pi*(float64(p.second)/driftPeriod+p.phase))
+	if p.within(Slowdown, slowdownSeconds) {
+		return drift * slowdownFactor
+	}
+	return drift
+}
+
 // cutOff reports a failure domain of the second region during a partition.
 func (p *process) cutOff(domain int) bool {
 	return domain >= len(p.trial.Service.Domains)/2 && p.within(Partition, cutSeconds)
--- a/core/rollout/stream.go
+++ b/core/rollout/stream.go
@@ -14,6 +14,9 @@
 	reference  [metricCount][ratioCount]float64
 	old        [metricCount]recentRate
 	ages       [metricCount]age // of the concurrent and the reference scores
+	// since sums the calls since the reference score was zero; its expected events
+	// are not raised by what the old version shows.
+	since [metricCount]tally
 }
 
 // Each score is a cumulative sum that starts again at zero: evidence of a long
@@ -25,7 +28,8 @@
 	for m := range metricCount {
 		t := &s.sums[m]
 		s.fade(m)
-		s.inflate(m, limits.inflation[m])
+		s.since[m].add(t)
+		s.inflate(m, limits)
 		if t.newTrials > 0 && !limits.muteReference[m] {
 			rest := t.without(&s.top[m])
 			for i := range ratios {
@@ -36,6 +40,7 @@
 				raise(&s.reference[m][i], gain, limit)
 				s.reference[m][i] = min(s.reference[m][i], limits.ceiling)
 			}
+			s.refute(m)
 		}
 		if limits.muteConcurrent[m] {
 			continue
@@ -59,20 +64,59 @@
 	s.sums, s.top = [metricCount]tally{}, [metricCount]tally{}
 }
 
+// Latencies drift over a day, and many calls make a small drift certain. Where
+// there are driftCalls in an interval, slow calls may become this much more frequent.
+const (
+	driftMargin = 0.3
+	staleMargin = 0.6 // at the full share, where the old version's rates get old
+	driftCalls  = 20
+)
+
 // inflate raises the expected events by what the old version shows now, here or
 // over all calls.
-func (s *stream) inflate(m metric, everywhere float64) {
+func (s *stream) inflate(m metric, limits *limits) {
 	t := &s.sums[m]
 	if t.newTrials == 0 {
 		return
 	}
 	rate := t.expected / t.newTrials
 	s.old[m].add(t, rate)
-	f := max(everywhere, s.old[m].inflation(rate))
+	f := max(limits.inflation[m], s.old[m].inflation(t, rate))
+	if m.isLatency() {
+		margin := driftMargin
+		if !limits.confirmable {
+			margin = staleMargin
+		}
+		f *= 1 + margin*min(1, t.newTrials/driftCalls)
+	}
 	t.expected = min(t.expected*f, t.newTrials)
 	s.top[m].expected *= f
 }
 
+// refuteScore is how surely the old version must have changed like the new one:
+// odds of 7 to 1.
+const refuteScore = -2
+
+// refute drops a reference score when the old version's calls of the same time
+// fit the new version's rate better than the old version's earlier one: then
+// something changed for both.
+func (s *stream) refute(m metric) {
+	t := &s.since[m]
+	if best(&s.reference[m]) == 0 {
+		*t = tally{}
+		return
+	}
+	before, now := t.expected/t.newTrials, t.newHits/t.newTrials
+	if now <= before || now >= 1 || before <= 0 {
+		return
+	}
+	score := t.oldHits*math.Log(before/now) + (t.oldTrials-t.oldHits)*math.Log((1-before)/(1-now))
+	if score <= refuteScore {
+		s.reference[m] = [ratioCount]float64{}
+		*t = tally{}
+	}
+}
+
 // take adds the calls of one cell; cells of a route differ by failure domain.
 func (s *stream) take(t *[metricCount]tally) {
 	for m := range metricCount {
@@ -131,16 +175,20 @@
 
 // inflation is how many times its earlier rate the old version surely shows now.
 // What raises it raises the new version's rate too: a partition, a failing
-// dependency, overload.
-func (r *recentRate) inflation(rate float64) float64 {
-	trials, hits := r.trials+recentPrior, r.hits+recentPrior*rate
-	now := hits / trials
-	sure := now - math.Sqrt(now*(1-now)/trials)
-	usual := (r.expected + recentPrior*rate) / trials
-	if usual <= 0 {
+// dependency, overload. The last interval alone shows a burst at once.
+func (r *recentRate) inflation(t *tally, rate float64) float64 {
+	if rate <= 0 {
 		return 1
 	}
-	return max(1, sure/usual)
+	usual := (r.expected + recentPrior*rate) / (r.trials + recentPrior)
+	return max(1, sureRate(r.hits, r.trials, rate)/usual, sureRate(t.oldHits, t.oldTrials, rate)/rate)
+}
+
+// sureRate is the rate less one standard error.
+func sureRate(hits, trials, prior float64) float64 {
+	trials, hits = trials+recentPrior, hits+recentPrior*prior
+	now := hits / trials
+	return now - math.Sqrt(now*(1-now)/trials)
 }
 
 // age counts the intervals since the scores of a metric last reached a new peak.
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -33,8 +33,8 @@
 	// pass it in about one interval of a hundred.
 	suspicionFactor = 0.6
 	// confirmScore is what the concurrent comparison must add to the comparison
-	// with the past: a change that concerns both versions passes it once in 200 times.
-	confirmScore = 5.3
+	// with the past: a change that concerns both versions passes it once in 500 times.
+	confirmScore = 6.2
 	// At a small share a suspicion that lasts for longIntervals needs less: the
 	// expected rate follows the old version, so a general change has passed by then.
 	longIntervals    = 45
