--- a/app/demo/demo.go
+++ b/app/demo/demo.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -97,6 +98,7 @@
 	var errs []error
 	for _, prefix := range []string{"upstream-", "node-", "control-"} {
 		errs = append(errs, d.processes.stopAll(prefix)...)
+		d.say("every %s has stopped", strings.TrimSuffix(prefix, "-"))
 	}
 	return errs
 }
--- a/app/demo/load.go
+++ b/app/demo/load.go
@@ -30,15 +30,19 @@
 
 // versionLog counts the calls that each version answered.
 type versionLog struct {
-	mu    sync.Mutex
-	calls map[string]int
-	tills int
+	mu     sync.Mutex
+	calls  map[string]int
+	tills  int
+	failed int // calls that another than the bad version failed
 }
 
 func (v *versionLog) observe(r *loadgen.Result) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.calls[r.Version]++
+	if r.Outcome == loadgen.Failed && r.Version != versionBad {
+		v.failed++
+	}
 	if strings.Contains(r.Route, " /fares") {
 		v.tills++
 	}
--- a/app/demo/measure.go
+++ b/app/demo/measure.go
@@ -133,6 +133,7 @@
 	r.check("no call lost", one.Lost+two.Lost == 0 && one.Sent > 0 && two.Sent > 0, "%d of %d", one.Lost+two.Lost, one.Sent+two.Sent)
 	r.check("no foreign or incomplete response", one.Corrupt+two.Corrupt == 0, "%d of %d", one.Corrupt+two.Corrupt, one.Sent+two.Sent)
 	r.check("no rejection or unknown outcome", one.Rejected+two.Rejected+one.Unknown+two.Unknown == 0, "%v %v", d.steadyLoad.Reasons, d.load.Reasons)
+	r.check("only the bad version failed calls", d.versions.failed+int(one.Failed) == 0, "%d others", d.versions.failed+int(one.Failed))
 	r.check("no key ran twice", d.double == 0 && d.keys > 0, "%d of %d keys", d.double, d.keys)
 	r.check("node stopped without interrupting calls", d.stopped == nil && d.load.Resends == 0,
 		"%s, %d connections lost", okOr(d.stopped), d.load.Resends)
--- a/app/demo/scenario.go
+++ b/app/demo/scenario.go
@@ -251,6 +251,7 @@
 
 // awaitMove waits until a move has ended and says each change of its shares.
 func (d *demo) awaitMove(ctx context.Context, service, version string, deadline time.Duration) (*pb.Move, error) {
+	whole := ctx
 	ctx, cancel := context.WithTimeout(ctx, deadline+moveGrace)
 	defer cancel()
 	var last *pb.Move
@@ -267,6 +268,9 @@
 			return last, nil
 		}
 		if !pause(ctx, movePoll) {
+			if whole.Err() != nil {
+				return last, whole.Err()
+			}
 			return last, fmt.Errorf("the move to %s did not end %s after its deadline; phase %s, %s", version, moveGrace, phase(last), last.GetReason())
 		}
 	}
