--- a/app/operator/client.go
+++ b/app/operator/client.go
@@ -34,16 +34,17 @@
 
 // Client asks the control hosts with failover.
 type Client struct {
-	hosts   []string
-	clients []rattanfieldv1connect.OperatorServiceClient
-	current int // host that answered last
+	transport *rpc.Client
+	hosts     []string
+	clients   []rattanfieldv1connect.OperatorServiceClient
+	current   int // host that answered last
 	patience,
 	attempt time.Duration
 }
 
 // NewClient returns a client for control hosts (IP:port).
 func NewClient(hosts []string, transport *rpc.Client) (*Client, error) {
-	c := &Client{patience: submitPatience, attempt: attemptTimeout}
+	c := &Client{transport: transport, patience: submitPatience, attempt: attemptTimeout}
 	for _, h := range hosts {
 		for _, one := range strings.Split(h, ",") {
 			if one = strings.TrimSpace(one); one != "" {
@@ -94,6 +95,27 @@
 	})
 }
 
+// QueryLeader is Query, answered by the leader if it can be reached: only the
+// leader knows how far the other control hosts are.
+func (c *Client) QueryLeader(ctx context.Context, q *pb.QueryRequest) (*pb.QueryResponse, error) {
+	answer, err := c.Query(ctx, q)
+	if err != nil || answer.GetFreshness().GetHost() == answer.GetFreshness().GetLeader() {
+		return answer, err
+	}
+	for _, m := range answer.GetMembers() {
+		if m.GetMember().GetId() != answer.GetFreshness().GetLeader() {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, c.attempt)
+		defer cancel()
+		leader := rattanfieldv1connect.NewOperatorServiceClient(c.transport.HTTP(), rpc.URL(m.GetMember().GetAddress()))
+		if better, err := leader.Query(attempt, connect.NewRequest(q)); err == nil {
+			return better.Msg, nil
+		}
+	}
+	return answer, nil
+}
+
 // Lookup asks for the result of a command; found is false when the hosts know none.
 func (c *Client) Lookup(ctx context.Context, id string) (*pb.GetCommandResponse, error) {
 	return each(ctx, c, func(ctx context.Context, s rattanfieldv1connect.OperatorServiceClient) (*pb.GetCommandResponse, error) {
--- a/app/operator/operator_test.go
+++ b/app/operator/operator_test.go
@@ -263,3 +263,23 @@
 	is.Equal(code, ExitUnknown) // unconfirmed: it may exist
 	is.True(err != nil)
 }
+
+// Guards against a table of members whose progress is unknown because a follower answered.
+func TestMembersComeFromTheLeader(t *testing.T) {
+	is := is.New(t)
+	leader := &controlHost{shared: newShared(&pb.QueryResponse{
+		Freshness: &pb.Freshness{Host: "c2", Leader: "c2", Confirmed: true},
+		Members:   []*pb.MemberStatus{{Member: &pb.Member{Id: "c1"}, Role: "learner", MatchIndex: 77}},
+	})}
+	members := []*pb.MemberStatus{{Member: &pb.Member{Id: "c1"}, Role: "unknown"}, {Member: &pb.Member{Id: "c2", Address: leader.start(t)}, Role: "leader"}}
+	follower := &controlHost{shared: newShared(&pb.QueryResponse{Freshness: &pb.Freshness{Host: "c1", Leader: "c2", Confirmed: true}, Members: members})}
+	var out bytes.Buffer
+	_, err := session(t, &out, follower.start(t)).Run(context.Background(), "show members")
+	is.NoErr(err)
+	is.True(strings.Contains(out.String(), "77"))
+	members[1].Member.Address = closedPort(t) // the follower's answer is better than none
+	out.Reset()
+	_, err = session(t, &out, follower.start(t)).Run(context.Background(), "show members")
+	is.NoErr(err)
+	is.True(strings.Contains(out.String(), "unknown"))
+}
--- a/app/operator/session.go
+++ b/app/operator/session.go
@@ -63,7 +63,11 @@
 }
 
 func (s *Session) show(ctx context.Context, show query.Show) (int, error) {
-	answer, err := s.Client.Query(ctx, &pb.QueryRequest{Subjects: subjects[show.View]})
+	ask := s.Client.Query
+	if show.View == query.ViewMembers {
+		ask = s.Client.QueryLeader
+	}
+	answer, err := ask(ctx, &pb.QueryRequest{Subjects: subjects[show.View]})
 	if err != nil {
 		return ExitFailed, err
 	}
--- a/cmd/rattanfield/main.go
+++ b/cmd/rattanfield/main.go
@@ -23,8 +23,11 @@
 	"github.com/rattanfield/rattanfield/core/query"
 )
 
+// controlVariable of the environment names control hosts, separated by commas.
+const controlVariable = "RATTANFIELD_CONTROL"
+
 type arguments struct {
-	Control   []string `arg:"--control,separate,env:RATTANFIELD_CONTROL" placeholder:"IP:PORT" help:"control host; repeat it for failover"`
+	Control   []string `arg:"--control,separate" placeholder:"IP:PORT" help:"control host; repeat it for failover [env: RATTANFIELD_CONTROL, separated by commas]"`
 	Settings  string   `arg:"--settings,env:RATTANFIELD_SETTINGS" placeholder:"FILE" help:"JSON with comments: control, operator"`
 	Operator  string   `arg:"--operator,env:RATTANFIELD_OPERATOR" placeholder:"NAME" help:"name in the history; default: the user's name"`
 	JSON      bool     `arg:"--json" help:"print JSON"`
@@ -105,6 +108,10 @@
 			return s, err
 		}
 	}
+	// The argument parser would join the hosts of the environment and of the command line.
+	if hosts := os.Getenv(controlVariable); hosts != "" {
+		s.Control = strings.Split(hosts, ",")
+	}
 	if len(args.Control) > 0 {
 		s.Control = args.Control
 	}
