consensus: answer a submit before its caller's deadline

Cause: without a quorum the command line said 'not known whether accepted': its attempt of 4 s ended before the control host answered UNAVAILABLE after 5 s, and the host used the caller's whole deadline. Change: a submit keeps 300 ms of the caller's deadline for the answer.

--- a/app/consensus/submit.go
+++ b/app/consensus/submit.go
@@ -16,6 +16,9 @@
 
 const (
 	submitRetryPause = 50 * time.Millisecond
+	// answerReserve is kept of the caller's deadline, so that it gets the outcome instead of
+	// a timeout, after which it could not know whether the command was accepted.
+	answerReserve = 300 * time.Millisecond
 	// maxCommandBytes keeps a command within one message with room for others.
 	maxCommandBytes = 4 << 20
 )
@@ -27,7 +30,11 @@
 	if r := checkSubmit(c); r != nil {
 		return r
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.options.SubmitTimeout)
+	timeout := h.options.SubmitTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)-answerReserve)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reached := false
 	for {
