--- /dev/null
+++ b/app/consensus/host_test.go
@@ -0,0 +1,412 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rattanfield/rattanfield/adapters/disk"
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/core/raft"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+)
+
+const (
+	accepted    = pb.Outcome_OUTCOME_ACCEPTED
+	conflict    = pb.Outcome_OUTCOME_CONFLICT
+	unknownOut  = pb.Outcome_OUTCOME_UNKNOWN
+	unavailOut  = pb.Outcome_OUTCOME_UNAVAILABLE
+	firstChange = 1 // revision of the empty configuration
+)
+
+var background = context.Background()
+
+// submitNext submits a change on top of the host's applied revision until it is accepted.
+func (c *cluster) submitNext(id, service string) *pb.CommandResult {
+	c.t.Helper()
+	for range 100 {
+		l := c.leader()
+		if l.ConfirmRead(background) != nil {
+			continue
+		}
+		cmd := putService(id, l.State().Configuration.GetRevision(), service, "v1")
+		if r := l.Submit(background, cmd); r.GetOutcome() == accepted {
+			return r
+		}
+	}
+	c.t.Fatalf("%s is not accepted", id)
+	return nil
+}
+
+func (c *cluster) waitEqual() {
+	c.t.Helper()
+	c.waitFor("equal state on all hosts", func() bool {
+		var indexes []uint64
+		for _, h := range c.running() {
+			indexes = append(indexes, h.State().Index)
+		}
+		return len(slices.Compact(indexes)) == 1
+	})
+}
+
+func (h *testHost) operator() rattanfieldv1connect.OperatorServiceClient {
+	return rattanfieldv1connect.NewOperatorServiceClient(h.client.HTTP(), rpc.URL(memberOf(h.options.Members, h.options.ID).GetAddress()))
+}
+
+// Guards against a cluster that accepts nothing, or accepts on one host only.
+func TestCommandIsAppliedOnAllHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "kingston", "montego-bay", "montego-bay").startAll()
+	r := c.leader().Submit(background, putService("a", firstChange, "bookings", "v1"))
+	is.Equal(r.GetOutcome(), accepted)
+	is.Equal(r.GetRevision(), uint64(firstChange+1))
+	is.Equal(c.follower().Submit(background, putService("b", r.GetRevision(), "tills", "v1")).GetOutcome(), accepted)
+	for _, h := range c.running() {
+		is.NoErr(h.ConfirmRead(background))
+		is.Equal(len(h.State().Configuration.GetServices()), 2)
+		c.waitFor("a confirmation", func() bool { return h.ConfirmedAge() < testWait })
+	}
+	q, err := c.follower().operator().Query(background, connect.NewRequest(&pb.QueryRequest{
+		Subjects: []pb.Subject{pb.Subject_SUBJECT_CONFIGURATION, pb.Subject_SUBJECT_MEMBERS, pb.Subject_SUBJECT_HISTORY},
+	}))
+	is.NoErr(err)
+	is.Equal(len(q.Msg.GetConfiguration().GetServices()), 2)
+	is.Equal(len(q.Msg.GetMembers()), 5)
+	is.Equal(len(q.Msg.GetHistory()), 2)
+	c.waitFor("a confirmed answer", func() bool { return c.follower().freshness().GetConfirmed() })
+}
+
+// Guards against two winners of one revision, losers who are not told the
+// winner, and a command that runs again when it is resent to another host.
+func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "montego-bay").startAll()
+	c.leader()
+	for round := range 5 {
+		revision := c.leader().State().Configuration.GetRevision()
+		var mu sync.Mutex
+		results := make(map[string]*pb.CommandResult)
+		var wg sync.WaitGroup
+		for i := range 9 {
+			wg.Go(func() {
+				id := fmt.Sprintf("r%d-%d", round, i/2) // most ids are sent twice, to different hosts
+				r := c.running()[i%3].Submit(background, putService(id, revision, "s"+id, "v1"))
+				mu.Lock()
+				defer mu.Unlock()
+				if old := results[id]; old != nil && old.GetOutcome() != r.GetOutcome() {
+					t.Errorf("%s: %v and %v", id, old, r)
+				}
+				results[id] = r
+			})
+		}
+		wg.Wait()
+		var winners []string
+		for id, r := range results {
+			if r.GetOutcome() == accepted {
+				winners = append(winners, id)
+			}
+		}
+		is.Equal(len(winners), 1)
+		for id, r := range results {
+			if id != winners[0] {
+				is.Equal(r.GetOutcome(), conflict)
+				is.Equal([]any{r.GetWinnerCommandId(), r.GetWinnerOperator(), r.GetWinnerRevision()}, []any{winners[0], "op-" + winners[0], revision + 1})
+			}
+		}
+	}
+}
+
+// Guards against lost or repeated commands when leaders are killed, and when
+// hosts restart from a snapshot after hundreds of changes.
+func TestResendsAcrossLeaderChangesAndRestarts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "montego-bay")
+	c.tune = func(o *Options) { o.SnapshotEntries, o.KeepEntries, o.SegmentBytes = 64, 16, 16<<10 }
+	c.startAll()
+	const changes = 500
+	results := make(map[string]*pb.CommandResult)
+	for i := range changes {
+		id := fmt.Sprint("c", i)
+		results[id] = c.submitNext(id, fmt.Sprint("s", i%40))
+		if i%150 == 149 {
+			leader := c.leader().options.ID
+			c.kill(leader)
+			c.leader()
+			c.start(leader)
+		}
+	}
+	for _, m := range c.members {
+		c.kill(m.GetId())
+	}
+	c.startAll()
+	is.NoErr(c.leader().ConfirmRead(background))
+	is.Equal(c.leader().State().Configuration.GetRevision(), uint64(firstChange+changes))
+	for id, r := range results {
+		again := c.follower().Submit(background, putService(id, 1, "other", "v9"))
+		is.Equal([]any{again.GetOutcome(), again.GetRevision()}, []any{accepted, r.GetRevision()})
+	}
+	is.True(c.leader().Status().Commit > changes)
+}
+
+// Guards against untrue outcomes and unmarked answers on the side without a quorum.
+func TestWithoutQuorum(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "montego-bay")
+	c.tune = func(o *Options) { o.SubmitTimeout = time.Second }
+	c.startAll()
+	c.submitNext("before", "bookings")
+	c.waitEqual()
+	lone := c.follower()
+	c.setCut(lone.options.ID, true)
+	c.waitFor("no confirmation", func() bool { return !lone.freshness().GetConfirmed() })
+	c.waitFor("no known leader", func() bool { id, _ := lone.Leader(); return id == "" })
+	is.Equal(lone.Submit(background, putService("alone", 2, "tills", "v1")).GetOutcome(), unavailOut)
+	is.True(lone.ConfirmRead(background) != nil)
+	is.Equal(len(lone.State().Configuration.GetServices()), 1) // it still answers
+	cut := c.leader()
+	c.setCut(cut.options.ID, true) // now nobody has a quorum, and the leader finds out later
+	r := cut.Submit(background, putService("cut", 2, "tills", "v1"))
+	is.Equal(r.GetOutcome(), unknownOut)
+	is.True(!cut.IsLeader())
+	c.setCut(lone.options.ID, false)
+	c.setCut(cut.options.ID, false)
+	leader := c.leader()
+	is.NoErr(leader.ConfirmRead(background))
+	got, err := leader.operator().GetCommand(background, connect.NewRequest(&pb.GetCommandRequest{CommandId: "alone"}))
+	is.NoErr(err)
+	is.True(!got.Msg.GetFound()) // UNAVAILABLE means surely not accepted
+	r = leader.Submit(background, putService("cut", 2, "tills", "v1"))
+	is.True(r.GetOutcome() == accepted)
+}
+
+// Guards against a planned stop that leaves a gap without a leader, returns an error or leaks goroutines.
+func TestPlannedStopHandsOver(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "montego-bay")
+	// Longer than any pause of a busy machine, so that only the transfer can make the next leader in time.
+	c.tune = func(o *Options) { o.ElectionTimeout, o.HeartbeatInterval = time.Second, 100*time.Millisecond }
+	c.startAll()
+	old := c.leader()
+	c.waitEqual()
+	is.NoErr(c.stop(old.options.ID))
+	is.True(slices.ContainsFunc(c.running(), func(h *testHost) bool { return h.Status().Role == raft.Leader }))
+	for _, h := range c.running() {
+		c.kill(h.options.ID)
+	}
+}
+
+// Guards against the loss of accepted commands when the leader is lost just
+// after another host came back with a lost or older disk.
+func TestSecondHostLostAfterRepair(t *testing.T) {
+	for _, older := range []bool{false, true} {
+		t.Run(fmt.Sprint("older disk ", older), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, "kingston", "kingston", "montego-bay").startAll()
+			c.submitNext("first", "bookings")
+			c.waitEqual()
+			repaired := c.follower().options.ID
+			dir, backup := filepath.Join(c.dir, repaired), filepath.Join(c.dir, "backup")
+			c.kill(repaired)
+			is.NoErr(os.CopyFS(backup, os.DirFS(dir)))
+			c.start(repaired)
+			r := c.submitNext("second", "tills")
+			c.waitEqual()
+			c.kill(repaired)
+			is.NoErr(os.RemoveAll(dir))
+			if older {
+				is.NoErr(os.CopyFS(dir, os.DirFS(backup)))
+			}
+			leader := c.leader().options.ID
+			c.start(repaired)
+			c.kill(leader)
+			c.start(leader)
+			is.NoErr(c.leader().ConfirmRead(background))
+			is.Equal(c.leader().Submit(background, putService("second", 1, "x", "v1")).GetRevision(), r.GetRevision())
+			c.waitFor("every host to be admitted", func() bool {
+				return !slices.ContainsFunc(c.running(), func(h *testHost) bool { return !h.Status().Eligible })
+			})
+			c.kill(leader)
+			is.Equal(c.leader().Submit(background, putService("second", 1, "x", "v1")).GetRevision(), r.GetRevision())
+		})
+	}
+}
+
+// failingFS fails one operation on the disk, at which the host stops as at a crash.
+type failingFS struct {
+	disk.OS
+	op     atomic.Int64
+	failAt int64
+}
+
+func (f *failingFS) step() error {
+	if f.op.Add(1) >= f.failAt {
+		return syscall.EIO
+	}
+	return nil
+}
+
+type failingFile struct {
+	disk.File
+	fs *failingFS
+}
+
+func (f failingFile) Write(b []byte) (int, error) {
+	if err := f.fs.step(); err != nil {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, err
+	}
+	return f.File.Write(b)
+}
+
+func (f failingFile) Sync() error {
+	if err := f.fs.step(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+func (f *failingFS) Create(name string) (disk.File, error) {
+	file, err := f.OS.Create(name)
+	return failingFile{file, f}, err
+}
+
+func (f *failingFS) Append(name string) (disk.File, error) {
+	file, err := f.OS.Append(name)
+	return failingFile{file, f}, err
+}
+
+// Guards against a host that goes on after a disk error, and against an
+// accepted command that is lost when a host crashes at any step between
+// proposal and application.
+func TestCrashAtEachDiskStep(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "montego-bay")
+	var failAt atomic.Int64
+	failAt.Store(1 << 40)
+	c.tune = func(o *Options) { o.FS, o.SnapshotEntries, o.KeepEntries = &failingFS{failAt: failAt.Load()}, 8, 4 }
+	c.startAll()
+	c.submitNext("c0", "s0")
+	for at := int64(1); at <= 14; at++ {
+		victim := c.follower().options.ID
+		if at%2 == 0 {
+			victim = c.leader().options.ID
+		}
+		c.kill(victim)
+		failAt.Store(at)
+		h := c.startFailing(victim)
+		failAt.Store(1 << 40)
+		for i := 0; h != nil; i++ {
+			c.submitNext(fmt.Sprintf("c%d-%d", at, i), fmt.Sprint("s", at))
+			select {
+			case err := <-h.ended:
+				is.True(errors.Is(err, syscall.EIO))
+				h.ended <- err
+				h = nil
+			default:
+			}
+		}
+		c.kill(victim)
+		c.start(victim)
+	}
+	c.waitEqual()
+	history := c.leader().State().History
+	for i, d := range history {
+		is.Equal(d.GetRevision(), uint64(firstChange+1+i)) // every acceptance once and in order
+	}
+}
+
+// startFailing starts a host that may fail to open its disk.
+func (c *cluster) startFailing(id string) *testHost {
+	o := Options{ID: id, Members: c.members, DataDir: filepath.Join(c.dir, id)}
+	c.tune(&o)
+	probe, err := New(o, rpc.NewClient(rpc.Options{}), log.NewNopLogger())
+	if err != nil {
+		return nil
+	}
+	_ = probe.store.Close()
+	return c.start(id)
+}
+
+// Guards against payloads that cross the region link once per host.
+func TestPayloadCrossesTheRegionLinkOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston", "kingston", "montego-bay", "montego-bay").startAll()
+	var l *testHost
+	for l == nil || l.options.ID > "c3" {
+		if l != nil {
+			is.NoErr(c.stop(l.options.ID))
+			id := l.options.ID
+			c.leader()
+			c.start(id)
+		}
+		l = c.leader()
+	}
+	c.waitEqual()
+	c.waitFor("contact with all", func() bool {
+		for _, p := range l.Status().Progress {
+			if !p.Contacted {
+				return false
+			}
+		}
+		return true
+	})
+	big := make([]byte, 60)
+	for i := range big {
+		big[i] = 'a' + byte(i%20)
+	}
+	m := &pb.RaftMessage{Kind: pb.RaftKind_RAFT_KIND_APPEND, Entries: []*pb.Entry{{Index: 9, Term: 1, Payload: make([]byte, minThinBytes)}}}
+	is.Equal(len(l.thin("c4", []*pb.RaftMessage{m})[0].GetEntries()[0].GetPayload()), minThinBytes)
+	is.Equal(len(l.thin("c5", []*pb.RaftMessage{m})[0].GetEntries()[0].GetPayload()), 0)
+	is.Equal(len(l.thin("c2", []*pb.RaftMessage{m})[0].GetEntries()[0].GetPayload()), minThinBytes)
+	for i := range 20 {
+		cmd := putService(fmt.Sprint("p", i), l.State().Configuration.GetRevision(), fmt.Sprint("s", i), string(slices.Concat(big, big, big, big)))
+		is.Equal(l.Submit(background, cmd).GetOutcome(), accepted)
+	}
+	c.waitEqual()
+	c.kill("c4") // the sibling that holds the payloads
+	cmd := putService("after", l.State().Configuration.GetRevision(), "after", string(slices.Concat(big, big, big, big)))
+	is.Equal(l.Submit(background, cmd).GetOutcome(), accepted)
+	c.waitEqual()
+}
+
+// Guards against a lease that outlives a suspension which the monotonic clock
+// does not count, and against a clock that runs backwards or gains by itself.
+func TestClockCountsSuspensions(t *testing.T) {
+	is := is.New(t)
+	var mono, wall time.Duration
+	c := newClockFrom(func() (time.Duration, time.Duration) { return mono, wall })
+	start := c.now()
+	for range 1000 { // small differences between the clocks do not add up
+		mono, wall = mono+9*time.Millisecond, wall+10*time.Millisecond
+	}
+	is.True(c.now()-start <= 10*time.Second)
+	before := c.now()
+	wall += time.Minute // suspended: only the wall clock went on
+	is.True(c.now()-before >= time.Minute)
+	before = c.now()
+	wall -= time.Hour
+	mono += time.Millisecond
+	is.True(c.now() > before)
+}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -332,6 +332,34 @@
 	s.require(lagging.node.log.last() < s.maxCommit, "the host does not lag")
 }
 
+// Guards against a lease that a leader still claims while the host that it
+// handed over to has been elected, against the promise of the voters.
+func TestTransferEndsTheLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "voters"), 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.calm(2 * time.Second)
+		l := s.leader()
+		l.node.TransferLeadership(s.now)
+		s.process(l)
+		for len(s.net) > 0 {
+			s.deliver(0, false)
+		}
+		for _, h := range s.hosts {
+			s.cut[[2]string{h.id, l.id}], s.cut[[2]string{l.id, h.id}] = true, true
+		}
+		for range 15 { // less than the lease
+			s.calm(simTick)
+			if next := s.leader(); next != nil && next != l {
+				s.propose(next)
+			}
+			s.check(l)
+		}
+		s.heal()
+		s.calm(4 * time.Second)
+		s.requireWorking()
+	})
+}
+
 // Guards against a membership change that could let two majorities exist.
 func TestProposeMembersChangesOneVoter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
