--- a/adapters/httpproxy/harness_test.go
+++ b/adapters/httpproxy/harness_test.go
@@ -36,6 +36,8 @@
 	claims     ports.ClaimKeeper
 	spread     func([]*pb.SuspectRecord)
 	limitless  bool
+	nodes      []*node
+	upstreams  []*testUpstream
 }
 
 func newMesh(t testing.TB, edit func(s *pb.Service)) *mesh {
@@ -55,9 +57,27 @@
 		t.Fatal(problems)
 	}
 	m.projection.Store(p)
+	t.Cleanup(m.close)
 	return m
 }
 
+// close stops all nodes, then all upstreams. Closing the connections of the
+// callers' side first saves the wait of the servers for them.
+func (m *mesh) close() {
+	for _, n := range m.nodes {
+		n.entry.pool.close()
+	}
+	var wg sync.WaitGroup
+	for _, n := range m.nodes {
+		wg.Go(n.stop)
+	}
+	wg.Wait()
+	for _, u := range m.upstreams {
+		wg.Go(u.stop)
+	}
+	wg.Wait()
+}
+
 func (m *mesh) Projection() *config.Projection { return m.projection.Load() }
 func (m *mesh) FloorKnown() bool               { return true }
 
@@ -126,7 +146,7 @@
 	n.entryServer, n.gateServer = NewServer(n.entry.Handler()), NewServer(n.gate.Handler())
 	go func() { _ = n.entryServer.Serve(el) }()
 	go func() { _ = n.gateServer.Serve(gl) }()
-	m.t.Cleanup(n.stop)
+	m.nodes = append(m.nodes, n)
 	return n
 }
 
@@ -163,7 +183,7 @@
 		handler(ctx)
 	})
 	go func() { _ = u.server.Serve(l) }()
-	n.mesh.t.Cleanup(func() { u.stop() })
+	n.mesh.upstreams = append(n.mesh.upstreams, u)
 	n.gate.Announce(u.Upstream)
 	return u
 }
