--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -152,9 +152,13 @@
 	if l.service.known() {
 		return l.service.seconds
 	}
-	return 1
+	return unknownCost
 }
 
+// unknownCost in seconds is charged before the first request is finished. It is
+// small, because what is charged too much at that time delays the tenant later.
+const unknownCost = 0.001
+
 // wouldBeLate estimates the wait from the requests ahead: those of all tenants,
 // or those of the same tenant at its fair share, whichever is less.
 func (l *Limiter) wouldBeLate(now time.Time, w *waiting) bool {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -13,9 +13,10 @@
 	MaxRedirects = 4
 
 	defaultPercent = 10
-	// minPerSecond lets a service with few calls retry at all.
-	minPerSecond = 1.0
-	// burst bounds the tokens that a quiet time saves up.
+	// minInterval lets a service with few calls retry at all: one retry is
+	// allowed when none was for this long.
+	minInterval = time.Second
+	// burst bounds the retries that a quiet time saves up.
 	burst = 20.0
 )
 
@@ -24,7 +25,7 @@
 type Budget struct {
 	percent float64
 	tokens  float64
-	last    time.Time
+	last    time.Time // last retry
 }
 
 // NewBudget returns a budget in percent of calls; 0 selects the default.
@@ -43,32 +44,22 @@
 }
 
 // Call counts one call of a caller.
-func (b *Budget) Call(now time.Time) {
-	b.refill(now)
-	b.tokens = min(b.tokens+b.percent/100, burst)
-}
+func (b *Budget) Call() { b.tokens = min(b.tokens+b.percent/100, burst) }
 
-// Take uses one retry if the budget has one.
+// Take uses one retry if the budget has one. A retry also costs the share that
+// its call brought in, so that calls and retries together stay below the share.
 func (b *Budget) Take(now time.Time) bool {
-	b.refill(now)
-	if b.tokens < 1 {
+	cost := 1 + b.percent/100
+	switch {
+	case b.tokens >= cost:
+		b.tokens -= cost
+	case now.Sub(b.last) < minInterval:
 		return false
 	}
-	b.tokens--
+	b.last = now
 	return true
 }
 
-func (b *Budget) refill(now time.Time) {
-	if b.last.IsZero() {
-		b.last, b.tokens = now, minPerSecond
-		return
-	}
-	if d := now.Sub(b.last); d > 0 {
-		b.tokens = min(b.tokens+d.Seconds()*minPerSecond, burst)
-		b.last = now
-	}
-}
-
 // Attempt is a failed attempt as the decision needs it.
 type Attempt struct {
 	Number    int // 1 for the first
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,149 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// A non-idempotent request must be repeated only when it surely was not run,
+// and never when a deeper layer has judged the failure.
+func TestDecide(t *testing.T) {
+	is := is.New(t)
+	base := Attempt{Number: 1, Remaining: time.Second}
+	with := func(edit func(a *Attempt)) Verdict {
+		a := base
+		edit(&a)
+		return Decide(a)
+	}
+	is.Equal(with(func(a *Attempt) {}), GiveUp)
+	is.Equal(with(func(a *Attempt) { a.Idempotent = true }), Repeat)
+	is.Equal(with(func(a *Attempt) { a.NotRun = true }), Repeat)
+	is.Equal(with(func(a *Attempt) { a.NotRun, a.Unreached = true, true }), Redirect)
+	is.Equal(with(func(a *Attempt) { a.NotRun, a.Unreached, a.Redirects = true, true, MaxRedirects }), GiveUp)
+	is.Equal(with(func(a *Attempt) { a.Idempotent, a.Number = true, MaxAttempts }), GiveUp)
+	is.Equal(with(func(a *Attempt) { a.Idempotent, a.Number, a.Redirects = true, MaxAttempts, 1 }), Repeat)
+	for _, stop := range []func(a *Attempt){
+		func(a *Attempt) { a.FailedBelow = true },
+		func(a *Attempt) { a.Terminal = true },
+		func(a *Attempt) { a.Remaining = time.Millisecond },
+	} {
+		is.Equal(with(func(a *Attempt) { a.Idempotent, a.NotRun = true, true; stop(a) }), GiveUp)
+	}
+}
+
+// Retries must stay within the share of the calls plus the minimum per second and one burst.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := uint32(rapid.IntRange(1, 50).Draw(t, "percent"))
+		b := NewBudget(percent)
+		now, calls, taken := start, 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				n := rapid.IntRange(1, 500).Draw(t, "calls")
+				for range n {
+					b.Call()
+				}
+				calls += n
+			},
+			"retry": func(t *rapid.T) {
+				for range rapid.IntRange(1, 100).Draw(t, "retries") {
+					if b.Take(now) {
+						taken++
+					}
+				}
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				share := float64(percent) / float64(100+percent)
+				allowed := float64(calls)*share + now.Sub(start).Seconds() + 1
+				if float64(taken) > allowed+1e-6 {
+					t.Fatalf("%d retries of %d calls at %d%%", taken, calls, percent)
+				}
+			},
+		})
+	})
+}
+
+// chain simulates nested calls.
+type chain struct {
+	random   *rand.Rand
+	budgets  []*Budget
+	logical  []int // calls that the layer above wanted
+	attempts []int // attempts that reached each layer
+	each     float64
+	stuck    bool // the last layer fails each attempt of this call
+	bounded  bool // budgets and marks are used
+	now      time.Time
+}
+
+func (c *chain) run(layer int) (ok, below bool) {
+	c.attempts[layer]++
+	last := layer+1 == len(c.attempts)
+	if c.random.Float64() < c.each || (last && c.stuck) {
+		return false, false
+	}
+	if last {
+		return true, false
+	}
+	c.logical[layer+1]++
+	c.budgets[layer].Call()
+	for n := 1; ; n++ {
+		ok, below = c.run(layer + 1)
+		if ok {
+			return true, false
+		}
+		verdict := Decide(Attempt{Number: n, Idempotent: true, FailedBelow: below && c.bounded, Remaining: time.Second})
+		if verdict != Repeat || (c.bounded && !c.budgets[layer].Take(c.now)) {
+			return false, true // the layer fails because of the one below
+		}
+	}
+}
+
+// amplification returns the largest number of attempts per call of a layer, and
+// of attempts at a layer per call of the caller.
+func amplification(depth, calls int, each, stuck float64, bounded bool) (perLayer, total float64) {
+	c := &chain{
+		random: rand.New(rand.NewPCG(1, 2)), logical: make([]int, depth), attempts: make([]int, depth),
+		each: each, bounded: bounded, now: start,
+	}
+	for range depth {
+		c.budgets = append(c.budgets, NewBudget(0))
+	}
+	for range calls {
+		c.now = c.now.Add(time.Millisecond)
+		c.stuck = c.random.Float64() < stuck
+		c.run(0)
+	}
+	c.logical[0] = calls
+	for i, n := range c.attempts {
+		if c.logical[i] > 100 {
+			perLayer = max(perLayer, float64(n)/float64(c.logical[i]))
+		}
+		total = max(total, float64(n)/float64(calls))
+	}
+	return perLayer, total
+}
+
+// At depth 28 with 10% failures retries must not multiply: under 1.1 attempts
+// per call and layer. Without budget and marks they do.
+func TestAmplificationAtDepth28(t *testing.T) {
+	const calls = 5000
+	for name, p := range map[string][2]float64{"each layer": {0.1, 0}, "last layer, same calls": {0, 0.1}} {
+		perLayer, total := amplification(MaxDepth, calls, p[0], p[1], true)
+		t.Logf("10%% failures of %s: %.3f attempts per call and layer, at most %.3f per call of the caller", name, perLayer, total)
+		if perLayer >= 1.1 || total >= 1.1 {
+			t.Errorf("%s: %.3f and %.3f, want under 1.1", name, perLayer, total)
+		}
+	}
+	if _, naive := amplification(8, 300, 0, 0.1, false); naive < 100 {
+		t.Errorf("the baseline multiplies only by %.1f: the test shows nothing", naive)
+	}
+}
