httpproxy: never say not-run when an earlier attempt may have run

Cause: a fault-injecting test found repeated idempotent calls whose first attempt reached an upstream and whose last one was rejected; the caller was told not-run. Rejections for too many headers also left out the call id. Change: the statement covers all attempts of a call; the id is read first.

--- a/adapters/httpproxy/call.go
+++ b/adapters/httpproxy/call.go
@@ -38,11 +38,11 @@
 func parseCall(ctx *fasthttp.RequestCtx, now time.Time) (*call, *rejection) {
 	h := &ctx.Request.Header
 	c := &call{received: now}
+	p := headerParser{h: h}
+	c.id = p.label(HeaderCallID, maxCallIDLength) // rejections echo it too
 	if h.Len() > maxHeaderCount {
 		return c, reject(ReasonTooManyHeaders)
 	}
-	p := headerParser{h: h}
-	c.id = p.label(HeaderCallID, maxCallIDLength)
 	c.tenant = p.label(HeaderTenant, maxLabelLength)
 	c.class = p.label(HeaderClass, maxLabelLength)
 	c.version = p.label(HeaderVersion, maxLabelLength)
--- a/adapters/httpproxy/forward.go
+++ b/adapters/httpproxy/forward.go
@@ -76,6 +76,7 @@
 	f.version = e.pickVersion(f.projection, f.service)
 	e.mu.Unlock()
 	var last *attempt
+	mayHaveRun := false
 	for {
 		if !f.choose() {
 			break
@@ -84,6 +85,7 @@
 		a := f.try(out)
 		last = a
 		f.report(a)
+		mayHaveRun = mayHaveRun || a.ran != RanNotRun
 		if !f.again(a) {
 			break
 		}
@@ -91,7 +93,8 @@
 	if last == nil {
 		return reject(ReasonNoEndpoint)
 	}
-	if last.rejected != nil && !last.below {
+	if last.rejected != nil && (!last.below || mayHaveRun) {
+		last.rejected.mayHaveRun = mayHaveRun
 		return last.rejected
 	}
 	if last.failed() || last.overload() {
--- a/adapters/httpproxy/reject.go
+++ b/adapters/httpproxy/reject.go
@@ -81,11 +81,19 @@
 	reason     Reason
 	retryAfter time.Duration // with status 429
 	detail     string
+	// mayHaveRun is true when an earlier attempt of the call may have run, so that
+	// the rejection of the last one does not say that the call was not run.
+	mayHaveRun bool
 }
 
 func reject(r Reason) *rejection { return &rejection{reason: r} }
 
-func (r *rejection) ran() string { return verdicts[r.reason].ran }
+func (r *rejection) ran() string {
+	if r.mayHaveRun {
+		return RanUnknown
+	}
+	return verdicts[r.reason].ran
+}
 
 func (r *rejection) status() int { return verdicts[r.reason].status }
 
@@ -95,14 +103,14 @@
 	ctx.Response.Reset()
 	ctx.Response.SetStatusCode(v.status)
 	h := &ctx.Response.Header
-	h.Set(HeaderRan, v.ran)
+	h.Set(HeaderRan, r.ran())
 	h.Set(HeaderReason, string(r.reason))
 	h.SetContentType("text/plain; charset=utf-8")
 	if v.status == fasthttp.StatusTooManyRequests {
 		seconds := int64((r.retryAfter + time.Second - 1) / time.Second)
 		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(max(seconds, 1), 10))
 	}
-	text := v.ran + ": " + string(r.reason)
+	text := r.ran() + ": " + string(r.reason)
 	if r.detail != "" {
 		text += ": " + r.detail
 	}
