--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -19,6 +19,11 @@
 	// defaultLatency stands for endpoints without a sample.
 	defaultLatency = 10 * time.Millisecond
 	latencyWeight  = 0.2 // of a new sample in the moving average
+	// sampleHalfLife is the time in which an old sample loses half of its weight, so
+	// that an endpoint that was slow or failed gets calls again and can show its recovery.
+	sampleHalfLife = 5 * time.Second
+	// unsampledFade makes an endpoint without a sample attractive enough to get one.
+	unsampledFade = 0.5
 	// errorWork multiplies the expected work by up to this factor for an endpoint that fails,
 	// because failing fast would otherwise look like being fast.
 	errorWork = 10.0
@@ -56,6 +61,7 @@
 	Endpoint
 	inFlight    int
 	latency     float64 // seconds, moving average; 0: none yet
+	sampledAt   time.Time
 	failureRate float64 // moving average
 	load        Load
 	loadAt      time.Time
@@ -229,7 +235,7 @@
 		e.load, e.loadAt, e.loadLocal = *o.Load, now, e.inFlight
 	}
 	if !o.Rejected && !o.Refused {
-		e.sample(o)
+		e.sample(now, o)
 	}
 	if o.Refused {
 		e.health.refused(now)
@@ -240,7 +246,8 @@
 	}
 }
 
-func (e *endpoint) sample(o Outcome) {
+func (e *endpoint) sample(now time.Time, o Outcome) {
+	e.sampledAt = now
 	failed := 0.0
 	if o.Failed {
 		failed = 1
--- a/core/balance/endpoint.go
+++ b/core/balance/endpoint.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // slots is what the endpoint can run at once: what its gate reported last, within what the caller allows.
 func (e *endpoint) slots() int {
@@ -28,8 +31,12 @@
 	if latency == 0 {
 		latency = defaultLatency.Seconds()
 	}
-	work := (e.pending(now) + 1) / float64(e.slots()) * latency
-	work *= 1 + errorWork*e.failureRate
+	fade := math.Exp2(-now.Sub(e.sampledAt).Seconds() / sampleHalfLife.Seconds())
+	if e.sampledAt.IsZero() {
+		fade = unsampledFade
+	}
+	work := (e.pending(now) + 1) / float64(e.slots()) * latency * fade
+	work *= 1 + errorWork*e.failureRate*fade
 	return work / e.warmth(now)
 }
 
