balance: make the recovery and ejection tests fail without their guard

Cause: both tests still passed with ejection or fading taken out. Change: few calls after the recovery, and the ejection itself is checked. Measured: go test ./core/balance passes; each fails now without its guard.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -92,7 +92,9 @@
 func TestLocality(t *testing.T) {
 	is := is.New(t)
 	all := append(append(endpoints(2, ports.LinkDomain), endpoints(2, ports.LinkRegion)...), endpoints(2, ports.LinkRemote)...)
-	at := func(counts map[string]int, l ports.Link) int { return counts[fmt.Sprint(l, 0)] + counts[fmt.Sprint(l, 1)] }
+	at := func(counts map[string]int, l ports.Link) int {
+		return counts[fmt.Sprint(l, 0)] + counts[fmt.Sprint(l, 1)]
+	}
 	b := New(1e6)
 	b.SetEndpoints(all)
 	counts := spread(b, 100, ok)
@@ -146,6 +148,7 @@
 		return Outcome{Latency: 10 * time.Millisecond, Failed: p.Address == bad}
 	})
 	is.True(counts[bad] <= 2*ejectAfter)
+	is.Equal(b.Ejected(start.Add(time.Second)), 1)
 	b = New(0)
 	b.SetEndpoints(list)
 	closed := map[string]bool{list[0].Address: true, list[1].Address: true, list[2].Address: true}
@@ -175,8 +178,11 @@
 	var open []ending
 	random, now := rand.New(rand.NewPCG(3, 4)), start
 	counts, recovered, worst := map[string]int{}, map[string]int{}, 0
-	for i := range 44000 {
+	for i := range 14000 {
 		now = now.Add(time.Millisecond) // 1000 calls/s on 36 slots
+		if i >= 4000 {
+			now = now.Add(9 * time.Millisecond) // few calls: none is forced to the endpoint that was slow
+		}
 		for i := 0; i < len(open); {
 			if open[i].at.After(now) {
 				i++
@@ -209,5 +215,5 @@
 	is.True(counts[list[0].Address] < counts[list[2].Address]/2)
 	is.True(float64(counts[list[1].Address]) < 1.3*float64(counts[list[2].Address]))
 	is.True(worst <= 9)
-	is.True(recovered[list[0].Address] > 5000) // it is not forgotten after it has recovered
+	is.True(recovered[list[0].Address] > 1500) // it is not forgotten after it has recovered
 }
