--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -17,8 +17,15 @@
 	t := s.t
 	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
 	switch a := rapid.IntRange(0, 99).Draw(t, "event"); {
-	case a < 30: // let time pass with most messages delivered in any order
-		s.busy(rapid.IntRange(1, 25).Draw(t, "ticks"))
+	case a < 22: // let time pass with most messages delivered in any order
+		s.busy(rapid.IntRange(1, 40).Draw(t, "ticks"))
+	case a < 25: // power loss: nothing that waits for the disk survives
+		if h.node != nil && !s.unproven() {
+			s.crash(h, 0)
+			s.start(h)
+		}
+	case a < 30:
+		s.isolateLeader(rapid.IntRange(0, 2).Draw(t, "direction"))
 	case a < 45:
 		if h.node != nil && !h.paused && h.node.role == Leader {
 			s.propose(h)
@@ -74,6 +81,30 @@
 	}
 }
 
+// isolateLeader cuts one or both directions of the leader's links while commands arrive, for longer than the lease.
+func (s *sim) isolateLeader(direction int) {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	for _, o := range s.hosts {
+		s.cut[[2]string{l.id, o.id}] = direction != 1
+		s.cut[[2]string{o.id, l.id}] = direction != 0
+	}
+	for range 6 {
+		for _, h := range s.hosts {
+			if h.node != nil && !h.paused && h.node.role == Leader {
+				s.propose(h)
+				s.read(h)
+			}
+		}
+		s.busy(rapid.IntRange(4, 12).Draw(s.t, "ticks"))
+	}
+	if rapid.Bool().Draw(s.t, "reconnected") {
+		clear(s.cut)
+	}
+}
+
 func (s *sim) unproven() bool {
 	return slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.unproven })
 }
@@ -86,6 +117,8 @@
 		return int(r>>33) % n
 	}
 	loss := []int{0, 0, 5, 30}[roll(4)]
+	// A slow disk keeps its writes waiting for the whole time.
+	slow := roll(2 * len(s.hosts))
 	for range ticks {
 		for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
 			i := 0
@@ -99,8 +132,8 @@
 				s.deliver(i, false)
 			}
 		}
-		for _, h := range s.hosts {
-			if roll(3) > 0 {
+		for i, h := range s.hosts {
+			if i != slow && roll(3) > 0 {
 				s.sync(h, 1+roll(4))
 			}
 		}
@@ -202,7 +235,7 @@
 	s.require(s.maxCommit > before, "nothing is committed after all faults ended: %s", s.describe())
 	for _, m := range s.leader().node.members() {
 		h := s.host(m.GetId())
-		s.require(h.applied == s.maxCommit, "%s applied %d of %d", h.id, h.applied, s.maxCommit)
+		s.require(h.applied == s.maxCommit, "%s applied %d of %d: %s", h.id, h.applied, s.maxCommit, s.describe())
 		s.require(h.node.eligible(), "%s is not admitted: %s", h.id, s.describe())
 	}
 }
@@ -215,6 +248,11 @@
 			out += fmt.Sprintf("\n%s %v term %d last %d commit %d eligible %v confirmed %v members %v", h.id, st.Role, st.Term, st.Last, st.Commit, st.Eligible, h.node.confirmation.done, st.Members)
 		}
 	}
+	if l := s.leader(); l != nil {
+		for id, p := range l.node.lead.progress {
+			out += fmt.Sprintf("\n%s %+v", id, p)
+		}
+	}
 	return out
 }
 
@@ -314,3 +352,41 @@
 		s.require(proto.Equal(before, m), "members are immutable")
 	})
 }
+
+// Guards against a member across a slow link that applies a change only at the next heartbeat,
+// because the change was committed before its acknowledgement arrived.
+func TestSlowMemberLearnsCommitAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, 3, 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.calm(2 * time.Second)
+		l := s.leader()
+		slow := s.hosts[(slices.Index(s.hosts, l)+rapid.IntRange(1, 2).Draw(t, "slow"))%3]
+		s.settle("")
+		s.propose(l)
+		s.settle(slow.id)
+		committed := l.node.log.commit
+		s.require(committed == l.node.log.last() && slow.node.log.last() < committed, "the others do not commit first: %s", s.describe())
+		s.settle("")
+		s.require(slow.node.log.commit == committed, "no time passed, but the slow member lacks the commit index: %s", s.describe())
+	})
+}
+
+// settle delivers and syncs all that is under way without time passing, except
+// messages to or from one host.
+func (s *sim) settle(except string) {
+	held := func(m simMessage) bool { return m.m.GetTo() == except || m.m.GetFrom() == except }
+	for {
+		i := slices.IndexFunc(s.net, func(m simMessage) bool { return !held(m) })
+		if i >= 0 {
+			s.deliver(i, false)
+		}
+		pending := false
+		for _, h := range s.hosts {
+			pending = pending || len(h.pending) > 0
+			s.sync(h, len(h.pending))
+		}
+		if i < 0 && !pending {
+			return
+		}
+	}
+}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -23,7 +23,7 @@
 	last      time.Time
 	// unconfirmed counts the intervals in a row with that judgement.
 	unconfirmed int
-	demand      demand
+	demand      demands
 	step        uint64
 	stepKnown   bool
 	// pooledShare is the share of the failure domains that are pooled.
@@ -62,7 +62,7 @@
 	}
 	c := &cellState{
 		Cell: key, route: r,
-		stream: [3]int{0, j.stream(Cell{Route: key.Route}), j.stream(Cell{Domain: key.Domain})},
+		inRoute: j.stream(Cell{Route: key.Route}), inDomain: j.stream(Cell{Domain: key.Domain}),
 	}
 	for i := range c.thresholds {
 		c.thresholds[i] = -1
@@ -75,8 +75,6 @@
 // observe adds the evidence since the last call to the scores.
 func (j *Judge) observe(m *pb.Move, e *Evidence, now time.Time) {
 	j.beginStep(m, e)
-	first := j.last.IsZero()
-	elapsed := now.Sub(j.last).Seconds()
 	j.last = now
 	shares, pooled := sharesOf(m)
 	if pooled != j.pooledShare {
@@ -85,33 +83,13 @@
 		}
 		j.pooledShare = pooled
 	}
-	var offered float64
 	for i := range e.Cells {
-		c := j.cell(e.Cells[i].Cell)
-		if e.Cells[i].same(&c.seen) {
-			continue
-		}
-		delta := Pair{Old: e.Cells[i].Old.minus(&c.seen.Old), New: e.Cells[i].New.minus(&c.seen.New)}
-		c.seen = e.Cells[i].Pair
-		offered += float64(delta.Old.Calls + delta.Old.Overloads + delta.New.Calls + delta.New.Overloads)
-		if first {
-			// The past before this Judge: a base for the old version, no evidence.
-			continue
-		}
-		var t [metricCount]tally
-		c.tallies(&delta, &t)
-		for k, s := range c.stream {
-			if k != 2 && shares[c.Domain] != pooled {
-				continue // another share: pooling would compare different failure domains
-			}
-			j.streams[s].take(&t)
-		}
-	}
-	if !first {
-		j.demand.add(offered, elapsed)
+		j.take(&e.Cells[i], shares)
 	}
+	j.demand.settle(e, now)
 	lim := j.limits(m)
 	j.spread()
+	j.inflate(&lim)
 	for _, s := range j.streams {
 		s.collect(&lim)
 	}
@@ -121,6 +99,42 @@
 	j.intervals++
 }
 
+// take adds the new calls of a cell to its streams.
+func (j *Judge) take(counts *CellCounts, shares map[string]uint32) {
+	c := j.cell(counts.Cell)
+	if counts.same(&c.seen) {
+		return
+	}
+	var t [metricCount]tally
+	c.advance(&counts.Pair, &t)
+	if !c.known {
+		// The first counts can hold the past of several shares, for a new leader: a
+		// base for the old version, but no evidence.
+		c.known = true
+		return
+	}
+	j.demand.offer(c.Domain, t[metricRejections].oldTrials+t[metricRejections].newTrials)
+	j.streams[c.inDomain].take(&t)
+	if shares[c.Domain] != j.pooledShare {
+		return // another share: pooling would compare different failure domains
+	}
+	j.streams[0].take(&t)
+	j.streams[c.inRoute].take(&t)
+}
+
+// inflate finds how far the old version is from its usual rates over all calls.
+func (j *Judge) inflate(lim *limits) {
+	all := j.streams[0]
+	for m := range metricCount {
+		lim.inflation[m] = 1
+		if t := &all.sums[m]; t.newTrials > 0 {
+			r, rate := all.old[m], t.expected/t.newTrials
+			r.add(t, rate)
+			lim.inflation[m] = r.inflation(rate)
+		}
+	}
+}
+
 // spread finds the failure domain with the most events over all routes.
 func (j *Judge) spread() {
 	all := j.streams[0]
@@ -206,37 +220,3 @@
 	}
 	return shares, highest
 }
-
-// demand follows the offered calls per second.
-type demand struct {
-	recent, usual float64
-	seconds       float64
-}
-
-const (
-	recentSeconds = 4.0
-	usualSeconds  = 120.0
-	highDemand    = 1.4 // times the usual demand
-	warmupSeconds = 5.0
-)
-
-func (d *demand) add(calls, elapsed float64) {
-	if elapsed <= 0 {
-		return
-	}
-	rate := calls / elapsed
-	d.seconds += elapsed
-	if d.seconds <= warmupSeconds {
-		share := elapsed / d.seconds
-		d.recent += share * (rate - d.recent)
-		d.usual = d.recent
-		return
-	}
-	d.recent += min(1, elapsed/recentSeconds) * (rate - d.recent)
-	d.usual += min(1, elapsed/usualSeconds) * (rate - d.usual)
-}
-
-func (d *demand) high() bool { return d.seconds > warmupSeconds && d.recent > highDemand*d.usual }
-
-// known reports that the rate of calls can be planned with.
-func (d *demand) known() bool { return d.seconds >= warmupSeconds/2 }
