--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -246,13 +246,15 @@
 	}
 }
 
+// sample updates the averages. The longer the last sample is ago, the more a new one counts.
 func (e *endpoint) sample(now time.Time, o Outcome) {
+	weight := max(latencyWeight, 1-e.fade(now))
 	e.sampledAt = now
 	failed := 0.0
 	if o.Failed {
 		failed = 1
 	}
-	e.failureRate += latencyWeight * (failed - e.failureRate)
+	e.failureRate += weight * (failed - e.failureRate)
 	if o.Failed {
 		return
 	}
@@ -260,7 +262,7 @@
 		e.latency = o.Latency.Seconds()
 		return
 	}
-	e.latency += latencyWeight * (o.Latency.Seconds() - e.latency)
+	e.latency += weight * (o.Latency.Seconds() - e.latency)
 }
 
 // mayEject keeps the ejected endpoints of a version within the maximum share; one is always allowed
--- a/core/balance/endpoint.go
+++ b/core/balance/endpoint.go
@@ -31,15 +31,20 @@
 	if latency == 0 {
 		latency = defaultLatency.Seconds()
 	}
-	fade := math.Exp2(-now.Sub(e.sampledAt).Seconds() / sampleHalfLife.Seconds())
-	if e.sampledAt.IsZero() {
-		fade = unsampledFade
-	}
+	fade := e.fade(now)
 	work := (e.pending(now) + 1) / float64(e.slots()) * latency * fade
 	work *= 1 + errorWork*e.failureRate*fade
 	return work / e.warmth(now)
 }
 
+// fade is what is left of the weight of the last sample.
+func (e *endpoint) fade(now time.Time) float64 {
+	if e.sampledAt.IsZero() {
+		return unsampledFade
+	}
+	return math.Exp2(-now.Sub(e.sampledAt).Seconds() / sampleHalfLife.Seconds())
+}
+
 // warmth grows from slowStartFloor to 1 during slow start.
 func (e *endpoint) warmth(now time.Time) float64 {
 	if !e.fresh(now) {
