--- a/app/members/region.go
+++ b/app/members/region.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -16,17 +17,20 @@
 // that the others can reach, so that a change crosses the link once.
 func (m *Members) regionLoop(ctx context.Context, region string) {
 	remote := m.relaysOf(region)
+	failing, lower := make(failures), make(failures)
 	m.exchangeOnChange(ctx, func(ctx context.Context) bool {
-		if m.lowerRelayAnswers(ctx) {
+		if m.lowerRelayAnswers(ctx, lower) {
 			return true
 		}
-		for _, r := range remote {
+		for _, r := range failing.last(remote, m.now()) {
 			if m.isQuiet(r.ID) {
 				return true
 			}
 			if m.exchange(ctx, target{key: r.ID, address: r.Address, relay: true}, 0) == nil {
+				delete(failing, r.ID)
 				return true
 			}
+			failing[r.ID] = m.now()
 		}
 		return false
 	})
@@ -52,15 +56,48 @@
 }
 
 // lowerRelayAnswers reports whether a relay of this region with a lower id runs.
-func (m *Members) lowerRelayAnswers(ctx context.Context) bool {
+func (m *Members) lowerRelayAnswers(ctx context.Context, failing failures) bool {
 	for _, r := range m.relaysOf(m.options.Region) {
-		if r.ID < m.options.ID && m.probe(ctx, r.Address, &pb.ProbeRequest{From: m.options.ID, Target: r.ID}) {
+		if r.ID >= m.options.ID || failing.recent(r.ID, m.now()) {
+			continue
+		}
+		if m.probe(ctx, r.Address, &pb.ProbeRequest{From: m.options.ID, Target: r.ID}) {
+			delete(failing, r.ID)
 			return true
 		}
+		failing[r.ID] = m.now()
 	}
 	return false
 }
 
+// failureMemory is how long a relay that did not answer is tried last. A relay
+// that is cut off silently costs a timeout at each attempt, which would delay
+// every change by that time.
+const failureMemory = 5 * time.Second
+
+// failures holds when relays last did not answer.
+type failures map[string]time.Time
+
+func (f failures) recent(id string, now time.Time) bool {
+	at, failed := f[id]
+	return failed && now.Sub(at) < failureMemory
+}
+
+// last returns the relays with those that failed recently at the end.
+func (f failures) last(relays []membership.Relay, now time.Time) []membership.Relay {
+	out := slices.Clone(relays)
+	slices.SortStableFunc(out, func(a, b membership.Relay) int {
+		switch fa, fb := f.recent(a.ID, now), f.recent(b.ID, now); {
+		case fa == fb:
+			return 0
+		case fa:
+			return 1
+		}
+		return -1
+	})
+	return out
+}
+
 // relaysOf returns the other relays of a region by ascending id.
 func (m *Members) relaysOf(region string) []membership.Relay {
 	out := slices.DeleteFunc(slices.Clone(m.options.Relays), func(r membership.Relay) bool { return r.Region != region })
--- a/cmd/rattanfield-capacity/convergence.go
+++ b/cmd/rattanfield-capacity/convergence.go
@@ -7,6 +7,8 @@
 
 	"github.com/rattanfield/rattanfield/app/fleet"
 	"github.com/rattanfield/rattanfield/core/config"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
 )
 
 const (
@@ -26,6 +28,8 @@
 	LiveKB      float64 `json:"live_kb_per_node"`
 	BytesPerCh  float64 `json:"socket_bytes_per_node_and_change"`
 	LinkPerChng float64 `json:"remote_link_bytes_per_change"`
+	// LeavingMs is the longest time until no reader has a leaving node any more.
+	LeavingMs float64 `json:"leaving_max_ms"`
 }
 
 // arrivals collects when each node applied each revision.
@@ -104,6 +108,9 @@
 	all, remote := links()
 	row.BytesPerCh = float64(all-allBefore) / float64(n) / convergenceChanges
 	row.LinkPerChng = float64(remote-remoteBefore) / convergenceChanges
+	if row.LeavingMs, err = leaving(f); err != nil {
+		return row, err
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	slices.Sort(a.samples)
@@ -113,3 +120,29 @@
 	row.Samples, row.P50Ms, row.P99Ms, row.MaxMs = len(a.samples), ms(0.5), ms(0.99), ms(1)
 	return row, nil
 }
+
+// leaving lets one node of each failure domain leave and returns the longest
+// time until every reader of its service has dropped it.
+func leaving(f *fleet.Fleet) (float64, error) {
+	var longest time.Duration
+	for _, d := range fourDomains {
+		nodes := f.Nodes()
+		i := slices.IndexFunc(nodes, func(n *fleet.Node) bool { return n.Domain == d })
+		if i < 0 {
+			continue
+		}
+		node := nodes[i]
+		start := time.Now()
+		node.Members.Publish(pb.EndpointState_ENDPOINT_STATE_LEAVING, ports.Upstream{})
+		if err := await("leaving node is dropped", func() bool {
+			return !slices.ContainsFunc(f.Nodes(), func(n *fleet.Node) bool {
+				records, _ := n.Members.Endpoints(node.Service)
+				return slices.ContainsFunc(records, func(e *pb.EndpointRecord) bool { return e.GetNodeId() == node.ID })
+			})
+		}); err != nil {
+			return 0, err
+		}
+		longest = max(longest, time.Since(start))
+	}
+	return float64(longest.Microseconds()) / 1000, nil
+}
--- a/cmd/rattanfield-capacity/main.go
+++ b/cmd/rattanfield-capacity/main.go
@@ -17,10 +17,14 @@
 )
 
 type arguments struct {
-	Convergence *struct{} `arg:"subcommand:convergence" help:"time from accepted to applied, with connections"`
-	Scale       *struct{} `arg:"subcommand:scale" help:"bytes, CPU time and memory per node, in memory"`
-	Storm       *struct{} `arg:"subcommand:storm" help:"bytes of a reconnect storm, with connections"`
-	Out         string    `arg:"-o,--out" default:"docs/results" help:"directory of the results"`
+	Convergence *struct{}       `arg:"subcommand:convergence" help:"time from accepted to applied, with connections"`
+	Scale       *scaleArguments `arg:"subcommand:scale" help:"bytes, CPU time and memory per node, in memory"`
+	Storm       *struct{}       `arg:"subcommand:storm" help:"bytes of a reconnect storm, with connections"`
+	Out         string          `arg:"-o,--out" default:"docs/results" help:"directory of the results"`
+}
+
+type scaleArguments struct {
+	Nodes []int `arg:"--nodes" help:"sizes; default 140 280 560 980"`
 }
 
 // result is the file that a measurement writes.
@@ -49,7 +53,7 @@
 		run  func() (any, error)
 	}{
 		{"convergence", all || args.Convergence != nil, convergence},
-		{"scale", all || args.Scale != nil, scale},
+		{args.Scale.name(), all || args.Scale != nil, args.Scale.run},
 		{"storm", all || args.Storm != nil, storm},
 	} {
 		if !m.want {
--- a/cmd/rattanfield-capacity/scale.go
+++ b/cmd/rattanfield-capacity/scale.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,7 +16,11 @@
 	linkCount  = ports.Link(ports.LinkCount)
 	remoteLink = ports.LinkRemote
 
-	idleWindow   = 2 * time.Second
+	// idleWindow is one interval of the exchanges over the region link.
+	idleWindow = 10 * time.Second
+	// startTime covers what a start leaves behind, above all lagging nodes in summaries.
+	startTime    = 4 * time.Second
+	overheadTime = 2 * time.Second
 	scaleChanges = 6
 	scaleChurn   = 6
 	// eventInterval is the time between two changes or restarts.
@@ -63,13 +68,31 @@
 	BaselinePerNode float64 `json:"baseline_bytes_per_change_and_node"`
 }
 
-func scale() (any, error) {
+// sizes of the fleet; 980 is the design target.
+var sizes = []int{140, 280, 560, 980}
+
+// name of the result; a run of one size has its own file.
+func (a *scaleArguments) name() string {
+	if a != nil && len(a.Nodes) == 1 {
+		return fmt.Sprintf("scale-%d", a.Nodes[0])
+	}
+	return "scale"
+}
+
+func (a *scaleArguments) run() (any, error) {
+	if a != nil && len(a.Nodes) > 0 {
+		return scale(a.Nodes)
+	}
+	return scale(sizes)
+}
+
+func scale(sizes []int) (any, error) {
 	header, err := overhead()
 	if err != nil {
 		return nil, err
 	}
 	var rows []scaleRow
-	for _, n := range []int{140, 280, 560, 980} {
+	for _, n := range sizes {
 		row, err := scaleAt(n, header)
 		if err != nil {
 			return nil, err
@@ -129,7 +152,7 @@
 	if err := startNodes(f, sevenDomains, n); err != nil {
 		return scaleRow{}, err
 	}
-	time.Sleep(settleTime)
+	time.Sleep(startTime)
 	nodes := float64(n)
 	row := scaleRow{Nodes: n, Mode: "delta", HeaderBytes: header, LiveKB: float64(liveBytes()-before) / nodes / 1024}
 
@@ -209,7 +232,7 @@
 			return 0, bytes
 		}
 		calls0, bytes0 := count()
-		time.Sleep(idleWindow)
+		time.Sleep(overheadTime)
 		calls1, bytes1 := count()
 		return calls1 - calls0, bytes1 - bytes0, nil
 	}
