membership: let a node with an older clock supersede its old record

Cause: a node that restarts after its clock was set back has a lower incarnation than its earlier record; every holder ignored its new records, also that it is leaving, and it is never declared down because it answers. Change: a holder that gets an older record from the owner itself answers once with the one it has, which the owner supersedes.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -86,6 +86,23 @@
 	is.True(table.DeclareDown("p", 5, 2, time.Time{}) == nil) // nobody declares itself down
 }
 
+// Guards: a node whose clock was set back before its restart is not ignored for
+// ever; it learns of its earlier record and supersedes it.
+func TestOwnerWithOlderClockSupersedesItself(t *testing.T) {
+	is := is.New(t)
+	relay, owner := NewTable(1, ""), NewTable(3, "p")
+	relay.Merge([]*pb.EndpointRecord{record("p", 5, 7, serving)}, "p", time.Time{})
+	_, stamp := relay.Since(0, Filter{All: true, Peer: "p"})
+	own := owner.Publish(record("p", 3, 0, serving), time.Time{})
+	relay.Merge([]*pb.EndpointRecord{own}, "p", time.Time{})
+	told, _ := relay.Since(stamp, Filter{All: true, Peer: "p"})
+	is.Equal(len(told), 1)
+	again, _ := relay.Since(stamp, Filter{All: true, Peer: "p"})
+	is.Equal(len(again), 0) // once, so that a waiting exchange does not spin
+	is.Equal(len(owner.Merge(told, "relay", time.Time{})), 1)
+	is.Equal(len(relay.Merge([]*pb.EndpointRecord{owner.Get("p")}, "p", time.Time{})), 1)
+}
+
 // Guards: a process that reads only some services learns that a node left them.
 func TestFilterReportsChangeOfService(t *testing.T) {
 	is := is.New(t)
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -25,6 +25,9 @@
 	// contested: a peer holds the same version as live, so it must learn that the
 	// node was declared down, and the owner must get to refute that.
 	contested bool
+	// stale: the owner sent an older version than this one, as a process does whose
+	// clock was set back; it must learn of this one to supersede it.
+	stale bool
 }
 
 // Table holds the endpoint records that one process knows. Records that it
@@ -145,6 +148,7 @@
 			t.stamp++
 			e.stamp, e.source, e.contested = t.stamp, "", true
 		}
+		e.stale = e.stale || (source == r.GetNodeId() && Supersedes(e.record, r))
 		return false
 	}
 	if old := e.record.GetService(); old != r.GetService() && old != "" {
@@ -153,7 +157,7 @@
 	unknown := e.record == nil
 	// A peer may hold the version as live and have lost what declared it down.
 	contested := r.GetState() == down && IsLive(e.record)
-	e.record, e.source, e.removedAt, e.contested = r, source, time.Time{}, contested
+	e.record, e.source, e.removedAt, e.contested, e.stale = r, source, time.Time{}, contested, false
 	if isRemoved(r) {
 		e.removedAt = now
 	}
@@ -205,8 +209,9 @@
 	var found []*entry
 	equal := t.equalBuckets(f)
 	for id, e := range t.entries {
-		if id == f.Peer && e.record.GetState() == down {
-			found = append(found, e) // until the owner refutes it, whatever it was sent before
+		if id == f.Peer && (e.record.GetState() == down || e.stale) {
+			e.stale = false          // a lost response makes the owner send its record again
+			found = append(found, e) // down until the owner refutes it, whatever it was sent before
 			continue
 		}
 		if e.stamp <= stamp || !f.selects(e) {
