capacity: spread the upstreams of a service over the failure domains

Cause: nodes of one service were all in one failure domain, so leaving nodes and restarts were not seen across the region link; the recorded command held the directory of the results. Change: consecutive nodes share a service; the command is recorded without it.

--- a/cmd/rattanfield-capacity/main.go
+++ b/cmd/rattanfield-capacity/main.go
@@ -66,9 +66,23 @@
 	}
 }
 
+// command is the command line without the directory of the results.
+func command(args []string) string {
+	var out []string
+	for i := 0; i < len(args); i++ {
+		switch name, _, given := strings.Cut(args[i], "="); {
+		case name != "-o" && name != "--out":
+			out = append(out, args[i])
+		case !given:
+			i++
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 func measure(dir, name string, run func() (any, error)) error {
 	r := result{
-		Name: name, Command: "rattanfield-capacity " + strings.Join(os.Args[1:], " "), At: time.Now().UTC(),
+		Name: name, Command: "rattanfield-capacity " + command(os.Args[1:]), At: time.Now().UTC(),
 		Go: runtime.Version(), CPUs: runtime.NumCPU(),
 	}
 	var err error
--- a/cmd/rattanfield-capacity/scale.go
+++ b/cmd/rattanfield-capacity/scale.go
@@ -179,7 +179,7 @@
 
 	for i := range scaleChurn {
 		d := sevenDomains[i%len(sevenDomains)]
-		if _, err := f.StartNode(fleet.NodeID(d, i), d, serviceName(i)); err != nil {
+		if _, err := f.StartNode(fleet.NodeID(d, i), d, nodeService(sevenDomains, i)); err != nil {
 			return row, err
 		}
 		time.Sleep(eventInterval)
--- a/cmd/rattanfield-capacity/scenario.go
+++ b/cmd/rattanfield-capacity/scenario.go
@@ -98,11 +98,15 @@
 // the limit of open files. Failure detection is measured by scale.
 func fewProbes(o *fleet.Options) { o.Members.ProbeInterval = time.Minute }
 
+// nodeService is the service of the i-th node. The upstreams of a service are
+// spread over all failure domains.
+func nodeService(ds []fleet.Domain, i int) string { return serviceName(i / len(ds)) }
+
 // startNodes starts n nodes over the domains and waits for their first configuration.
 func startNodes(f *fleet.Fleet, ds []fleet.Domain, n int) error {
 	for i := range n {
 		d := ds[i%len(ds)]
-		if _, err := f.StartNode(fleet.NodeID(d, i), d, serviceName(i)); err != nil {
+		if _, err := f.StartNode(fleet.NodeID(d, i), d, nodeService(ds, i)); err != nil {
 			return err
 		}
 	}
