--- a/adapters/httpproxy/gate.go
+++ b/adapters/httpproxy/gate.go
@@ -24,8 +24,8 @@
 	MaxQueue int
 	// Metrics receives counters and histograms; nil keeps them unregistered.
 	Metrics *metrics.Set
-	// WithoutLimits turns admission off. It is the baseline of measurements.
-	WithoutLimits bool
+	// Baseline turns admission and quarantine off. Measurements compare with it.
+	Baseline bool
 }
 
 const defaultMaxQueue = 64
--- a/adapters/httpproxy/gateadmit.go
+++ b/adapters/httpproxy/gateadmit.go
@@ -31,7 +31,10 @@
 		g.mu.Unlock()
 		return nil, rejected
 	}
-	handling := g.quarantine.Handle(time.Now(), u.announced.Service, c.fingerprint, c.suspect)
+	handling := quarantine.Run
+	if !g.options.Baseline {
+		handling = g.quarantine.Handle(time.Now(), u.announced.Service, c.fingerprint, c.suspect)
+	}
 	if handling == quarantine.Refuse {
 		g.mu.Unlock()
 		return nil, reject(ReasonSuspect)
@@ -40,7 +43,7 @@
 		id: g.nextID.Add(1), upstream: u, fingerprint: c.fingerprint,
 		alone: handling == quarantine.RunAlone,
 	}
-	if g.options.WithoutLimits {
+	if g.options.Baseline {
 		g.begin(s)
 		g.mu.Unlock()
 		return s, nil
@@ -162,7 +165,7 @@
 	u := s.upstream
 	g.mu.Lock()
 	delete(u.running, s.id)
-	if !g.options.WithoutLimits {
+	if !g.options.Baseline {
 		u.deliver(u.limiter.Finish(now, s.id, r.limit))
 	}
 	var cleared []*pb.SuspectRecord
--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,10 +18,11 @@
 type Server struct {
 	http *fasthttp.Server
 
+	draining atomic.Bool
+
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*serverConn]struct{}
-	draining bool
 }
 
 const (
@@ -30,6 +32,8 @@
 	// closing response. It covers the round trip between regions (40 ms) several times.
 	lingerTime = 300 * time.Millisecond
 	drainPoll  = 5 * time.Millisecond
+	// quietTime passes between a response and the closing response on the same connection.
+	quietTime = 20 * time.Millisecond
 )
 
 const closingResponse = "HTTP/1.1 503 Service Unavailable\r\n" +
@@ -42,7 +46,7 @@
 func NewServer(handler fasthttp.RequestHandler) *Server {
 	s := &Server{conns: make(map[*serverConn]struct{})}
 	s.http = &fasthttp.Server{
-		Handler:               handler,
+		Handler:               s.handle(handler),
 		ErrorHandler:          rejectUnreadable,
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
@@ -62,6 +66,16 @@
 	return s
 }
 
+// handle tells clients to close their connections once the server stops.
+func (s *Server) handle(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		handler(ctx)
+		if s.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // rejectUnreadable answers a request that could not be read, which no handler has seen.
 func rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	reason := ReasonInvalidHeader
@@ -84,9 +98,8 @@
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
-	draining := s.draining
 	s.mu.Unlock()
-	if draining {
+	if s.draining.Load() {
 		return l.Close() // Shutdown came first
 	}
 	return s.http.Serve(&drainListener{Listener: l, server: s})
@@ -96,8 +109,8 @@
 // finish, closes idle connections with the closing response and returns when
 // all are closed or the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
 	s.mu.Lock()
-	s.draining = true
 	listener := s.listener
 	s.mu.Unlock()
 	if listener != nil {
@@ -137,12 +150,6 @@
 	return len(open)
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 func (s *Server) add(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sc := &serverConn{Conn: c, server: l.server}
+	sc := &serverConn{Conn: c, server: l.server, idleSince: time.Now()}
 	l.server.add(sc)
 	return sc, nil
 }
--- a/adapters/httpproxy/serverconn.go
+++ b/adapters/httpproxy/serverconn.go
@@ -16,10 +16,11 @@
 	mu sync.Mutex
 	// answered is true between a response and the first byte of the next request
 	// as the HTTP server sees it; with pipelining that byte may be in its buffer.
-	answered bool
-	busy     bool // a byte was read since the last complete response
-	closing  bool // the closing response was sent; no further request is read
-	closed   bool
+	answered  bool
+	busy      bool // a byte was read since the last complete response
+	closing   bool // the closing response was sent; no further request is read
+	closed    bool
+	idleSince time.Time
 	// lingerUntil bounds how long discarded bytes are read.
 	lingerUntil time.Time
 }
@@ -46,13 +47,10 @@
 // only when its buffer holds no further request and the response was written.
 func (c *serverConn) beforeRead() {
 	c.mu.Lock()
-	idle := c.answered
-	if idle {
+	defer c.mu.Unlock()
+	if c.answered && c.busy {
 		c.busy = false
-	}
-	c.mu.Unlock()
-	if idle && c.server.isDraining() {
-		c.announceClose()
+		c.idleSince = time.Now()
 	}
 }
 
@@ -76,10 +74,12 @@
 
 // announceClose sends the closing response on an idle connection, once. It
 // must not be sent while a response is written: its bytes would become part of it.
+// Right after a response it would arrive with it, and clients that discard bytes
+// after a response would not see it.
 func (c *serverConn) announceClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.closing || c.closed {
+	if c.busy || c.closing || c.closed || time.Since(c.idleSince) < quietTime {
 		return
 	}
 	c.closing = true
