balance, limit: keep short deadlines from ejecting busy endpoints

Cause: at 2 times capacity 18% of the slots' time was unused: callers' deadlines that passed in the queue counted as failures and ejected one of two endpoints. Admission aimed at the deadline itself. A service with one endpoint was never retried. Change: a deadline near the usual latency is neutral; admission leaves a margin of 25%; the only endpoint may be tried again when it accepted the first attempt.

--- a/adapters/httpproxy/forward.go
+++ b/adapters/httpproxy/forward.go
@@ -28,6 +28,7 @@
 	redirects int
 	crashes   int
 	tried     []string // gates that are not tried again
+	mayReuse  bool     // the last attempt was accepted by its gate, so that the same one may be tried again
 	pick      balance.Pick
 }
 
@@ -116,6 +117,10 @@
 	now := time.Now()
 	var ok bool
 	f.pick, ok = st.balancer.Pick(now, f.version, f.isTried, e.random.Float64)
+	if !ok && f.mayReuse {
+		// No other endpoint is left; the failure of one attempt does not condemn the only one.
+		f.pick, ok = st.balancer.Pick(now, f.version, nil, e.random.Float64)
+	}
 	if !ok && f.fallBack() {
 		f.pick, ok = st.balancer.Pick(now, f.version, f.isTried, e.random.Float64)
 	}
@@ -224,7 +229,7 @@
 		f.crashes++
 	}
 	o := balance.Outcome{
-		Latency: a.latency, Failed: a.failed() && !a.below, Refused: a.unreached(),
+		Latency: a.latency, Failed: a.failed() && !a.below, Refused: a.unreached(), TimedOut: a.reason() == ReasonDeadlineAfter,
 		Rejected: a.ran == RanNotRun, Bytes: len(f.ctx.Request.Body()) + len(f.ctx.Response.Body()),
 	}
 	if a.failure == nil {
@@ -263,6 +268,7 @@
 		NotRun: a.ran == RanNotRun, Unreached: a.unreached(), FailedBelow: a.below, Overload: a.overload(),
 		Idempotent: f.route.GetIdempotent(), Terminal: f.isTerminal(a), Remaining: f.call.deadline.Sub(now),
 	})
+	f.mayReuse = verdict == retry.Repeat
 	switch verdict {
 	case retry.Redirect:
 		f.redirects++
--- a/app/callbench/mesh.go
+++ b/app/callbench/mesh.go
@@ -147,8 +147,15 @@
 	})
 }
 
+// close ends what is left. Entries go first, so that gates need not wait for idle connections.
 func (m *mesh) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
 	var wg sync.WaitGroup
+	for _, n := range m.nodes {
+		wg.Go(func() { _ = n.entry.Shutdown(ctx) })
+	}
+	wg.Wait()
 	for _, n := range m.nodes {
 		wg.Go(n.stop)
 	}
--- a/app/callbench/overload.go
+++ b/app/callbench/overload.go
@@ -19,6 +19,12 @@
 	Admitted Quantiles `json:"admitted"` // latency of responses with status 200
 	Rejected int       `json:"rejected_not_run"`
 	Late     int       `json:"late_or_failed"`
+	// RunMs is the mean time of a request at the upstream, and Utilization the part of the
+	// slots' time that was used. On a busy machine requests take longer than the simulated work.
+	RunMs       float64 `json:"run_ms"`
+	Utilization float64 `json:"utilization"`
+	// GoodputOfReal relates the goodput to the capacity at that time of a request.
+	GoodputOfReal float64 `json:"goodput_of_real_capacity"`
 }
 
 const (
@@ -64,6 +70,14 @@
 	}
 	out.Goodput = float64(good) / elapsed.Seconds() / capacity
 	out.Admitted = quantiles(admitted)
+	busy, calls := time.Duration(0), int64(0)
+	for _, u := range m.upstreams {
+		busy += time.Duration(u.busy.Load())
+		calls += u.calls.Load()
+	}
+	out.RunMs = busy.Seconds() * 1000 / float64(max(calls, 1))
+	out.Utilization = busy.Seconds() / elapsed.Seconds() / (overloadNodes * slots)
+	out.GoodputOfReal = out.Goodput * out.RunMs / 1000 / overloadWork.Seconds()
 	return out, nil
 }
 
--- a/app/callbench/report.go
+++ b/app/callbench/report.go
@@ -1,8 +1,10 @@
 package callbench
 
 import (
+	"os"
 	"runtime"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,6 +25,8 @@
 	Seed        uint64          `json:"seed"`
 	Cores       int             `json:"cores"`
 	GoVersion   string          `json:"go_version"`
+	LoadBefore  string          `json:"load_average_before"`
+	LoadAfter   string          `json:"load_average_after"`
 	Latency     Latency         `json:"latency"`
 	Overload    []Overload      `json:"overload"`
 	Imbalance   []Imbalance     `json:"imbalance"`
@@ -48,7 +52,7 @@
 // Run all scenarios one after the other.
 func Run(o Options, command string) (*Report, error) {
 	started := time.Now()
-	r := &Report{Command: command, Seed: o.Seed, Cores: runtime.NumCPU(), GoVersion: runtime.Version()}
+	r := &Report{Command: command, Seed: o.Seed, Cores: runtime.NumCPU(), GoVersion: runtime.Version(), LoadBefore: loadAverage()}
 	var err error
 	if r.Latency, err = measureLatency(o); err != nil {
 		return nil, err
@@ -82,10 +86,20 @@
 		}
 		r.Stops = append(r.Stops, s)
 	}
+	r.LoadAfter = loadAverage()
 	r.TookSeconds = time.Since(started).Seconds()
 	return r, nil
 }
 
+// loadAverage of the machine tells how far other processes disturbed the run.
+func loadAverage() string {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(b))[:3], " ")
+}
+
 // Quantiles in milliseconds.
 type Quantiles struct {
 	P50  float64 `json:"p50_ms"`
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -156,6 +156,19 @@
 	}
 	is.Equal(b.Ejected(start), 1)
 	is.Equal(spread(b, 100, ok)[bad], 0)
+	// Deadlines near the usual latency eject nobody, an endpoint that hangs is ejected.
+	for _, c := range []struct {
+		deadline time.Duration
+		ejected  int
+	}{{30 * time.Millisecond, 0}, {time.Second, 1}} {
+		b = New(0)
+		b.SetEndpoints(list)
+		b.Done(start, bad, Outcome{Latency: 10 * time.Millisecond})
+		for range 2 * ejectAfter {
+			b.Done(start, bad, Outcome{Failed: true, TimedOut: true, Latency: c.deadline})
+		}
+		is.Equal(b.Ejected(start), c.ejected)
+	}
 	b = New(0)
 	b.SetEndpoints(list)
 	closed := map[string]bool{list[0].Address: true, list[1].Address: true, list[2].Address: true}
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -27,6 +27,9 @@
 	// errorWork multiplies the expected work by up to this factor for an endpoint that fails,
 	// because failing fast would otherwise look like being fast.
 	errorWork = 10.0
+	// usualFactor of the average latency is still usual: a caller whose deadline passes
+	// earlier set it too short, or waited in a queue, which does not speak against the endpoint.
+	usualFactor = 4
 )
 
 // Endpoint is one candidate. Hints of the endpoint (slots) are bounded by the caller.
@@ -49,6 +52,8 @@
 	Latency time.Duration
 	// Failed is true for failures that speak against the endpoint.
 	Failed bool
+	// TimedOut is true when the deadline of the caller passed.
+	TimedOut bool
 	// Refused is true when the endpoint accepted no connection or is leaving.
 	Refused bool
 	// Rejected is true when a limit rejected the request; its latency says nothing.
@@ -231,6 +236,9 @@
 	if e.Link == ports.LinkRemote {
 		b.remote.use(now, float64(o.Bytes))
 	}
+	if o.TimedOut && e.latency > 0 && o.Latency.Seconds() < usualFactor*e.latency {
+		o.Rejected = true
+	}
 	if o.Load != nil {
 		e.load, e.loadAt, e.loadLocal = *o.Load, now, e.inFlight
 	}
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -155,6 +155,10 @@
 	return unknownCost
 }
 
+// estimateMargin leaves room for requests that take longer than the average. The
+// queue stays filled, so that it costs no goodput, and responses come before the deadline.
+const estimateMargin = 1.25
+
 // unknownCost in seconds is charged before the first request is finished. It is
 // small, because what is charged too much at that time delays the tenant later.
 const unknownCost = 0.001
@@ -169,7 +173,7 @@
 	share := float64(w.Weight) / l.tenants.activeWeight(w.tenant)
 	ahead := min(float64(l.queued), float64(len(w.tenant.queue))/share)
 	wait := (ahead + 1) / slots * l.service.seconds
-	finish := wait + l.cost(w.tenant)
+	finish := (wait + l.cost(w.tenant)) * estimateMargin
 	return now.Add(time.Duration(finish * float64(time.Second))).After(w.Deadline)
 }
 
