httpproxy: make the cancellation test fail without the guard

Cause: the deadline of the service ended the connection as well. Change: the service of the test has a deadline of a minute. Measured: passes; without the check for the caller the upstream sees a timeout.

--- a/adapters/httpproxy/pass_test.go
+++ b/adapters/httpproxy/pass_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
 // Responses of every kind of framing must arrive as the upstream sent them, and
@@ -95,7 +97,7 @@
 // When a caller gives up, the upstream must see its connection end, so that it can stop working.
 func TestCancellationReachesUpstream(t *testing.T) {
 	is := is.New(t)
-	m := newMesh(t, nil)
+	m := newMesh(t, func(s *pb.Service) { s.Limits.TimeoutMs = 60_000 }) // no deadline ends it
 	n := m.node("a")
 	started, ended := make(chan struct{}), make(chan error, 1)
 	n.rawUpstream(func(conn net.Conn) {
