--- a/app/callbench/latency.go
+++ b/app/callbench/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,13 +18,20 @@
 	Direct        Quantiles `json:"direct"`
 	Meshed        Quantiles `json:"meshed"`
 	Added         Quantiles `json:"added"` // of the differences within the pairs
+	// AddedP99Windows are the p99 of the differences in windows of the run; on a busy
+	// machine they show how much of the p99 comes from other processes.
+	AddedP99Windows []float64 `json:"added_p99_ms_windows"`
 	// Per call, the difference between calls through the mesh and direct calls in a closed loop.
 	AddedCPUMicros   float64 `json:"added_cpu_us_per_call"`
 	AddedAllocations float64 `json:"added_allocations_per_call"`
 	AddedBytes       float64 `json:"added_bytes_per_call"`
 }
 
-const closedLoopCalls = 10_000
+const (
+	closedLoopCalls = 10_000
+	windowPairs     = 250
+	latencyPhases   = 3 // a quantile of 0.999 needs more calls than the other scenarios
+)
 
 func measureLatency(o Options) (Latency, error) {
 	m, err := newMesh(false, &pb.Limits{Slots: 64, MaxQueue: 64, MaxConnections: 4096}, 0)
@@ -52,7 +60,7 @@
 }
 
 func pairs(o Options, direct, meshed *caller) Latency {
-	n := int(o.Duration.Seconds() * float64(o.LatencyRate))
+	n := int(latencyPhases * o.Duration.Seconds() * float64(o.LatencyRate))
 	d, m, added := make([]time.Duration, n), make([]time.Duration, n), make([]time.Duration, n)
 	var wg sync.WaitGroup
 	start := time.Now()
@@ -71,8 +79,12 @@
 	}
 	wg.Wait()
 	warm := n / 10 // connections are opened in the first tenth
+	var windows []float64
+	for w := added[warm:]; len(w) >= windowPairs; w = w[windowPairs:] {
+		windows = append(windows, quantiles(slices.Clone(w[:windowPairs])).P99)
+	}
 	return Latency{
-		RatePerSecond: o.LatencyRate, Pairs: n - warm,
+		RatePerSecond: o.LatencyRate, Pairs: n - warm, AddedP99Windows: windows,
 		Direct: quantiles(d[warm:]), Meshed: quantiles(m[warm:]), Added: quantiles(added[warm:]),
 	}
 }
--- a/app/callbench/overload.go
+++ b/app/callbench/overload.go
@@ -23,8 +23,9 @@
 	// slots' time that was used. On a busy machine requests take longer than the simulated work.
 	RunMs       float64 `json:"run_ms"`
 	Utilization float64 `json:"utilization"`
-	// GoodputOfReal relates the goodput to the capacity at that time of a request.
-	GoodputOfReal float64 `json:"goodput_of_real_capacity"`
+	// GoodputOfReal relates the goodput to the capacity at that time of a request; it has no
+	// meaning for the baseline, whose requests take longer because too many run at once.
+	GoodputOfReal float64 `json:"goodput_of_real_capacity,omitempty"`
 }
 
 const (
@@ -77,6 +78,9 @@
 	}
 	out.RunMs = busy.Seconds() * 1000 / float64(max(calls, 1))
 	out.Utilization = busy.Seconds() / elapsed.Seconds() / (overloadNodes * slots)
+	if baseline {
+		return out, nil
+	}
 	out.GoodputOfReal = out.Goodput * out.RunMs / 1000 / overloadWork.Seconds()
 	return out, nil
 }
