rollout: end suspicions that nothing can renew; operator: wait for a full answer

The command line gave up an attempt after 4 s while a control host answers within 5 s, so a command that was surely not accepted was reported as unknown. Change: a suspicion at the full share ends after 30 s without a new peak; a refutation over all calls counts for every route; the attempt of the command line lasts 7 s; one problem is reported once.

--- a/app/operator/client.go
+++ b/app/operator/client.go
@@ -24,10 +24,11 @@
 )
 
 const (
-	// attemptTimeout bounds one request to one control host; an election takes under 3 s.
-	attemptTimeout = 4 * time.Second
+	// attemptTimeout bounds one request to one control host, which itself gives up a
+	// command after 5 s and then can say whether it was surely not accepted.
+	attemptTimeout = 7 * time.Second
 	// submitPatience bounds all attempts of one command.
-	submitPatience = 15 * time.Second
+	submitPatience = 20 * time.Second
 	firstPause     = 100 * time.Millisecond
 	longestPause   = time.Second
 )
--- a/app/operator/file.go
+++ b/app/operator/file.go
@@ -24,7 +24,7 @@
 }
 
 func (e *FileError) Error() string {
-	return fmt.Sprintf("%s: %d problems; nothing was changed\n  %s", e.File, len(e.Problems), strings.Join(e.Problems, "\n  "))
+	return fmt.Sprintf("%s: %s; nothing was changed\n  %s", e.File, count(len(e.Problems)), strings.Join(e.Problems, "\n  "))
 }
 
 // ReadChanges reads a file of changes: JSON with comments, with the services and
--- a/app/operator/print.go
+++ b/app/operator/print.go
@@ -110,6 +110,13 @@
 	return err
 }
 
+func count(problems int) string {
+	if problems == 1 {
+		return "1 problem"
+	}
+	return fmt.Sprintf("%d problems", problems)
+}
+
 // describe says plainly what became of a command.
 func describe(r *pb.CommandResult) string {
 	var b strings.Builder
@@ -123,14 +130,14 @@
 		fmt.Fprintf(&b, "not accepted: %s changed the configuration first, with command %s, revision %d; look at it and try again with `expect %d`",
 			r.GetWinnerOperator(), r.GetWinnerCommandId(), r.GetWinnerRevision(), r.GetWinnerRevision())
 	case pb.Outcome_OUTCOME_INVALID:
-		fmt.Fprintf(&b, "not accepted, nothing was changed: %d problems", len(r.GetProblems()))
+		fmt.Fprintf(&b, "not accepted, nothing was changed: %s", count(len(r.GetProblems())))
 	case pb.Outcome_OUTCOME_UNAVAILABLE:
 		b.WriteString("not accepted: the control hosts have no majority; nothing was changed")
 	default:
 		fmt.Fprintf(&b, "not known whether it was accepted; ask again with: command %s", r.GetCommandId())
 	}
 	fmt.Fprintf(&b, " (command %s)", r.GetCommandId())
-	if r.GetMessage() != "" {
+	if r.GetMessage() != "" && len(r.GetProblems()) == 0 { // otherwise it repeats a problem
 		b.WriteString("\n  " + r.GetMessage())
 	}
 	for _, problem := range r.GetProblems() {
--- a/core/rollout/stream.go
+++ b/core/rollout/stream.go
@@ -40,7 +40,10 @@
 				raise(&s.reference[m][i], gain, limit)
 				s.reference[m][i] = min(s.reference[m][i], limits.ceiling)
 			}
-			s.refute(m)
+			s.refute(m, limits)
+			if limits.refuted[m] {
+				s.dropReference(m)
+			}
 		}
 		if limits.muteConcurrent[m] {
 			continue
@@ -100,7 +103,7 @@
 // refute drops a reference score when the old version's calls of the same time
 // fit the new version's rate better than the old version's earlier one: then
 // something changed for both.
-func (s *stream) refute(m metric) {
+func (s *stream) refute(m metric, limits *limits) {
 	t := &s.since[m]
 	if best(&s.reference[m]) == 0 {
 		*t = tally{}
@@ -112,11 +115,18 @@
 	}
 	score := t.oldHits*math.Log(before/now) + (t.oldTrials-t.oldHits)*math.Log((1-before)/(1-now))
 	if score <= refuteScore {
-		s.reference[m] = [ratioCount]float64{}
-		*t = tally{}
+		s.dropReference(m)
+		// What changed over all calls changed on the rare routes as well, whose few
+		// calls of the old version would take minutes to show it.
+		limits.refuted[m] = limits.refuted[m] || (s.route == "" && s.domain == "")
 	}
 }
 
+func (s *stream) dropReference(m metric) {
+	s.reference[m] = [ratioCount]float64{}
+	s.since[m] = tally{}
+}
+
 // take adds the calls of one cell; cells of a route differ by failure domain.
 func (s *stream) take(t *[metricCount]tally) {
 	for m := range metricCount {
@@ -145,6 +155,7 @@
 	inflation [metricCount]float64
 	// ceiling lets a reference score fall again in bounded time.
 	ceiling        float64
+	refuted        [metricCount]bool // over all calls, in this interval
 	muteReference  [metricCount]bool
 	muteConcurrent [metricCount]bool
 }
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -61,7 +61,7 @@
 				worst(bad, s, m, reference)
 			case reference >= j.threshold:
 				worst(unconfirmed, s, m, reference)
-			case max(concurrent, reference) >= suspicionFactor*j.threshold:
+			case max(concurrent, reference) >= suspicionFactor*j.threshold && !j.lapsed(s, m):
 				worst(suspicious, s, m, max(concurrent, reference))
 			}
 		}
@@ -69,6 +69,14 @@
 	return v
 }
 
+// lapsedIntervals without a new peak end a suspicion at the full share, where no
+// calls of the old version can refute it.
+const lapsedIntervals = 30
+
+func (j *Judge) lapsed(s *stream, m metric) bool {
+	return j.pooledShare == fullShare && s.ages[m].intervals >= lapsedIntervals
+}
+
 // A difference is said to be in one place when the score there is above
 // localFactor of the threshold and everywhere else below a third of that.
 const localFactor = 0.6
