consensus: test that nothing is acknowledged before it is synced

A run also failed because a connection of another test had taken the port of a stopped host. Change: a test with a disk whose sync is held; a fetch while the sibling is gone; each test host listens on its own loopback address. Benchmarks of commits and of the recovery after a leader kill.

--- /dev/null
+++ b/app/consensus/bench_test.go
@@ -0,0 +1,87 @@
+package consensus
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const benchSubmitters = 64
+
+// holdMove is a command that any number of operators can submit at once without a conflict.
+func holdMove(id string) *pb.Command {
+	return &pb.Command{CommandId: id, Operator: "bench", Command: &pb.Command_ChangeMove{
+		ChangeMove: &pb.ChangeMove{MoveId: "none", Action: pb.MoveAction_MOVE_ACTION_HOLD},
+	}}
+}
+
+// BenchmarkCommits prints synced commits per second of 3 hosts with 64
+// concurrent submitters: group commit against one sync for each command.
+func BenchmarkCommits(b *testing.B) {
+	for _, each := range []bool{false, true} {
+		name := map[bool]string{false: "group-commit", true: "sync-each"}[each]
+		b.Run(name, func(b *testing.B) {
+			c := newCluster(b, "kingston", "kingston", "montego-bay")
+			c.tune = func(o *Options) { o.SyncEach, o.SubmitTimeout = each, time.Minute }
+			c.startAll()
+			leader := c.leader()
+			var next atomic.Int64
+			var syncs uint64
+			_ = leader.do(background, func() { syncs = leader.store.Syncs() })
+			b.ResetTimer()
+			var wg sync.WaitGroup
+			for range benchSubmitters {
+				wg.Go(func() {
+					for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+						leader.Submit(background, holdMove(fmt.Sprint(name, i)))
+					}
+				})
+			}
+			wg.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+			b.ReportMetric(float64(leader.store.Syncs()-syncs)/float64(b.N), "syncs/commit")
+		})
+	}
+}
+
+// BenchmarkRecovery prints the time from the kill of the leader to the next
+// accepted command, with 5 hosts, 20 ms between the regions and the default
+// timeouts, against timeouts of three times the length.
+func BenchmarkRecovery(b *testing.B) {
+	for _, factor := range []time.Duration{1, 3} {
+		b.Run(fmt.Sprintf("timeouts-x%d", factor), func(b *testing.B) {
+			c := newCluster(b, "kingston", "kingston", "kingston", "montego-bay", "montego-bay")
+			c.delay = func(from, to string) time.Duration {
+				for _, m := range c.members {
+					if m.GetAddress() == to && m.GetRegion() != memberOf(c.members, from).GetRegion() {
+						return 20 * time.Millisecond
+					}
+				}
+				return 0
+			}
+			c.tune = func(o *Options) {
+				o.ElectionTimeout, o.HeartbeatInterval = factor*DefaultElectionTimeout, factor*DefaultHeartbeatInterval
+			}
+			c.startAll()
+			var total, worst time.Duration
+			for i := range b.N {
+				old := c.leader().options.ID
+				c.submitNext(fmt.Sprint("before", i), "bookings")
+				start := time.Now()
+				c.kill(old)
+				c.submitNext(fmt.Sprint("after", i), "bookings")
+				took := time.Since(start)
+				total, worst = total+took, max(worst, took)
+				c.start(old)
+				c.waitEqual()
+			}
+			b.ReportMetric(total.Seconds()/float64(b.N), "s/recovery")
+			b.ReportMetric(worst.Seconds(), "s/worst")
+		})
+	}
+}
--- a/app/consensus/cluster_test.go
+++ b/app/consensus/cluster_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,8 @@
 
 const testWait = 20 * time.Second
 
+var clusters atomic.Int32
+
 // cluster runs hosts on loopback listeners and can cut the links between them.
 type cluster struct {
 	t       testing.TB
@@ -40,10 +44,12 @@
 }
 
 func newCluster(t testing.TB, regions ...string) *cluster {
+	clusters.Add(1)
 	c := &cluster{t: t, dir: t.TempDir(), cut: make(map[string]bool), hosts: make(map[string]*testHost)}
 	for i, region := range regions {
 		id := fmt.Sprintf("c%d", i+1)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// An own address per host: no connection of another host can take the port while this one is down.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, clusters.Load()%250+1, i+1))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/app/consensus/host_test.go
+++ b/app/consensus/host_test.go
@@ -389,6 +389,64 @@
 	cmd := putService("after", l.State().Configuration.GetRevision(), "after", string(slices.Concat(big, big, big, big)))
 	is.Equal(l.Submit(background, cmd).GetOutcome(), accepted)
 	c.waitEqual()
+	entry := new(pb.Entry)
+	is.NoErr(l.do(background, func() { entry = l.node.Entry(l.State().Index) }))
+	m = &pb.RaftMessage{Kind: pb.RaftKind_RAFT_KIND_APPEND, From: l.options.ID, Entries: []*pb.Entry{entry}}
+	receiver := c.hosts["c5"]
+	receiver.payloads = newPayloadCache()
+	thin := thinMessage(m)
+	is.True(receiver.fill(background, thin)) // from the leader, since the sibling is gone
+	is.Equal(thin.GetEntries()[0].GetPayload(), entry.GetPayload())
+}
+
+// blockedFS holds every sync while it is locked.
+type blockedFS struct {
+	disk.OS
+	mu sync.Mutex
+}
+
+type blockedFile struct {
+	disk.File
+	fs *blockedFS
+}
+
+func (f blockedFile) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	return f.File.Sync()
+}
+
+func (f *blockedFS) Create(name string) (disk.File, error) {
+	file, err := f.OS.Create(name)
+	return blockedFile{file, f}, err
+}
+
+// Guards against an acknowledgement, to the leader or to the operator, of what is not synced yet.
+func TestNothingIsAcknowledgedBeforeSync(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, "kingston", "kingston")
+	fs := make(map[string]*blockedFS)
+	c.tune = func(o *Options) {
+		fs[o.ID] = &blockedFS{}
+		o.FS = fs[o.ID]
+	}
+	c.startAll()
+	c.submitNext("first", "bookings")
+	for _, slow := range []*testHost{c.follower(), c.leader()} {
+		id, revision := "slow-"+slow.options.ID, c.leader().State().Configuration.GetRevision()
+		fs[slow.options.ID].mu.Lock()
+		done := make(chan *pb.CommandResult, 1)
+		go func() { done <- c.leader().Submit(background, putService(id, revision, id, "v1")) }()
+		select {
+		case r := <-done:
+			t.Errorf("%v before %s has synced", r, slow.options.ID)
+			done <- r
+		case <-time.After(200 * time.Millisecond):
+		}
+		fs[slow.options.ID].mu.Unlock()
+		is.Equal((<-done).GetOutcome(), accepted)
+	}
 }
 
 // Guards against a lease that outlives a suspension which the monotonic clock
