httpproxy: let a former instance finish beside its successor

Cause: an upstream that was replaced before it left was taken for crashed, its leave request was answered at once while requests still ran, and idle connections to it stayed open. Change: the gate keeps the former instance, judges a crash by its address, and closes its pool.

--- a/adapters/httpproxy/announce.go
+++ b/adapters/httpproxy/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/netip"
 	"strings"
 	"time"
@@ -79,11 +80,14 @@
 	}
 	current := g.upstream
 	if current == nil || current.ended() || current.announced.Instance != u.Instance || current.announced.Address != u.Address {
-		crashed := current != nil && !current.crashed && current.state == pb.EndpointState_ENDPOINT_STATE_SERVING
 		g.upstream = newUpstream(u, slots, connections, g.options, queue)
+		if current != nil && current.announced.Instance != u.Instance {
+			g.former = current // it may still finish what it runs
+		}
 		g.mu.Unlock()
-		if crashed {
-			g.crash(current) // it restarted without leaving
+		if current != nil {
+			current.pool.close() // connections in use end with their request
+			g.replaced(current, u)
 		}
 		g.publish()
 		return
@@ -100,6 +104,26 @@
 	}
 }
 
+// replaced looks whether the instance that another one follows has crashed. It
+// has when its successor took its address, or when its address is closed.
+// Otherwise both run for a moment, and the former one finishes its requests.
+func (g *Gate) replaced(former *upstream, next ports.Upstream) {
+	g.mu.Lock()
+	serving := !former.crashed && former.state == pb.EndpointState_ENDPOINT_STATE_SERVING
+	g.mu.Unlock()
+	if !serving {
+		return
+	}
+	if former.announced.Address != next.Address {
+		conn, err := net.DialTimeout("tcp", former.announced.Address, crashDial)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	g.crash(former)
+}
+
 // bounds of an upstream: what it announces is a hint, the configuration limits it.
 func (g *Gate) bounds(u ports.Upstream) (slots, connections, queue int) {
 	slots, connections, queue = u.Slots, u.MaxConnections, g.options.MaxQueue
@@ -127,6 +151,9 @@
 func (g *Gate) UpstreamLeaves(u ports.Upstream, wait time.Duration) bool {
 	g.mu.Lock()
 	current := g.upstream
+	if current == nil || current.announced.Instance != u.Instance {
+		current = g.former
+	}
 	if current == nil || current.announced.Instance != u.Instance {
 		g.mu.Unlock()
 		return true
@@ -212,6 +239,7 @@
 	records := g.quarantine.Crashed(now, u.announced.Service, u.inFlight(now))
 	u.dropWaiting()
 	g.mu.Unlock()
+	u.pool.close()
 	if len(records) > 0 && g.deps.Suspects != nil {
 		g.deps.Suspects.Spread(records)
 	}
--- a/adapters/httpproxy/gate.go
+++ b/adapters/httpproxy/gate.go
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	leaving  bool // the node stops
 	upstream *upstream
+	former   *upstream // the instance before; it may still finish requests
 	// leftInstance is the upstream process that left last; late renewals of it are ignored.
 	leftInstance string
 	quarantine   *quarantine.Registry
--- a/adapters/httpproxy/stop_test.go
+++ b/adapters/httpproxy/stop_test.go
@@ -207,6 +207,31 @@
 	is.Equal(state(), pb.EndpointState_ENDPOINT_STATE_SERVING)
 }
 
+// The next instance may announce itself before the former one has left: its
+// requests must finish, it has not crashed, and its leave waits for them.
+func TestNextInstanceBeforeLeave(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil)
+	n := m.node("a")
+	release := make(chan struct{})
+	former := n.upstream(func(ctx *fasthttp.RequestCtx) {
+		<-release
+		echo(ctx)
+	})
+	done := make(chan reply, 1)
+	go func() { done <- send(n.entryAddress, "POST", "/fares", "slow", nil) }()
+	for former.active.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n.upstream(echo)
+	is.Equal(len(n.gate.Suspects()), 0)
+	is.True(!n.gate.UpstreamLeaves(former.Upstream, 0))
+	is.Equal(send(n.entryAddress, "POST", "/fares", "next", nil).body, "POST /fares next")
+	close(release)
+	is.True(n.gate.UpstreamLeaves(former.Upstream, time.Second))
+	is.Equal((<-done).body, "POST /fares slow")
+}
+
 // A response during a stop must tell the client to close, and the closing
 // response must not arrive together with a response: clients that discard bytes
 // after a response would then find the connection closed without a word.
