httpproxy, balance: avoid only endpoints that are closed, and longer

Cause: an entry that ran out of its own connections, or a short deadline, made an endpoint count as closed for 1 s; a host that does not answer cost a call its dial timeout every second. Change: closed means refused, leaving or without upstream; the time doubles up to 16 s. Measured: TestClosedEndpoints and TestOutliers pass and fail without the change.

--- a/adapters/httpproxy/forward.go
+++ b/adapters/httpproxy/forward.go
@@ -1,6 +1,7 @@
 package httpproxy
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -67,6 +68,15 @@
 	return false
 }
 
+// closed reports an endpoint that takes no request for some time. Too few
+// connections of this entry, a short deadline or another version say nothing of that kind.
+func (a *attempt) closed() bool {
+	if a.failure != nil {
+		return !a.failure.sent && a.failure.reason != ReasonDeadlineBefore && !errors.Is(a.failure.err, errTooManyCon)
+	}
+	return a.unreached() && (a.reason() == ReasonLeaving || a.reason() == ReasonNoEndpoint)
+}
+
 func (f *forwarding) run() *rejection {
 	e := f.entry
 	out := fasthttp.AcquireRequest()
@@ -229,7 +239,7 @@
 		f.crashes++
 	}
 	o := balance.Outcome{
-		Latency: a.latency, Failed: a.failed() && !a.below, Refused: a.unreached(), TimedOut: a.reason() == ReasonDeadlineAfter,
+		Latency: a.latency, Failed: a.failed() && !a.below, Refused: a.closed(), TimedOut: a.reason() == ReasonDeadlineAfter,
 		Rejected: a.ran == RanNotRun, Bytes: len(f.ctx.Request.Body()) + len(f.ctx.Response.Body()),
 	}
 	if a.failure == nil {
--- a/adapters/httpproxy/notrun_test.go
+++ b/adapters/httpproxy/notrun_test.go
@@ -206,3 +206,26 @@
 	is.NoErr(n.entry.Shutdown(context.Background()))
 	check(nil, "", 503, ReasonLeaving)
 }
+
+// An endpoint must be avoided when it takes no requests, and only then: the
+// entry's own lack of connections or a short deadline must not close it.
+func TestClosedEndpoints(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		a    attempt
+		want bool
+	}{
+		{attempt{failure: &exchangeError{reason: ReasonNoConnection, refused: true, err: errClosing}}, true},
+		{attempt{failure: &exchangeError{reason: ReasonLeaving, err: errClosing}}, true},
+		{attempt{failure: &exchangeError{reason: ReasonNoConnection, err: errTooManyCon}}, false},
+		{attempt{failure: &exchangeError{reason: ReasonDeadlineBefore, err: errClosing}}, false},
+		{attempt{failure: &exchangeError{reason: ReasonUpstreamLost, sent: true, err: errClosing}}, false},
+		{attempt{rejected: reject(ReasonLeaving), ran: RanNotRun}, true},
+		{attempt{rejected: reject(ReasonNoEndpoint), ran: RanNotRun}, true},
+		{attempt{rejected: reject(ReasonVersion), ran: RanNotRun}, false},
+		{attempt{rejected: reject(ReasonQueueFull), ran: RanNotRun}, false},
+		{attempt{ran: RanRun, status: 503}, false},
+	} {
+		is.Equal(c.a.closed(), c.want)
+	}
+}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -175,6 +175,21 @@
 	counts = spread(b, 500, func(p Pick) Outcome { return Outcome{Refused: closed[p.Address], Latency: time.Millisecond} })
 	is.True(counts[list[3].Address] >= 497)
 	b = New(0)
+	b.SetEndpoints(list)
+	until := func(at time.Time, o Outcome) time.Duration {
+		b.Done(at, bad, o)
+		return b.byAddress[bad].health.closedUntil.Sub(at)
+	}
+	at := start
+	for _, want := range []time.Duration{1, 2, 4, 8, 16, 16} { // a host that does not answer is tried less and less
+		d := until(at, Outcome{Refused: true})
+		is.Equal(d, want*time.Second)
+		is.Equal(until(at, Outcome{Refused: true}), d) // several calls at the same time count once
+		at = at.Add(d)
+	}
+	until(at, Outcome{Latency: time.Millisecond})
+	is.Equal(until(at, Outcome{Refused: true}), time.Second)
+	b = New(0)
 	b.SetEndpoints(list[:2])
 	for _, e := range b.list {
 		e.health.eject(start)
--- a/core/balance/health.go
+++ b/core/balance/health.go
@@ -16,8 +16,11 @@
 
 	ejectTime    = 2 * time.Second // doubled for each ejection in a row
 	maxEjectTime = 30 * time.Second
-	// refusedTime is until a closed endpoint is tried again; its record has usually changed by then.
-	refusedTime = time.Second
+	// refusedTime is until a closed endpoint is tried again; its record has usually changed by
+	// then. It is doubled each time, because a connection to a host that does not answer at
+	// all costs a call its dial timeout.
+	refusedTime    = time.Second
+	maxRefusedTime = 16 * time.Second
 )
 
 // health counts the outcomes of one endpoint.
@@ -27,6 +30,7 @@
 	windowStart time.Time
 	until       time.Time
 	closedUntil time.Time
+	refusals    int // in a row
 	ejections   int
 }
 
@@ -34,12 +38,19 @@
 
 // refused avoids an endpoint that takes no connection or is leaving. That is
 // certain, so that the maximum share of ejections does not apply.
-func (h *health) refused(now time.Time) { h.closedUntil = now.Add(refusedTime) }
+func (h *health) refused(now time.Time) {
+	if h.unreachable(now) {
+		return // a call that was sent before
+	}
+	h.closedUntil = now.Add(min(refusedTime<<min(h.refusals, 8), maxRefusedTime))
+	h.refusals++
+}
 
 func (h *health) unreachable(now time.Time) bool { return now.Before(h.closedUntil) }
 
 // observe reports that the endpoint should be ejected.
 func (h *health) observe(now time.Time, o Outcome) bool {
+	h.refusals = 0 // it accepted a connection
 	if o.Rejected {
 		return false
 	}
