balance: use an ejected endpoint when the remote budget is spent

Cause: with only remote endpoints left and no budget, calls were rejected although an ejected endpoint nearby could have been tried. Change: ejected endpoints follow when no candidate is left after locality and budget. Measured: TestEjectedBeforeNone passes and fails without it.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// Without budget for the remote region, an ejected endpoint nearby is better than none.
+func TestEjectedBeforeNone(t *testing.T) {
+	is := is.New(t)
+	b := New(0)
+	b.SetEndpoints(append(endpoints(1, ports.LinkDomain), endpoints(2, ports.LinkRemote)...))
+	b.list[0].health.refused(start)
+	p, found := b.Pick(start, "", nil, rand.New(rand.NewPCG(1, 1)).Float64)
+	is.True(found)
+	is.Equal(p.Link, ports.LinkDomain)
+}
+
 // A cold upstream gets a growing share; one that restarted is cold again.
 func TestSlowStart(t *testing.T) {
 	is := is.New(t)
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -130,11 +130,11 @@
 // and counts a request in flight there, which Done ends.
 func (b *Balancer) Pick(now time.Time, version string, excluded func(address string) bool, random Random) (Pick, bool) {
 	usable, ejected := b.usable(now, version, excluded)
-	if len(usable) == 0 {
-		// All candidates are ejected: a doubtful endpoint is better than none.
-		usable = ejected
-	}
 	candidates := b.localize(now, usable, random)
+	if len(candidates) == 0 {
+		// All that may be used are ejected: a doubtful endpoint is better than none.
+		candidates = b.localize(now, ejected, random)
+	}
 	if len(candidates) == 0 {
 		return Pick{}, false
 	}
