consensus: confirm operator queries and leave a leader that another replaces

Change: a query reads through a quorum when there is one and is marked as not confirmed otherwise; a forwarded command ends as soon as another leader is known.

--- a/app/consensus/service_operator.go
+++ b/app/consensus/service_operator.go
@@ -49,13 +49,19 @@
 	return connect.NewResponse(&pb.GetCommandResponse{Found: r != nil, Result: r, Freshness: f}), nil
 }
 
-// Query answers from this host's state, marked with its age.
+// Query answers from this host's state, marked with its age. While a quorum is
+// reachable the answer holds every change accepted before, so that operators
+// see what they have just been told; without one it is what this host has.
 func (s operatorService) Query(ctx context.Context, req *connect.Request[pb.QueryRequest]) (*connect.Response[pb.QueryResponse], error) {
 	q := req.Msg
 	if q.GetWaitMs() > 0 {
 		s.h.waitRevision(ctx, q.GetHaveRevision(), time.Duration(q.GetWaitMs())*time.Millisecond)
 	}
+	confirm, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	confirmed := s.h.ConfirmRead(confirm) == nil
 	f := s.h.freshness() // before the state, so that the answer is never older than it says
+	f.Confirmed = f.Confirmed && confirmed
 	st := s.h.State()
 	out := &pb.QueryResponse{Freshness: f}
 	f.Revision = st.Configuration.GetRevision()
--- a/app/consensus/submit.go
+++ b/app/consensus/submit.go
@@ -204,9 +204,7 @@
 // forward sends a command to the leader. Only a connection that was never made
 // proves that the command did not arrive.
 func (h *Host) forward(ctx context.Context, address string, c *pb.Command) *pb.CommandResult {
-	// A frozen leader takes the request and never answers; another one is elected
-	// in the meantime and gets the same command id.
-	ctx, cancel := context.WithTimeout(ctx, h.options.ElectionTimeout)
+	ctx, cancel := h.whileLeads(ctx, address)
 	defer cancel()
 	client := rattanfieldv1connect.NewRaftServiceClient(h.client.HTTP(), rpc.URL(address))
 	resp, err := client.Forward(ctx, connect.NewRequest(&pb.ForwardRequest{Command: c}))
@@ -219,3 +217,20 @@
 	}
 	return h.unknown(c)
 }
+
+// whileLeads ends its context when another leader, or none, is known. A frozen
+// leader takes a request and never answers; the one that is elected in the
+// meantime gets the same command id.
+func (h *Host) whileLeads(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, h.options.ElectionTimeout)
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			if _, now := h.Leader(); now != address {
+				return
+			}
+			sleep(ctx, submitRetryPause)
+		}
+	}()
+	return ctx, cancel
+}
