settings, operator: check the command line's settings like the others

Cause: the settings of the command line were checked by own code that reported the first problem only and no line; the version differed from the other programs'.

--- a/cmd/rattanfield/main.go
+++ b/cmd/rattanfield/main.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"os/user"
-	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -19,6 +18,8 @@
 	"go.uber.org/dig"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/adapters/settings"
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/operator"
 	"github.com/rattanfield/rattanfield/core/query"
 )
@@ -36,10 +37,7 @@
 }
 
 func (arguments) Version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return "rattanfield " + info.Main.Version
-	}
-	return "rattanfield"
+	return "rattanfield " + telemetry.Version()
 }
 
 func (arguments) Description() string {
@@ -67,7 +65,7 @@
 		func() arguments { return args },
 		readSettings,
 		func() *rpc.Client { return rpc.NewClient(rpc.Options{}) },
-		func(s operator.Settings, transport *rpc.Client) (*operator.Client, error) {
+		func(s *settings.Operator, transport *rpc.Client) (*operator.Client, error) {
 			return operator.NewClient(s.Control, transport)
 		},
 		newSession,
@@ -100,12 +98,12 @@
 }
 
 // readSettings joins the file with the arguments, which win.
-func readSettings(args arguments) (operator.Settings, error) {
-	var s operator.Settings
+func readSettings(args arguments) (*settings.Operator, error) {
+	s := &settings.Operator{}
 	if args.Settings != "" {
 		var err error
-		if s, err = operator.ReadSettings(args.Settings); err != nil {
-			return s, err
+		if s, err = settings.LoadOperator(args.Settings); err != nil {
+			return nil, err
 		}
 	}
 	// The argument parser would join the hosts of the environment and of the command line.
@@ -127,7 +125,7 @@
 	return s, nil
 }
 
-func newSession(args arguments, s operator.Settings, client *operator.Client) *operator.Session {
+func newSession(args arguments, s *settings.Operator, client *operator.Client) *operator.Session {
 	return &operator.Session{
 		Client: client, Out: os.Stdout, JSON: args.JSON, Operator: s.Operator, Now: time.Now,
 		NextID: func() string {
