raft: keep electing when the first leader is lost early

Cause: BenchmarkRecovery found a standstill: the first leader was killed after three of five hosts held the first member set; the two empty hosts could give provisional votes only, and no majority was left. A member's pre-vote that came before the others missed the leader also cost a whole election timeout. Change: a vote is full when the voter has confirmed its disk and the candidate's member set names that disk; a disk whose incarnation was made at this start is confirmed, because nothing was acknowledged under it. Pre-votes repeat after a quarter to half of the timeout.

--- a/adapters/disk/load.go
+++ b/adapters/disk/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -97,6 +98,7 @@
 	if stored.State, err = s.loadMeta(len(segments)+len(snapshots) > 0); err != nil {
 		return stored, err
 	}
+	stored.Fresh = !slices.Contains(names, metaName)
 	if len(snapshots) > 0 {
 		if stored.Snapshot, err = s.loadSnapshot(snapshots[len(snapshots)-1]); err != nil {
 			return stored, err
--- a/adapters/disk/store_test.go
+++ b/adapters/disk/store_test.go
@@ -292,6 +292,7 @@
 	s, stored, err := open(fs)
 	is.NoErr(err)
 	is.Equal(stored.State.Incarnation, []byte("disk"))
+	is.True(stored.Fresh)
 	for i := uint64(1); i <= 40; i++ {
 		is.NoErr(s.Write([]Batch{{Entries: entries(i, i, 1)}}))
 	}
@@ -329,6 +330,7 @@
 	s, stored, err := Open(Options{Dir: dir})
 	is.NoErr(err)
 	is.Equal(stored.Snapshot.Index, uint64(200))
+	is.True(!stored.Fresh)
 	is.Equal(len(stored.State.Incarnation), incarnationBytes)
 	is.NoErr(s.Close())
 }
--- a/core/raft/confirm.go
+++ b/core/raft/confirm.go
@@ -22,8 +22,9 @@
 		bytes.Equal(m.GetIncarnation(), n.state.Incarnation)
 }
 
-// eligible tells whether this host's votes count. A member set that names this
-// disk as a voter is appended only by a host that holds everything before it.
+// eligible tells whether this host may lead and whether its own vote counts. A
+// member set that names this disk as a voter is appended only by a host that
+// holds everything before it.
 func (n *Node) eligible() bool { return n.entitled() && n.confirmation.done }
 
 // confirmByLeader compares the disk with what the leader knows to be
@@ -55,8 +56,11 @@
 		return
 	}
 	from := find(n.members(), m.GetFrom())
-	if from == nil || !from.GetVoter() || !bytes.Equal(from.GetIncarnation(), m.GetIncarnation()) {
-		return // a new disk knows of no acknowledgement
+	if from == nil || !from.GetVoter() || m.GetLogIndex() == 0 {
+		return // an empty disk knows of no acknowledgement
+	}
+	if !n.blank() && !bytes.Equal(from.GetIncarnation(), m.GetIncarnation()) {
+		return // neither does one that replaced another
 	}
 	if n.confirmation.peers == nil {
 		n.confirmation.peers = make(map[string]bool)
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -54,6 +54,11 @@
 		n.state.Term, n.state.Vote = term, n.config.ID
 	}
 	n.resetElectionDeadline()
+	if role == PreCandidate {
+		// A pre-vote costs nothing, and the first one often comes before the others miss the leader.
+		quarter := n.config.ElectionTimeout / 4
+		n.electionDeadline = n.now + quarter + time.Duration(n.config.Rand.Int64N(int64(quarter)))
+	}
 	n.votes = map[string]vote{n.config.ID: {granted: true, provisional: !n.eligible(), incarnation: n.state.Incarnation}}
 	if n.won() {
 		n.winElection(role)
@@ -87,8 +92,8 @@
 
 func (n *Node) replyPreVote(m *pb.RaftMessage, grant bool) {
 	reply := &pb.RaftMessage{
-		Kind: pb.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !grant,
-		Provisional: !n.eligible(), Acknowledged: n.floorOf(m.GetFrom()),
+		Kind: pb.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !grant, LogIndex: n.log.last(),
+		Provisional: !n.confirmation.done, Acknowledged: n.floorOf(m.GetFrom()),
 	}
 	if grant {
 		reply.Term = m.GetTerm()
@@ -111,7 +116,7 @@
 		n.resetElectionDeadline()
 	}
 	n.sendAfterSync(&pb.RaftMessage{
-		Kind: pb.RaftKind_RAFT_KIND_VOTE_REPLY, To: m.GetFrom(), Reject: !grant, Provisional: !n.eligible(),
+		Kind: pb.RaftKind_RAFT_KIND_VOTE_REPLY, To: m.GetFrom(), Reject: !grant, Provisional: !n.confirmation.done,
 	})
 }
 
@@ -137,6 +142,8 @@
 }
 
 // won is true with a majority of full votes, or with the votes of all voters.
+// A vote is full when the voter has confirmed its disk and the candidate's
+// member set names that disk: it was then admitted with all that was committed.
 // Unanimity admits provisional votes: when every voter's disk ends at or before
 // the candidate's, no surviving disk holds anything that the candidate lacks.
 // It covers the first election of new disks.
@@ -152,7 +159,7 @@
 			continue
 		}
 		all++
-		if !v.provisional && bytes.Equal(v.incarnation, m.GetIncarnation()) {
+		if !v.provisional && len(v.incarnation) > 0 && bytes.Equal(v.incarnation, m.GetIncarnation()) {
 			full++
 		}
 	}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -44,6 +44,7 @@
 		config: config, now: now, state: stored.State, savedState: stored.State, log: newLog(stored),
 		floors: make(map[string]*pb.Acknowledged), remote: make(map[uint64]bool),
 	}
+	n.confirmation.done = stored.Fresh
 	n.loadSets(stored)
 	// A vote right after a restart could break a lease that this host confirmed before it stopped.
 	n.lastContact = now
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -175,7 +175,7 @@
 	}
 	s.crash(h, 0)
 	h.disk = simDisk{state: HardState{Incarnation: fmt.Appendf(nil, "%s-%d", h.id, s.next+uint64(s.now))}}
-	h.damaged = true
+	h.damaged, h.started = true, false
 	h.backups = nil
 	s.start(h)
 }
@@ -223,6 +223,70 @@
 		s.heal()
 		s.calm(8 * time.Second)
 		s.requireWorking()
+		s.requireWorkingWithout(s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "down")], rapid.Bool().Draw(t, "power loss"))
+	})
+}
+
+// requireWorkingWithout: a minority that is down must not stop the others, also after a restart of all.
+func (s *sim) requireWorkingWithout(down *simHost, restart bool) {
+	for _, h := range s.hosts {
+		if h == down || restart {
+			s.crash(h, 0)
+		}
+		if h != down && restart {
+			s.start(h)
+		}
+	}
+	s.calm(4 * time.Second)
+	before := s.maxCommit
+	s.require(s.leader() != nil && s.propose(s.leader()), "no leader without %s: %s", down.id, s.describe())
+	s.calm(time.Second)
+	s.require(s.maxCommit > before, "nothing is committed without %s: %s", down.id, s.describe())
+}
+
+// Guards against a standstill when the first leader is lost before some hosts
+// received anything: their disks are empty and still the ones that took part in
+// the first election.
+func TestFirstLeaderIsLostEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, 5, 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.drop = func(m *pb.RaftMessage) bool {
+			return m.GetKind() == pb.RaftKind_RAFT_KIND_APPEND && (m.GetTo() == "h3" || m.GetTo() == "h4")
+		}
+		for s.leader() == nil {
+			s.calm(simTick)
+			s.require(s.now < 20*time.Second, "no first leader")
+		}
+		first := s.leader()
+		s.crash(first, 0)
+		s.drop = nil
+		s.net = nil
+		s.requireWorkingWithout(first, false)
+	})
+}
+
+// Guards against a full vote of a host that has not compared its disk with anybody since its start.
+func TestVoteAfterRestartIsProvisional(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, 3, 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.calm(2 * time.Second)
+		l, h := s.leader(), s.hosts[0]
+		if l == h {
+			h = s.hosts[1]
+		}
+		for _, confirmed := range []bool{true, false} {
+			if !confirmed {
+				s.crash(h, 0)
+				s.start(h)
+			}
+			h.node.Step(s.now, &pb.RaftMessage{
+				Kind: pb.RaftKind_RAFT_KIND_VOTE, From: l.id, To: h.id, Term: h.node.state.Term + 1, Force: true,
+				LogIndex: l.node.log.last(), LogTerm: l.node.log.lastTerm(),
+			})
+			r, _ := h.node.Ready()
+			reply := r.AfterSync[len(r.AfterSync)-1]
+			s.require(!reply.GetReject() && reply.GetProvisional() != confirmed, "confirmed %v: %v", confirmed, reply)
+		}
 	})
 }
 
@@ -296,6 +360,7 @@
 			s.crash(repaired, 0)
 			s.calm(simBeat * 2)
 			repaired.disk = r.disk(repaired, backup)
+			repaired.started = r.name == "older"
 			s.start(repaired)
 			s.busy(rapid.IntRange(0, 40).Draw(t, "ticks after the repair"))
 			s.crash(l, 0)
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -63,6 +63,7 @@
 	applied  uint64
 	digest   uint64
 	paused   bool
+	started  bool // the disk was used before
 	damaged  bool // lost or older disk that is not admitted again
 	unproven bool // older disk that nobody has noticed yet
 	seed     uint64
@@ -78,7 +79,8 @@
 	hosts   []*simHost
 	initial []*pb.Member
 	net     []simMessage
-	cut     map[[2]string]bool // one-way
+	drop    func(m *pb.RaftMessage) bool // nil: none
+	cut     map[[2]string]bool           // one-way
 
 	committed []*pb.Entry // by index, 1-based with a nil at 0
 	digests   []uint64
@@ -111,10 +113,12 @@
 
 func (s *sim) start(h *simHost) {
 	h.seed++
+	fresh := !h.started // a new or replaced disk starts for the first time
+	h.started = true
 	h.node = New(Config{
 		ID: h.id, Members: s.initial, ElectionTimeout: simElection, HeartbeatInterval: simBeat,
 		Rand: rand.New(rand.NewPCG(h.seed, 1)),
-	}, Stored{State: h.disk.state, Snapshot: h.disk.snap, Entries: h.disk.entries}, s.now)
+	}, Stored{State: h.disk.state, Snapshot: h.disk.snap, Entries: h.disk.entries, Fresh: fresh}, s.now)
 	h.applied, h.digest = h.disk.snap.Index, 0
 	if h.applied > 0 {
 		h.digest = binary.BigEndian.Uint64(h.disk.snap.Data)
@@ -260,6 +264,9 @@
 		s.net = slices.Delete(s.net, i, i+1)
 	}
 	to := s.host(m.GetTo())
+	if s.drop != nil && s.drop(m) {
+		return
+	}
 	if s.cut[[2]string{m.GetFrom(), m.GetTo()}] || to == nil || to.node == nil || to.paused {
 		return
 	}
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -69,6 +69,8 @@
 	State    HardState
 	Snapshot Snapshot
 	Entries  []*pb.Entry // contiguous; may begin before the end of the snapshot
+	// Fresh tells that the incarnation was made at this start, so nothing was ever acknowledged under it.
+	Fresh bool
 }
 
 // ReadState answers a ReadIndex: the read may be served once Index is applied.
