--- a/app/calls/cluster_test.go
+++ b/app/calls/cluster_test.go
@@ -178,7 +178,8 @@
 type ledgerUpstream struct {
 	server *httpproxy.Server
 	ports.Upstream
-	renew *time.Timer
+	listener net.Listener
+	renew    *time.Timer
 }
 
 // executions counts how often each body was run, over all upstreams.
@@ -205,7 +206,7 @@
 
 func (n *testNode) announce(handler fasthttp.RequestHandler) *ledgerUpstream {
 	l := listen(n.cluster.t)
-	u := &ledgerUpstream{server: httpproxy.NewServer(handler), Upstream: ports.Upstream{
+	u := &ledgerUpstream{listener: l, server: httpproxy.NewServer(handler), Upstream: ports.Upstream{
 		Service: "tills", Version: "v1", Address: l.Addr().String(), Slots: 9, Instance: l.Addr().String(),
 	}}
 	go func() { _ = u.server.Serve(l) }()
--- a/app/calls/once_test.go
+++ b/app/calls/once_test.go
@@ -258,3 +258,29 @@
 	r := send(c.nodes["n1"].entryAddr, "/fares", "k", "slow")
 	is.Equal([]any{r.body, r.replayed}, []any{"slow paid 1", true})
 }
+
+// When an upstream crashes, the gates of the other nodes must know its requests
+// before the caller gets its failure, since it may repeat the call at once.
+func TestSuspectsReachOtherGates(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 3)
+	var u *ledgerUpstream
+	u = c.nodes["n1"].announce(func(ctx *fasthttp.RequestCtx) {
+		_ = u.listener.Close()
+		_ = ctx.Conn().Close()
+	})
+	payments(c, "n2", "n3")
+	for id, n := range c.nodes {
+		if id != "n1" {
+			n.Publish(pb.EndpointState_ENDPOINT_STATE_SERVING, n.upstream.Upstream)
+			c.records[id].Version = "v2" // reached by pushes, not by calls of v1
+		}
+	}
+	r := send(c.nodes["n1"].entryAddr, "/fares", "", "poison")
+	is.Equal([]any{r.status, r.reason}, []any{502, "upstream-crashed"})
+	for _, n := range c.nodes {
+		is.Equal(len(n.Gate().Suspects()), 1)
+		is.Equal(n.Gate().Suspects()[0].GetState(), pb.SuspectState_SUSPECT_STATE_SUSPECT)
+	}
+}
