--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// Without budget for the remote region, an ejected endpoint nearby is better than none.
+func TestEjectedBeforeNone(t *testing.T) {
+	is := is.New(t)
+	b := New(0)
+	b.SetEndpoints(append(endpoints(1, ports.LinkDomain), endpoints(2, ports.LinkRemote)...))
+	b.list[0].health.refused(start)
+	p, found := b.Pick(start, "", nil, rand.New(rand.NewPCG(1, 1)).Float64)
+	is.True(found)
+	is.Equal(p.Link, ports.LinkDomain)
+}
+
 // A cold upstream gets a growing share; one that restarted is cold again.
 func TestSlowStart(t *testing.T) {
 	is := is.New(t)
@@ -156,12 +167,40 @@
 	}
 	is.Equal(b.Ejected(start), 1)
 	is.Equal(spread(b, 100, ok)[bad], 0)
+	// Deadlines near the usual latency eject nobody, an endpoint that hangs is ejected.
+	for _, c := range []struct {
+		deadline time.Duration
+		ejected  int
+	}{{30 * time.Millisecond, 0}, {time.Second, 1}} {
+		b = New(0)
+		b.SetEndpoints(list)
+		b.Done(start, bad, Outcome{Latency: 10 * time.Millisecond})
+		for range 2 * ejectAfter {
+			b.Done(start, bad, Outcome{Failed: true, TimedOut: true, Latency: c.deadline})
+		}
+		is.Equal(b.Ejected(start), c.ejected)
+	}
 	b = New(0)
 	b.SetEndpoints(list)
 	closed := map[string]bool{list[0].Address: true, list[1].Address: true, list[2].Address: true}
 	counts = spread(b, 500, func(p Pick) Outcome { return Outcome{Refused: closed[p.Address], Latency: time.Millisecond} })
 	is.True(counts[list[3].Address] >= 497)
 	b = New(0)
+	b.SetEndpoints(list)
+	until := func(at time.Time, o Outcome) time.Duration {
+		b.Done(at, bad, o)
+		return b.byAddress[bad].health.closedUntil.Sub(at)
+	}
+	at := start
+	for _, want := range []time.Duration{1, 2, 4, 8, 16, 16} { // a host that does not answer is tried less and less
+		d := until(at, Outcome{Refused: true})
+		is.Equal(d, want*time.Second)
+		is.Equal(until(at, Outcome{Refused: true}), d) // several calls at the same time count once
+		at = at.Add(d)
+	}
+	until(at, Outcome{Latency: time.Millisecond})
+	is.Equal(until(at, Outcome{Refused: true}), time.Second)
+	b = New(0)
 	b.SetEndpoints(list[:2])
 	for _, e := range b.list {
 		e.health.eject(start)
