relay: count a node to the relay where it waits

Cause: nodes that start ask several relays; each listed them as nodes of another failure domain for a minute, so summaries grew to hundreds of entries after a start of 560 and 980 nodes and reached 13 KB per change on the link. Change: only a long poll makes a node one that follows a relay.

--- a/app/relay/relay_test.go
+++ b/app/relay/relay_test.go
@@ -241,7 +241,7 @@
 		{NodeId: "n2", FailureDomain: "x", Incarnation: 1, Sequence: 1, State: pb.EndpointState_ENDPOINT_STATE_SERVING},
 	}
 	sync := func(id string, revision uint64) {
-		r.note(&pb.SyncRequest{NodeId: id, HaveRevision: revision})
+		r.note(&pb.SyncRequest{NodeId: id, HaveRevision: revision, WaitMs: 1})
 	}
 	summary := func() *pb.RelaySummary {
 		r.mu.Lock()
@@ -249,6 +249,9 @@
 		return r.ownSummaryLocked(records, now)
 	}
 	now = now.Add(time.Minute)
+	r.note(&pb.SyncRequest{NodeId: "n1", HaveRevision: 1})
+	is.Equal(summary().GetRevision(), uint64(1))
+	is.Equal(len(summary().GetExceptions()), 2) // n1 only asked once, it waits elsewhere
 	sync("n1", 1)
 	sync("n2", 1)
 	is.Equal(summary().GetRevision(), uint64(1))
--- a/app/relay/status.go
+++ b/app/relay/status.go
@@ -28,7 +28,7 @@
 type nodeStatus struct {
 	applied  uint64
 	seenAt   time.Time
-	syncedAt time.Time // last request of the node to this relay
+	syncedAt time.Time // last long poll of the node at this relay
 }
 
 type stampedSummary struct {
@@ -51,7 +51,10 @@
 	defer r.mu.Unlock()
 	n := r.nodeLocked(m.GetNodeId())
 	n.seenAt = r.options.Now()
-	n.syncedAt = n.seenAt
+	if m.GetWaitMs() > 0 {
+		// A starting node asks several relays; it follows the one where it waits.
+		n.syncedAt = n.seenAt
+	}
 	n.applied = max(n.applied, m.GetHaveRevision())
 }
 
