--- a/cmd/rattanfield-capacity/scale.go
+++ b/cmd/rattanfield-capacity/scale.go
@@ -19,7 +19,7 @@
 	// idleWindow is one interval of the exchanges over the region link.
 	idleWindow = 10 * time.Second
 	// startTime covers what a start leaves behind, above all lagging nodes in summaries.
-	startTime    = 4 * time.Second
+	startTime    = 8 * time.Second
 	overheadTime = 2 * time.Second
 	scaleChanges = 6
 	scaleChurn   = 6
