ledger: ask the nearest majority of a group first

Change: a gate asks the nearest majority and sends the end of the claim there; it asks the others when one does not grant or 40 ms have passed. Safety rests on majorities alone, so it is unchanged; the tests of app/calls now run this way. Without the second step TestLostFirstResponse, TestLedgerMembersRestart and TestCopiesAtTheSameTime fail. A keyed call that starts in the region with fewer members still crosses the link.

--- a/app/calls/calls.go
+++ b/app/calls/calls.go
@@ -33,6 +33,8 @@
 	LedgerRetention      time.Duration // 0 selects the value of the design
 	// FirstRevision is the first configuration revision that this process applied; may be nil.
 	FirstRevision func() uint64
+	// LinkTo classifies peer addresses; nil treats all members of a ledger group alike.
+	LinkTo func(address string) ports.Link
 }
 
 // Dependencies are the parts of the node that calls need.
@@ -66,7 +68,7 @@
 
 // New wires the calls of a node; Start opens them.
 func New(o Options, d Dependencies) *Calls {
-	lo := ledger.Options{NodeID: o.NodeID, Incarnation: o.Incarnation, Started: o.Started, Retention: o.LedgerRetention, FirstRevision: o.FirstRevision}
+	lo := ledger.Options{NodeID: o.NodeID, Incarnation: o.Incarnation, Started: o.Started, Retention: o.LedgerRetention, FirstRevision: o.FirstRevision, LinkTo: o.LinkTo}
 	peers := d.Peers
 	if peers == nil {
 		peers = ledger.NewEndpointResolver(d.Endpoints, func() []string { return serviceNames(d.Configuration) })
--- a/app/calls/cluster_test.go
+++ b/app/calls/cluster_test.go
@@ -64,6 +64,9 @@
 	c.projection.Store(p)
 }
 
+// sameDomain lets gates ask the smallest majority first, which leaves a claim with the fewest holders.
+func sameDomain(string) ports.Link { return ports.LinkDomain }
+
 func tills() *pb.Service {
 	return &pb.Service{
 		Name: "tills", ActiveVersion: "v1", Limits: &pb.Limits{Slots: 9, MaxQueue: 64, TimeoutMs: 1500},
@@ -137,7 +140,7 @@
 		return cut
 	}, Delay: func(string) time.Duration { return time.Duration(n.delay.Load()) }})
 	n.Calls = New(
-		Options{NodeID: id, Incarnation: started.UnixNano(), Started: started, Seed: 7},
+		Options{NodeID: id, Incarnation: started.UnixNano(), Started: started, Seed: 7, LinkTo: sameDomain},
 		Dependencies{Configuration: c, Endpoints: c, Local: n, Peers: c, HTTP: n.client.HTTP()},
 	)
 	n.Start(el, gl)
--- a/app/ledger/keeper.go
+++ b/app/ledger/keeper.go
@@ -27,6 +27,10 @@
 	noticeTimeout  = time.Second
 	noticeBackoff  = 50 * time.Millisecond
 	downTime       = time.Second
+
+	// hedgeAfter is longer than a round trip between regions. A claim that the
+	// nearest members have not granted by then is sent to all.
+	hedgeAfter = 40 * time.Millisecond
 )
 
 // Keeper claims keys for the gate of this node.
@@ -38,6 +42,8 @@
 	pending atomic.Int64
 	dropped atomic.Uint64
 
+	widened widened
+
 	mu     sync.Mutex
 	random *rand.Rand
 	down   map[string]time.Time // members that did not take a notice
@@ -111,33 +117,52 @@
 	response *pb.ClaimResponse
 }
 
-// collect asks all members at once and returns as soon as the decision is certain.
+// collect asks the nearest majority, and the other members when it does not
+// grant in time. It returns as soon as the decision is certain.
 func (k *Keeper) collect(ctx context.Context, s *pb.Service, claim *pb.Claim) (core.Decision, *pb.Claim) {
 	started := k.options.Now()
 	groups := core.Groups(s, started)
 	attempt := core.NewAttempt(started, claim, groups)
-	members := core.Union(groups)
-	votes := make(chan vote, len(members))
-	for _, m := range members {
-		go func() { votes <- vote{member: m, response: k.ask(ctx, m, s, claim)} }()
+	all := core.Union(groups)
+	asked := k.first(groups)
+	votes := make(chan vote, len(all))
+	ask := func(members []string) {
+		for _, m := range members {
+			go func() { votes <- vote{member: m, response: k.ask(ctx, m, s, claim)} }()
+		}
+	}
+	ask(asked)
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	widen := func() {
+		if rest := without(all, asked); len(rest) > 0 {
+			k.widened.add(claim.GetAttempt())
+			ask(rest)
+			asked = all
+		}
 	}
-	for range members {
-		var v vote
+	for answered := 0; answered < len(all); {
 		select {
-		case v = <-votes:
+		case v := <-votes:
+			answered++
+			d := attempt.Vote(k.options.Now(), v.member, v.response.GetOutcome(), v.response.GetCurrent())
+			if d != core.Waiting {
+				return d, attempt.Current()
+			}
+			if v.response.GetOutcome() != pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED {
+				widen()
+			}
+		case <-hedge.C:
+			widen()
 		case <-ctx.Done():
 			return core.Unreachable, nil
 		}
-		d := attempt.Vote(k.options.Now(), v.member, v.response.GetOutcome(), v.response.GetCurrent())
-		if d != core.Waiting {
-			return d, attempt.Current()
-		}
 	}
 	return core.Unreachable, nil
 }
 
 // ask returns nil when the member did not answer. It goes on after a decision,
-// so that the third member learns of the claim as well.
+// so that every member that was asked learns of the claim.
 func (k *Keeper) ask(ctx context.Context, member string, s *pb.Service, claim *pb.Claim) *pb.ClaimResponse {
 	client, err := k.clients.get(member)
 	if err != nil {
@@ -174,7 +199,7 @@
 // that resent requests are rejected as unknown, which is true.
 func (k *Keeper) notify(s *pb.Service, c *pb.Claim) {
 	k.pending.Add(1)
-	if !k.notices.TryPush(notice{claim: c, members: core.Union(core.Groups(s, k.options.Now()))}) {
+	if !k.notices.TryPush(notice{claim: c, members: k.holders(s, c)}) {
 		k.pending.Add(-1)
 		k.dropped.Add(1)
 	}
--- a/app/ledger/service.go
+++ b/app/ledger/service.go
@@ -24,6 +24,8 @@
 	// FirstRevision is the first configuration revision that this process applied, 0 before
 	// that; nil when it is not known.
 	FirstRevision func() uint64
+	// LinkTo classifies peer addresses, so that the nearest members are asked first; nil asks all at once.
+	LinkTo func(address string) ports.Link
 	// Now is the clock; nil selects time.Now.
 	Now func() time.Time
 }
--- a/app/node/wire.go
+++ b/app/node/wire.go
@@ -120,11 +120,11 @@
 // region when its own has no capacity: 1% of the link of 30 Mbit/s.
 const remoteCallBytesPerSecond = 37_500
 
-func newCalls(s *settings.Node, i incarnation, f *follower.Follower, n *interests, m *members.Members, r *moves.Recorder, client *rpc.Client, set *metrics.Set) *calls.Calls {
+func newCalls(s *settings.Node, i incarnation, t *settings.Topology, f *follower.Follower, n *interests, m *members.Members, r *moves.Recorder, client *rpc.Client, set *metrics.Set) *calls.Calls {
 	c := calls.New(calls.Options{
 		NodeID: s.ID, Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
 		Incarnation: int64(i), Started: time.Unix(0, int64(i)), LocalIP: hostIP(s.Addresses.Gate), Seed: uint64(i),
-		RemoteBytesPerSecond: remoteCallBytesPerSecond, FirstRevision: f.FirstRevision,
+		RemoteBytesPerSecond: remoteCallBytesPerSecond, FirstRevision: f.FirstRevision, LinkTo: t.LinkTo,
 	}, calls.Dependencies{
 		Configuration: f, Endpoints: m, Local: n, Outcomes: r, Versions: r, Suspects: m,
 		HTTP: client.HTTP(), Metrics: set,
--- a/core/ledger/attempt.go
+++ b/core/ledger/attempt.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -44,6 +45,18 @@
 	return out
 }
 
+// Nearest returns the members that a gate asks first: of each group the majority
+// with the lowest rank. The others are asked when that is not enough.
+func Nearest(groups [][]string, rank func(member string) int) []string {
+	near := make([][]string, 0, len(groups))
+	for _, g := range groups {
+		sorted := slices.Clone(g)
+		slices.SortStableFunc(sorted, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+		near = append(near, sorted[:majority(g)])
+	}
+	return Union(near)
+}
+
 // Attempt collects the votes on one claim of one gate. It is not safe for concurrent use.
 type Attempt struct {
 	claim   *pb.Claim
