--- a/app/node/run.go
+++ b/app/node/run.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return err
 	}
-	return container.Invoke(func(p *process) error { return p.run(ctx) })
+	return dig.RootCause(container.Invoke(func(p *process) error { return p.run(ctx) }))
 }
 
 func newContainer(s *settings.Node) (*dig.Container, error) {
