demo: test that a lost failure domain leaves a ledger majority

Change: the test wants the 5 members to exist, to be distinct, and at most 2 of them in one failure domain, which the number 3 only stood for.

--- a/app/demo/demo_test.go
+++ b/app/demo/demo_test.go
@@ -51,11 +51,11 @@
 		_, err := settings.LoadControl(c.file)
 		is.NoErr(err)
 	}
-	names := map[string]bool{}
+	nodeDomain := map[string]string{}
 	for _, n := range l.nodes {
 		s, err := settings.LoadNode(n.file)
 		is.NoErr(err)
-		names[s.ID] = true
+		nodeDomain[s.ID] = s.FailureDomain
 	}
 	data, err := os.ReadFile(l.configuration)
 	is.NoErr(err)
@@ -63,9 +63,13 @@
 	is.NoErr(protojson.Unmarshal(data, &c))
 	is.Equal(len(config.Validate(&c)), 0)
 	for _, s := range c.GetServices() {
-		is.Equal(len(s.GetLedgerMembers()), 3)
+		is.Equal(len(s.GetLedgerMembers()), ledgerMembers)
+		seen, perDomain := map[string]bool{}, map[string]int{}
 		for _, m := range s.GetLedgerMembers() {
-			is.True(names[m])
+			is.True(nodeDomain[m] != "" && !seen[m])
+			seen[m] = true
+			perDomain[nodeDomain[m]]++
+			is.True(perDomain[nodeDomain[m]] <= ledgerMembers/2) // a lost failure domain leaves a majority
 		}
 	}
 }
