--- a/cmd/rattanfield/main.go
+++ b/cmd/rattanfield/main.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"os/user"
@@ -32,6 +33,7 @@
 	Settings  string   `arg:"--settings,env:RATTANFIELD_SETTINGS" placeholder:"FILE" help:"JSON with comments: control, operator"`
 	Operator  string   `arg:"--operator,env:RATTANFIELD_OPERATOR" placeholder:"NAME" help:"name in the history; default: the user's name"`
 	JSON      bool     `arg:"--json" help:"print JSON"`
+	Check     bool     `arg:"--check" help:"check the settings, then exit"`
 	CommandID string   `arg:"--command-id" placeholder:"ID" help:"id of the command, to send a command again"`
 	Statement []string `arg:"positional" placeholder:"WORD" help:"the statement; default: read from standard input"`
 }
@@ -52,12 +54,33 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
+	if args.Check {
+		os.Exit(check(args))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, args)
 	stop()
 	os.Exit(code)
 }
 
+// check reads the settings without a connection to any host.
+func check(args arguments) int {
+	s, err := readSettings(args)
+	if err != nil {
+		return fail(err, operator.ExitInvalid)
+	}
+	for _, h := range s.Control {
+		if _, err := netip.ParseAddrPort(h); err != nil {
+			return fail(fmt.Errorf("control host %q: expected IP:port", h), operator.ExitInvalid)
+		}
+	}
+	if len(s.Control) == 0 {
+		return fail(operator.ErrNoHosts, operator.ExitInvalid)
+	}
+	fmt.Println("settings are valid")
+	return operator.ExitOK
+}
+
 func run(ctx context.Context, args arguments) int {
 	code := operator.ExitOK
 	container := dig.New()
