--- a/adapters/disk/fs.go
+++ b/adapters/disk/fs.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"sort"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -13,6 +14,9 @@
 const (
 	dirMode  = 0o750
 	fileMode = 0o640
+	// A process that is just ending may still hold the lock for a moment.
+	lockAttempts = 20
+	lockPause    = 25 * time.Millisecond
 )
 
 // File is what the store needs of an open file.
@@ -46,11 +50,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = f.Close()
-		return nil, eris.Wrapf(err, "data directory %s is used by another process", dir)
+	for range lockAttempts {
+		if err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			return f, nil
+		}
+		time.Sleep(lockPause)
 	}
-	return f, nil
+	_ = f.Close()
+	return nil, eris.Wrapf(err, "data directory %s is used by another process", dir)
 }
 
 // MkdirAll creates a directory and its parents.
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -28,7 +28,7 @@
 		n.stopLeading()
 	}
 	if term > n.state.Term {
-		n.state.Term, n.state.Vote = term, ""
+		n.state.Term, n.state.Vote, n.matched = term, "", 0
 	}
 	if leader != n.leader {
 		n.failRemoteReads()
@@ -51,7 +51,7 @@
 	kind, term := pb.RaftKind_RAFT_KIND_PRE_VOTE, n.state.Term+1
 	if role == Candidate {
 		kind = pb.RaftKind_RAFT_KIND_VOTE
-		n.state.Term, n.state.Vote = term, n.config.ID
+		n.state.Term, n.state.Vote, n.matched = term, n.config.ID, 0
 	}
 	n.resetElectionDeadline()
 	if role == PreCandidate {
--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -20,6 +20,7 @@
 	switch {
 	case m.GetLogIndex() < n.log.commit:
 		reply.LogIndex = n.log.commit // the prefix is committed, so it matches
+		n.matched = max(n.matched, n.log.commit)
 	case !n.log.matches(m.GetLogIndex(), m.GetLogTerm()):
 		reply.Reject, reply.LogIndex = true, m.GetLogIndex()
 		reply.Hint, reply.LogTerm = n.log.lastAtMost(m.GetLogIndex(), m.GetLogTerm())
@@ -31,6 +32,7 @@
 			}
 		}
 		reply.LogIndex = m.GetLogIndex() + uint64(len(m.GetEntries()))
+		n.matched = max(n.matched, reply.LogIndex)
 		n.log.commit = max(n.log.commit, min(m.GetCommit(), reply.LogIndex))
 		n.confirmCaughtUp(m.GetCommit())
 	}
@@ -50,6 +52,7 @@
 		n.sets = []memberSet{{index: s.Index, members: s.Members}}
 		n.installed = &s
 	}
+	n.matched = max(n.matched, n.log.commit)
 	n.sendAfterSync(&pb.RaftMessage{
 		Kind: pb.RaftKind_RAFT_KIND_SNAPSHOT_REPLY, To: m.GetFrom(), Context: m.GetContext(), LogIndex: n.log.commit,
 	})
--- a/core/raft/lease.go
+++ b/core/raft/lease.go
@@ -107,9 +107,8 @@
 }
 
 func (n *Node) onHeartbeat(m *pb.RaftMessage) {
-	if m.GetCommit() > n.log.commit {
-		n.log.commit = min(m.GetCommit(), n.log.last())
-	}
+	// The leader's record of this log can be newer than the disk, so only what matched since the start counts.
+	n.log.commit = max(n.log.commit, min(m.GetCommit(), n.matched))
 	n.confirmCaughtUp(m.GetHint())
 	// The leader sent this after it received the echoed time, and held the lease then.
 	if m.GetLease() && m.GetEcho() > 0 && n.log.commit >= m.GetHint() && time.Duration(m.GetEcho()) > n.confirmedAt {
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -24,6 +24,7 @@
 	lastContact      time.Duration // last message of the leader; also the start of the process
 	votes            map[string]vote
 
+	matched      uint64 // highest index known to match the log of the leader of this term
 	confirmation confirmation
 	floors       map[string]*pb.Acknowledged
 	confirmedAt  time.Duration
