--- a/app/consensus/bench_test.go
+++ b/app/consensus/bench_test.go
@@ -56,14 +56,7 @@
 	for _, factor := range []time.Duration{1, 3} {
 		b.Run(fmt.Sprintf("timeouts-x%d", factor), func(b *testing.B) {
 			c := newCluster(b, "kingston", "kingston", "kingston", "montego-bay", "montego-bay")
-			c.delay = func(from, to string) time.Duration {
-				for _, m := range c.members {
-					if m.GetAddress() == to && m.GetRegion() != memberOf(c.members, from).GetRegion() {
-						return 20 * time.Millisecond
-					}
-				}
-				return 0
-			}
+			c.delay = c.regionDelay
 			c.tune = func(o *Options) {
 				o.ElectionTimeout, o.HeartbeatInterval = factor*DefaultElectionTimeout, factor*DefaultHeartbeatInterval
 			}
@@ -85,3 +78,51 @@
 		})
 	}
 }
+
+// BenchmarkPlacement prints the time to accept a command by the voters per
+// region and the region of the leader, with 20 ms between regions.
+func BenchmarkPlacement(b *testing.B) {
+	placements := []struct {
+		name    string
+		regions []string
+	}{
+		{"3+2", []string{"a", "a", "a", "b", "b"}},
+		{"2+2", []string{"a", "a", "b", "b"}},
+		{"3+2+2", []string{"a", "a", "a", "b", "b", "c", "c"}},
+	}
+	for _, p := range placements {
+		for _, region := range []string{"a", "b"} {
+			b.Run(p.name+"/leader-in-"+region, func(b *testing.B) {
+				c := newCluster(b, p.regions...)
+				c.delay = c.regionDelay
+				c.startAll()
+				leader := c.leader()
+				for leader == nil || memberOf(c.members, leader.options.ID).GetRegion() != region {
+					id := leader.options.ID
+					if err := c.stop(id); err != nil {
+						b.Fatal(err)
+					}
+					c.leader()
+					c.start(id)
+					leader = c.leader()
+				}
+				c.waitEqual()
+				b.ResetTimer()
+				for i := range b.N {
+					leader.Submit(background, holdMove(fmt.Sprint("p", i)))
+				}
+				b.ReportMetric(b.Elapsed().Seconds()*1000/float64(b.N), "ms/commit")
+			})
+		}
+	}
+}
+
+// regionDelay is 20 ms between hosts of different regions.
+func (c *cluster) regionDelay(from, to string) time.Duration {
+	for _, m := range c.members {
+		if m.GetAddress() == to && m.GetRegion() != memberOf(c.members, from).GetRegion() {
+			return 20 * time.Millisecond
+		}
+	}
+	return 0
+}
