consensus: show all members' roles on every control host

Cause: only the leader hears from all members, so a follower showed the others' roles as unknown. Change: a follower asks the leader; a header keeps hosts that take each other for the leader from asking in a circle.

--- a/app/consensus/service_operator.go
+++ b/app/consensus/service_operator.go
@@ -8,14 +8,17 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/raft"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 	"github.com/rattanfield/rattanfield/ports"
 )
 
 const (
 	maxQueryWait     = 30 * time.Second
 	confirmTimeout   = time.Second
+	membersTimeout   = 500 * time.Millisecond
 	defaultHistory   = 100
 	roleLeader       = "leader"
 	roleFollower     = "follower"
@@ -26,6 +29,10 @@
 	maxContactMillis = math.MaxUint32
 )
 
+// localHeader marks a question of another control host. It is answered here,
+// so that hosts that take each other for the leader do not ask in a circle.
+const localHeader = "X-Rattanfield-Local"
+
 type operatorService struct{ h *Host }
 
 // Submit proposes a command for an operator.
@@ -74,7 +81,11 @@
 		case pb.Subject_SUBJECT_HISTORY:
 			out.History = newest(st.History, int(q.GetHistoryLimit()))
 		case pb.Subject_SUBJECT_MEMBERS:
-			out.Members = s.h.memberStatuses(st)
+			if req.Header().Get(localHeader) != "" {
+				out.Members = s.h.memberStatuses(st)
+			} else {
+				out.Members = s.h.memberStatusesOfLeader(ctx, st)
+			}
 		case pb.Subject_SUBJECT_NODES:
 			if r := s.h.nodes.Load(); r != nil {
 				out.Nodes = (*r).NodeStatuses()
@@ -119,6 +130,25 @@
 	}
 }
 
+// memberStatusesOfLeader asks the leader, who alone hears from all members. It
+// falls back to what this host knows.
+func (h *Host) memberStatusesOfLeader(ctx context.Context, st *ports.AppliedState) []*pb.MemberStatus {
+	id, address := h.Leader()
+	if id == "" || id == h.options.ID {
+		return h.memberStatuses(st)
+	}
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	client := rattanfieldv1connect.NewOperatorServiceClient(h.client.HTTP(), rpc.URL(address))
+	req := connect.NewRequest(&pb.QueryRequest{Subjects: []pb.Subject{pb.Subject_SUBJECT_MEMBERS}})
+	req.Header().Set(localHeader, "1")
+	resp, err := client.Query(ctx, req)
+	if err != nil || resp.Msg.GetFreshness().GetLeader() != id {
+		return h.memberStatuses(st)
+	}
+	return resp.Msg.GetMembers()
+}
+
 // memberStatuses is complete on the leader; other hosts know roles only.
 func (h *Host) memberStatuses(st *ports.AppliedState) []*pb.MemberStatus {
 	s := h.Status()
--- /dev/null
+++ b/core/raft/sim_events_test.go
@@ -0,0 +1,204 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// act applies one random event to the cluster.
+func (s *sim) act() {
+	t := s.t
+	h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
+	switch a := rapid.IntRange(0, 99).Draw(t, "event"); {
+	case a < 22: // let time pass with most messages delivered in any order
+		s.busy(rapid.IntRange(1, 40).Draw(t, "ticks"))
+	case a < 25: // power loss: nothing that waits for the disk survives
+		if h.node != nil && !s.unproven() {
+			s.crash(h, 0)
+			s.start(h)
+		}
+	case a < 30:
+		s.isolateLeader(rapid.IntRange(0, 2).Draw(t, "direction"))
+	case a < 45:
+		if h.node != nil && !h.paused && h.node.role == Leader {
+			s.propose(h)
+		} else if l := s.leader(); l != nil {
+			s.propose(l)
+		}
+	case a < 52:
+		if h.node != nil && !h.paused {
+			s.read(h)
+		}
+	case a < 57:
+		if len(s.net) > 0 { // a duplicate stays under way
+			s.deliver(rapid.IntRange(0, len(s.net)-1).Draw(t, "message"), true)
+		}
+	case a < 62: // one-way cut, or all links of a host
+		if other := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "peer")]; other != h {
+			s.cut[[2]string{h.id, other.id}] = true
+			return
+		}
+		for _, o := range s.hosts {
+			s.cut[[2]string{h.id, o.id}], s.cut[[2]string{o.id, h.id}] = true, true
+		}
+	case a < 70:
+		clear(s.cut)
+	case a < 74:
+		if h.node != nil && !s.unproven() {
+			s.crash(h, rapid.IntRange(0, 4).Draw(t, "reached"))
+		}
+	case a < 82:
+		if h.node == nil && !s.unproven() {
+			s.start(h)
+		}
+	case a < 85: // a pause of the whole process that can exceed the lease
+		h.paused = !h.paused
+	case a < 88:
+		if h.node != nil {
+			s.compact(h, uint64(rapid.IntRange(0, 4).Draw(t, "keep")))
+		}
+	case a < 90:
+		if h.node != nil && !h.paused && h.node.TransferLeadership(s.now) {
+			s.process(h)
+		}
+	case a < 92:
+		s.changeMembers(h)
+	case a < 95:
+		s.loseDisk(h)
+	case a < 97:
+		s.restoreOlder(h)
+	default:
+		if h.node != nil {
+			h.backups = append(h.backups, h.disk)
+		}
+	}
+}
+
+// isolateLeader cuts one or both directions of the leader's links while commands arrive, for longer than the lease.
+func (s *sim) isolateLeader(direction int) {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	for _, o := range s.hosts {
+		s.cut[[2]string{l.id, o.id}] = direction != 1
+		s.cut[[2]string{o.id, l.id}] = direction != 0
+	}
+	for range 6 {
+		for _, h := range s.hosts {
+			if h.node != nil && !h.paused && h.node.role == Leader {
+				s.propose(h)
+				s.read(h)
+			}
+		}
+		s.busy(rapid.IntRange(4, 12).Draw(s.t, "ticks"))
+	}
+	if rapid.Bool().Draw(s.t, "reconnected") {
+		clear(s.cut)
+	}
+}
+
+func (s *sim) unproven() bool {
+	return slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.unproven })
+}
+
+// busy lets time pass; each message is lost, reordered or delivered, and disks sync at different speeds.
+func (s *sim) busy(ticks int) {
+	r := rapid.Uint64().Draw(s.t, "order")
+	roll := func(n int) int {
+		r = r*6364136223846793005 + 1442695040888963407
+		return int(r>>33) % n
+	}
+	loss := []int{0, 0, 5, 30}[roll(4)]
+	// A slow disk keeps its writes waiting for the whole time.
+	slow := roll(2 * len(s.hosts))
+	for range ticks {
+		for n := len(s.net); n > 0 && len(s.net) > 0; n-- {
+			i := 0
+			if roll(3) == 0 {
+				i = roll(len(s.net))
+			}
+			switch {
+			case roll(100) < loss:
+				s.net = slices.Delete(s.net, i, i+1)
+			case roll(10) > 0:
+				s.deliver(i, false)
+			}
+		}
+		for i, h := range s.hosts {
+			if i != slow && roll(3) > 0 {
+				s.sync(h, 1+roll(4))
+			}
+		}
+		s.now += simTick
+		for _, h := range s.hosts {
+			s.tick(h)
+		}
+	}
+}
+
+func (s *sim) changeMembers(h *simHost) {
+	l := s.leader()
+	if l == nil || s.damagedHosts() > 0 {
+		return
+	}
+	members := slices.Clone(l.node.members())
+	if m := find(members, h.id); m == nil {
+		members = append(members, &pb.Member{Id: h.id, CatchingUp: true})
+	} else if !m.GetVoter() || voterCount(members) > 3 {
+		members = slices.DeleteFunc(members, func(m *pb.Member) bool { return m.GetId() == h.id })
+	}
+	_, _, _ = l.node.ProposeMembers(members)
+	s.process(l)
+}
+
+// mayDamage: a minority of the voters may be without what they acknowledged at any time.
+func (s *sim) mayDamage(h *simHost) bool {
+	l := s.leader()
+	if l == nil || l == h || h.damaged || !l.node.mayChangeMembers() {
+		return false
+	}
+	voters := voterCount(l.node.members())
+	return find(l.node.members(), h.id) != nil && s.damagedHosts()+1 <= (voters-1)/2
+}
+
+func (s *sim) loseDisk(h *simHost) {
+	if !s.mayDamage(h) || s.unproven() {
+		return
+	}
+	s.crash(h, 0)
+	h.disk = simDisk{state: HardState{Incarnation: fmt.Appendf(nil, "%s-%d", h.id, s.next+uint64(s.now))}}
+	h.damaged, h.started = true, false
+	h.backups = nil
+	s.start(h)
+}
+
+// restoreOlder brings back a disk that has the right incarnation and lacks
+// entries that it acknowledged. Somebody must know of the acknowledgements, so
+// the others are up and connected while the host is away.
+func (s *sim) restoreOlder(h *simHost) {
+	if len(h.backups) == 0 || !s.mayDamage(h) || s.damagedHosts() > 0 {
+		return
+	}
+	old := h.backups[0]
+	if string(old.state.Incarnation) != string(h.disk.state.Incarnation) {
+		return
+	}
+	s.crash(h, 0)
+	s.heal()
+	s.crash(h, 0)
+	s.calm(3 * time.Second)
+	if h.disk.state.Incarnation == nil || s.leader() == nil {
+		s.start(h)
+		return
+	}
+	h.disk = old
+	h.damaged, h.unproven = true, true
+	h.backups = nil
+	s.start(h)
+}
