consensus: measure the bytes that cross the region link

Cause: the saving by payload digests had no figure. Change: the test cluster counts bytes between regions; BenchmarkRegionLink prints them at rest and per change, with digests and with whole payloads.

--- a/app/consensus/bench_test.go
+++ b/app/consensus/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -126,3 +127,42 @@
 	}
 	return 0
 }
+
+// BenchmarkRegionLink prints the bytes that cross between the regions of 3 + 2
+// hosts with the default timeouts: at rest, and for a change of 4 KiB with
+// digests against whole payloads for both hosts of the second region.
+func BenchmarkRegionLink(b *testing.B) {
+	const payloadBytes, restFor = 4 << 10, 3 * time.Second
+	for _, whole := range []bool{false, true} {
+		b.Run(map[bool]string{false: "digests", true: "whole-payloads"}[whole], func(b *testing.B) {
+			c := newCluster(b, "a", "a", "a", "b", "b")
+			c.tune = func(o *Options) {
+				o.WholePayloads, o.ElectionTimeout, o.HeartbeatInterval = whole, DefaultElectionTimeout, DefaultHeartbeatInterval
+			}
+			c.startAll()
+			for memberOf(c.members, c.leader().options.ID).GetRegion() != "a" {
+				id := c.leader().options.ID
+				c.kill(id)
+				c.leader()
+				c.start(id)
+			}
+			leader := c.leader()
+			c.waitEqual()
+			before := c.regionBytes()
+			time.Sleep(restFor)
+			rest := float64(c.regionBytes()-before) / restFor.Seconds()
+			before = c.regionBytes()
+			b.ResetTimer()
+			for i := range b.N {
+				cmd := holdMove(fmt.Sprint("r", i))
+				cmd.GetChangeMove().MoveId = strings.Repeat("m", payloadBytes)
+				leader.Submit(background, cmd)
+			}
+			c.waitEqual()
+			b.StopTimer()
+			used := float64(c.regionBytes()-before) - rest*b.Elapsed().Seconds()
+			b.ReportMetric(rest, "B/s-at-rest")
+			b.ReportMetric(used/float64(b.N), "B/change")
+		})
+	}
+}
--- a/app/consensus/cluster_test.go
+++ b/app/consensus/cluster_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
 )
 
 const testWait = 20 * time.Second
@@ -86,6 +87,31 @@
 	c.cut[id] = cut
 }
 
+// topology classifies the links of one host by region.
+type topology struct {
+	c  *cluster
+	id string
+}
+
+func (t topology) LinkTo(address string) ports.Link {
+	for _, m := range t.c.members {
+		if m.GetAddress() == address && m.GetRegion() != memberOf(t.c.members, t.id).GetRegion() {
+			return ports.LinkRemote
+		}
+	}
+	return ports.LinkRegion
+}
+
+// regionBytes counts what crossed between regions; a connection is counted at the side that opened it.
+func (c *cluster) regionBytes() uint64 {
+	var sum uint64
+	for _, h := range c.running() {
+		b := h.client.Bytes(ports.LinkRemote)
+		sum += b.Sent.Load() + b.Received.Load()
+	}
+	return sum
+}
+
 func (c *cluster) address(id string) string { return memberOf(c.members, id).GetAddress() }
 
 func (c *cluster) start(id string) *testHost {
@@ -94,7 +120,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	options := rpc.Options{Blocked: func(to string) bool { return c.blocked(id, to) }}
+	options := rpc.Options{Blocked: func(to string) bool { return c.blocked(id, to) }, Topology: topology{c, id}}
 	if c.delay != nil {
 		options.Delay = func(to string) time.Duration { return c.delay(id, to) }
 	}
--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -36,6 +36,8 @@
 	FS                disk.FS // nil: the host's
 	// SyncEach syncs every proposal on its own; it is the baseline of benchmarks.
 	SyncEach bool
+	// WholePayloads sends each payload to every host of a remote region; it is the baseline of benchmarks.
+	WholePayloads bool
 }
 
 func (o Options) withDefaults() (Options, error) {
--- a/app/consensus/payload.go
+++ b/app/consensus/payload.go
@@ -74,7 +74,7 @@
 // thin replaces payloads by digests for a member of a remote region whose
 // sibling there gets them from this host.
 func (h *Host) thin(to string, messages []*pb.RaftMessage) []*pb.RaftMessage {
-	if !h.siblingHolds(to) {
+	if h.options.WholePayloads || !h.siblingHolds(to) {
 		return messages
 	}
 	out := make([]*pb.RaftMessage, 0, len(messages))
