--- a/app/consensus/bench_test.go
+++ b/app/consensus/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -56,14 +57,7 @@
 	for _, factor := range []time.Duration{1, 3} {
 		b.Run(fmt.Sprintf("timeouts-x%d", factor), func(b *testing.B) {
 			c := newCluster(b, "kingston", "kingston", "kingston", "montego-bay", "montego-bay")
-			c.delay = func(from, to string) time.Duration {
-				for _, m := range c.members {
-					if m.GetAddress() == to && m.GetRegion() != memberOf(c.members, from).GetRegion() {
-						return 20 * time.Millisecond
-					}
-				}
-				return 0
-			}
+			c.delay = c.regionDelay
 			c.tune = func(o *Options) {
 				o.ElectionTimeout, o.HeartbeatInterval = factor*DefaultElectionTimeout, factor*DefaultHeartbeatInterval
 			}
@@ -85,3 +79,90 @@
 		})
 	}
 }
+
+// BenchmarkPlacement prints the time to accept a command by the voters per
+// region and the region of the leader, with 20 ms between regions.
+func BenchmarkPlacement(b *testing.B) {
+	placements := []struct {
+		name    string
+		regions []string
+	}{
+		{"3+2", []string{"a", "a", "a", "b", "b"}},
+		{"2+2", []string{"a", "a", "b", "b"}},
+		{"3+2+2", []string{"a", "a", "a", "b", "b", "c", "c"}},
+	}
+	for _, p := range placements {
+		for _, region := range []string{"a", "b"} {
+			b.Run(p.name+"/leader-in-"+region, func(b *testing.B) {
+				c := newCluster(b, p.regions...)
+				c.delay = c.regionDelay
+				c.startAll()
+				leader := c.leader()
+				for leader == nil || memberOf(c.members, leader.options.ID).GetRegion() != region {
+					id := leader.options.ID
+					if err := c.stop(id); err != nil {
+						b.Fatal(err)
+					}
+					c.leader()
+					c.start(id)
+					leader = c.leader()
+				}
+				c.waitEqual()
+				b.ResetTimer()
+				for i := range b.N {
+					leader.Submit(background, holdMove(fmt.Sprint("p", i)))
+				}
+				b.ReportMetric(b.Elapsed().Seconds()*1000/float64(b.N), "ms/commit")
+			})
+		}
+	}
+}
+
+// regionDelay is 20 ms between hosts of different regions.
+func (c *cluster) regionDelay(from, to string) time.Duration {
+	for _, m := range c.members {
+		if m.GetAddress() == to && m.GetRegion() != memberOf(c.members, from).GetRegion() {
+			return 20 * time.Millisecond
+		}
+	}
+	return 0
+}
+
+// BenchmarkRegionLink prints the bytes that cross between the regions of 3 + 2
+// hosts with the default timeouts: at rest, and for a change of 4 KiB with
+// digests against whole payloads for both hosts of the second region.
+func BenchmarkRegionLink(b *testing.B) {
+	const payloadBytes, restFor = 4 << 10, 3 * time.Second
+	for _, whole := range []bool{false, true} {
+		b.Run(map[bool]string{false: "digests", true: "whole-payloads"}[whole], func(b *testing.B) {
+			c := newCluster(b, "a", "a", "a", "b", "b")
+			c.tune = func(o *Options) {
+				o.WholePayloads, o.ElectionTimeout, o.HeartbeatInterval = whole, DefaultElectionTimeout, DefaultHeartbeatInterval
+			}
+			c.startAll()
+			for memberOf(c.members, c.leader().options.ID).GetRegion() != "a" {
+				id := c.leader().options.ID
+				c.kill(id)
+				c.leader()
+				c.start(id)
+			}
+			leader := c.leader()
+			c.waitEqual()
+			before := c.regionBytes()
+			time.Sleep(restFor)
+			rest := float64(c.regionBytes()-before) / restFor.Seconds()
+			before = c.regionBytes()
+			b.ResetTimer()
+			for i := range b.N {
+				cmd := holdMove(fmt.Sprint("r", i))
+				cmd.GetChangeMove().MoveId = strings.Repeat("m", payloadBytes)
+				leader.Submit(background, cmd)
+			}
+			c.waitEqual()
+			b.StopTimer()
+			used := float64(c.regionBytes()-before) - rest*b.Elapsed().Seconds()
+			b.ReportMetric(rest, "B/s-at-rest")
+			b.ReportMetric(used/float64(b.N), "B/change")
+		})
+	}
+}
