httpproxy: finish a claimed request when its caller gives up

Cause: a deadline or disconnect of the caller ended the exchange with the upstream; the request may have run, its response was lost, and each resend got 409 for 10 minutes. Change: a request that holds a claim runs until the deadline of its service; its response is stored. Measured: TestCallerGivesUpAndSendsAgain passes with -race; without the change the resend gets 409.

--- a/adapters/httpproxy/call.go
+++ b/adapters/httpproxy/call.go
@@ -25,6 +25,7 @@
 	depth       int
 	received    time.Time
 	deadline    time.Time
+	limit       time.Time // latest deadline that the service allows
 	hasDeadline bool
 	tenant      string
 	class       string
@@ -106,9 +107,9 @@
 	if ms := r.GetTimeoutMs(); ms > 0 {
 		timeout = time.Duration(ms) * time.Millisecond
 	}
-	limit := c.received.Add(min(timeout, maxTimeout))
-	if !c.hasDeadline || c.deadline.After(limit) {
-		c.deadline = limit
+	c.limit = c.received.Add(min(timeout, maxTimeout))
+	if !c.hasDeadline || c.deadline.After(c.limit) {
+		c.deadline = c.limit
 	}
 }
 
--- a/adapters/httpproxy/gate.go
+++ b/adapters/httpproxy/gate.go
@@ -217,7 +217,7 @@
 	if rejected != nil || claim.answered {
 		return rejected
 	}
-	result, rejected = g.forward(ctx, c, s)
+	result, rejected = g.forward(ctx, c, s, claim.held != nil)
 	g.settle(ctx, t, claim, result, rejected)
 	return rejected
 }
--- a/adapters/httpproxy/gaterun.go
+++ b/adapters/httpproxy/gaterun.go
@@ -98,18 +98,24 @@
 	ctx.Response.SetBody(a.GetBody())
 }
 
-// forward writes the request to the upstream once and reads its response.
-func (g *Gate) forward(ctx *fasthttp.RequestCtx, c *call, s *slot) (runResult, *rejection) {
+// forward writes the request to the upstream once and reads its response. A
+// claimed request runs to its end even when its caller has given up, so that the
+// response is there when the caller sends the request again.
+func (g *Gate) forward(ctx *fasthttp.RequestCtx, c *call, s *slot, claimed bool) (runResult, *rejection) {
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	prepareRequest(&ctx.Request, out)
 	start := time.Now()
 	out.Header.Set(HeaderDeadline, remainingMs(start, c.deadline))
 	out.Header.Del(HeaderSuspect)
-	failure := s.upstream.pool.do(s.upstream.announced.Address, &exchange{
+	x := &exchange{
 		request: out, response: &ctx.Response, deadline: c.deadline,
 		id: c.id, idOptional: true, maxBody: maxResponseBytes, cancelled: callerGone(ctx),
-	})
+	}
+	if claimed && start.Before(c.deadline) {
+		x.deadline, x.cancelled = c.limit, nil
+	}
+	failure := s.upstream.pool.do(s.upstream.announced.Address, x)
 	if failure != nil {
 		return runResult{}, g.failed(s, failure)
 	}
--- a/app/calls/cluster_test.go
+++ b/app/calls/cluster_test.go
@@ -239,7 +239,9 @@
 var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 
 // send is one call of a caller; on new connections the client never resends.
-func send(address, path, key, body string) reply {
+func send(address, path, key, body string) reply { return sendWithin(address, path, key, body, "") }
+
+func sendWithin(address, path, key, body, deadlineMs string) reply {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -247,6 +249,9 @@
 	if key != "" {
 		req.Header.Set(httpproxy.HeaderIdempotencyKey, key)
 	}
+	if deadlineMs != "" {
+		req.Header.Set(httpproxy.HeaderDeadline, deadlineMs)
+	}
 	resp, err := caller.Do(req)
 	if err != nil {
 		return reply{err: err}
--- a/app/calls/once_test.go
+++ b/app/calls/once_test.go
@@ -23,6 +23,9 @@
 			if body == "slow" {
 				time.Sleep(100 * time.Millisecond)
 			}
+			if body == "slower" {
+				time.Sleep(700 * time.Millisecond)
+			}
 			if body == "lost" {
 				_ = ctx.Conn().Close() // the response is lost, the upstream lives on
 				return
@@ -120,6 +123,20 @@
 	is.Equal(e.of("lost"), 1)
 }
 
+// A caller that gives up and sends again must get the response of the first run.
+func TestCallerGivesUpAndSendsAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 4)
+	e := payments(c, "n1", "n2")
+	c.only("n1")
+	r := sendWithin(c.nodes["n3"].entryAddr, "/fares", "k", "slower", "400") // the run takes 700 ms
+	is.Equal([]any{r.status, r.ran, r.reason, e.of("slower")}, []any{504, "unknown", "deadline-after-start", 1})
+	c.only("n2")
+	r = resend(c.nodes["n4"].entryAddr, "/fares", "k", "slower")
+	is.Equal([]any{r.status, r.body, r.replayed, e.of("slower")}, []any{200, "slower paid 1", true, 1})
+}
+
 // A gate that crashes while its upstream runs the request leaves the claim; the
 // upstream set changes as well, since the node is gone.
 func TestGateCrashDuringRun(t *testing.T) {
