plot: draw convergence, link bytes and goodput from the raw results

Cause: the figures are in JSON files that nobody reads. Change: rattanfield-plot (make plots) draws them with gonum/plot.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo faults test check fmt generate capacity
+.PHONY: build demo faults test check fmt generate capacity plots
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -34,4 +34,8 @@
 
 # Measures the slopes of docs/CAPACITY.md.
 capacity: build
-	$(BIN)/rattanfield-capacity -out docs/results
+	$(BIN)/rattanfield-capacity --out docs/results
+
+# Draws docs/plots from docs/results.
+plots: build
+	$(BIN)/rattanfield-plot
--- /dev/null
+++ b/cmd/rattanfield-plot/main.go
@@ -0,0 +1,40 @@
+// Command rattanfield-plot draws the figures of docs/results for docs/plots.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+)
+
+type arguments struct {
+	Results string `arg:"--results" default:"docs/results" help:"directory of the raw results"`
+	Out     string `arg:"--out" default:"docs/plots" help:"directory of the plots"`
+}
+
+// Version is printed for --version.
+func (arguments) Version() string { return "rattanfield-plot " + telemetry.Version() }
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "rattanfield-plot:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a arguments) error {
+	if err := os.MkdirAll(a.Out, 0o755); err != nil {
+		return err
+	}
+	for _, draw := range []func(arguments) error{drawConvergence, drawBytes, drawGoodput} {
+		if err := draw(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rattanfield-plot/results.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+)
+
+// row is one measurement of rattanfield-capacity; the names are those of its files.
+type row struct {
+	Nodes           float64 `json:"nodes"`
+	Mode            string  `json:"mode"`
+	P50             float64 `json:"p50_ms"`
+	P99             float64 `json:"p99_ms"`
+	LinkBytes       float64 `json:"remote_link_bytes_per_change"`
+	LinkLogBytes    float64 `json:"remote_link_log_bytes_per_change"`
+	BaselineBytes   float64 `json:"baseline_remote_link_bytes_per_change"`
+	TargetNodeBytes float64 `json:"target_bytes_per_s_and_node"`
+}
+
+// rows reads all files that match a pattern, ordered by the number of nodes.
+func rows(directory, pattern string) ([]row, error) {
+	files, err := filepath.Glob(filepath.Join(directory, pattern))
+	if err != nil {
+		return nil, err
+	}
+	var all []row
+	for _, f := range files {
+		var content struct {
+			Rows []row `json:"rows"`
+		}
+		if err := readJSON(f, &content); err != nil {
+			return nil, err
+		}
+		all = append(all, content.Rows...)
+	}
+	if len(all) == 0 {
+		return nil, fmt.Errorf("no results in %s", filepath.Join(directory, pattern))
+	}
+	slices.SortStableFunc(all, func(a, b row) int { return cmp.Compare(a.Nodes, b.Nodes) })
+	return all, nil
+}
+
+// callResult is one run of rattanfield-callbench.
+type callResult struct {
+	Overload []struct {
+		Variant string  `json:"variant"`
+		Load    float64 `json:"load"`
+		Goodput float64 `json:"goodput_of_capacity"`
+	} `json:"overload"`
+}
+
+func readJSON(file string, into any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
