--- a/cmd/rattanfield-plot/main.go
+++ b/cmd/rattanfield-plot/main.go
@@ -1,4 +1,5 @@
-// Command rattanfield-plot draws the figures of docs/results for docs/plots.
+// Command rattanfield-plot draws the figures of docs/results for docs/plots and
+// writes the straight lines through them to docs/results/fits.md.
 package main
 
 import (
@@ -31,7 +32,7 @@
 	if err := os.MkdirAll(a.Out, 0o755); err != nil {
 		return err
 	}
-	for _, draw := range []func(arguments) error{drawConvergence, drawBytes, drawGoodput} {
+	for _, draw := range []func(arguments) error{drawConvergence, drawBytes, drawGoodput, writeFits} {
 		if err := draw(a); err != nil {
 			return err
 		}
--- a/cmd/rattanfield-plot/results.go
+++ b/cmd/rattanfield-plot/results.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -63,3 +64,5 @@
 	}
 	return nil
 }
+
+func sortedKeys(m map[float64]float64) []float64 { return slices.Sorted(maps.Keys(m)) }
