raft: let a restarted follower commit without a new proposal

Change: the heartbeat reply states how far the log is known to match; the leader sends an empty append when that is less than it has on record.

--- a/core/raft/lease.go
+++ b/core/raft/lease.go
@@ -116,7 +116,7 @@
 	}
 	n.send(&pb.RaftMessage{
 		Kind: pb.RaftKind_RAFT_KIND_HEARTBEAT_REPLY, To: m.GetFrom(), Context: m.GetContext(), LogIndex: n.log.last(),
-		SentAt: uint64(n.now),
+		Hint: n.matched, SentAt: uint64(n.now),
 	})
 }
 
@@ -138,6 +138,20 @@
 	}
 	n.maintainMembers()
 	n.replicate(m.GetFrom())
+	n.renewMatch(m, p)
+}
+
+// renewMatch lets a member that restarted in this term match its log again: it
+// commits nothing before, and there may be no entry left to send.
+func (n *Node) renewMatch(m *pb.RaftMessage, p *progress) {
+	term, ok := n.log.term(p.match)
+	if n.role != Leader || !ok || m.GetHint() >= min(p.match, n.log.commit) {
+		return
+	}
+	n.send(&pb.RaftMessage{
+		Kind: pb.RaftKind_RAFT_KIND_APPEND, To: m.GetFrom(), LogIndex: p.match, LogTerm: term,
+		Commit: n.log.commit, Context: n.lead.round, Acknowledged: n.floorOf(m.GetFrom()),
+	})
 }
 
 // LeaseEnd is when the lease ends unless it is renewed; 0 without a lease.
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -72,6 +72,25 @@
 	})
 }
 
+// Guards against a restarted host that commits nothing until the next proposal.
+func TestRestartedFollowerCatchesUpAtRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, 3, 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.calm(2 * time.Second)
+		l := s.leader()
+		s.propose(l)
+		s.calm(time.Second)
+		for _, h := range s.hosts {
+			if h != l {
+				s.crash(h, 0)
+				s.start(h)
+				s.calm(time.Second)
+				s.require(s.leader() == l && h.applied == s.maxCommit && h.node.eligible(), "%s: %s", h.id, s.describe())
+			}
+		}
+	})
+}
+
 // Guards against a full vote of a host that has not compared its disk with anybody since its start.
 func TestVoteAfterRestartIsProvisional(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
