moves, consensus, operator: show what a move waits for

Cause: a move to a version without upstreams stood at 'started' in show moves; what it waited for was only in the log of the leader. Change: the decider keeps the present reason to wait, the leader adds it to the moves it shows, and show moves asks the leader. The replicated state is unchanged.

--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -65,6 +65,7 @@
 	// lastApplied is the newest confirmation whose state was applied.
 	lastApplied atomic.Pointer[confirmedAt]
 	nodes       atomic.Pointer[ports.NodeStatusReader]
+	moveWaits   atomic.Pointer[func(moveID string) string]
 	run         context.Context // of all goroutines of a running host
 	crash       context.CancelCauseFunc
 	done        chan struct{} // closed when Run ends
@@ -203,6 +204,9 @@
 // SetNodeStatusReader sets where the operator service reads the nodes' status from.
 func (h *Host) SetNodeStatusReader(r ports.NodeStatusReader) { h.nodes.Store(&r) }
 
+// SetMoveWaits sets where the operator service reads what a move waits for.
+func (h *Host) SetMoveWaits(read func(moveID string) string) { h.moveWaits.Store(&read) }
+
 // Status returns the raft core's view for operators and tests.
 func (h *Host) Status() raft.Status { return h.published.Load().status }
 
--- a/app/consensus/service_operator.go
+++ b/app/consensus/service_operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/raft"
@@ -77,7 +78,7 @@
 		case pb.Subject_SUBJECT_CONFIGURATION:
 			out.Configuration = st.Configuration
 		case pb.Subject_SUBJECT_MOVES:
-			out.Moves = st.Moves
+			out.Moves = s.h.movesWithWaits(st.Moves)
 		case pb.Subject_SUBJECT_HISTORY:
 			out.History = newest(st.History, int(q.GetHistoryLimit()))
 		case pb.Subject_SUBJECT_MEMBERS:
@@ -95,6 +96,22 @@
 	return connect.NewResponse(out), nil
 }
 
+// movesWithWaits adds to the reason of each move what the leader waits for now.
+func (h *Host) movesWithWaits(moves []*pb.Move) []*pb.Move {
+	waits := h.moveWaits.Load()
+	if waits == nil || !h.IsLeader() {
+		return moves
+	}
+	out := slices.Clone(moves)
+	for i, m := range out {
+		if wait := (*waits)(m.GetMoveId()); wait != "" {
+			out[i] = proto.CloneOf(m)
+			out[i].Reason = m.GetReason() + "; now: " + wait
+		}
+	}
+	return out
+}
+
 func newest(history []*pb.Decision, limit int) []*pb.Decision {
 	if limit == 0 {
 		limit = defaultHistory
--- a/app/control/wire.go
+++ b/app/control/wire.go
@@ -79,7 +79,9 @@
 }
 
 func newDecider(s *settings.Control, host *consensus.Host, c *moves.Collector, logger log.Logger) *moves.Decider {
-	return moves.NewDecider(moveOptions(s, host), host, host, host, c, logger)
+	d := moves.NewDecider(moveOptions(s, host), host, host, host, c, logger)
+	host.SetMoveWaits(d.Waits)
+	return d
 }
 
 func newRelay(s *settings.Control, host *consensus.Host, c *moves.Collector, client *rpc.Client, logger log.Logger) *relay.Relay {
--- a/app/moves/decider.go
+++ b/app/moves/decider.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -28,6 +29,26 @@
 	logger     log.Logger
 	judges     map[string]*rollout.Judge // by move id
 	waiting    map[string]string         // last reason to wait that was logged
+
+	mu    sync.Mutex
+	waits map[string]string // what each move waits for, for operators
+}
+
+// Waits returns what a move waits for now; empty when it does not wait or this host does not lead.
+func (d *Decider) Waits(moveID string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waits[moveID]
+}
+
+func (d *Decider) setWait(moveID, reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if reason == "" {
+		delete(d.waits, moveID)
+		return
+	}
+	d.waits[moveID] = reason
 }
 
 // NewDecider returns a Decider; Run decides.
@@ -36,6 +57,7 @@
 		options: options.withDefaults(), proposer: proposer, leadership: leadership, state: state,
 		collector: collector, logger: logger,
 		judges: make(map[string]*rollout.Judge), waiting: make(map[string]string),
+		waits: make(map[string]string),
 	}
 }
 
@@ -58,6 +80,9 @@
 		// The next leader follows the moves now; old scores would miss its steps.
 		clear(d.judges)
 		clear(d.waiting)
+		d.mu.Lock()
+		clear(d.waits)
+		d.mu.Unlock()
 		return
 	}
 	state := d.state.State()
@@ -73,6 +98,7 @@
 		if !running[id] {
 			delete(d.judges, id)
 			delete(d.waiting, id)
+			d.setWait(id, "")
 		}
 	}
 }
@@ -94,9 +120,11 @@
 	now := d.options.Now()
 	decision := j.Decide(m, evidence, now)
 	if !decision.Changed {
+		d.setWait(m.GetMoveId(), decision.Reason)
 		d.wait(m.GetMoveId(), decision.Reason)
 		return
 	}
+	d.setWait(m.GetMoveId(), "")
 	step := decision.StepMove(m)
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
--- a/app/moves/risk_test.go
+++ b/app/moves/risk_test.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"context"
 	"testing"
 
 	"github.com/matryer/is"
@@ -17,3 +18,21 @@
 	is.Equal(riskOf(c, "none", punctual), punctual)
 	is.Equal(riskOf(c, "none", cautious), cautious)
 }
+
+// Guards against a move that stands still without a reason, and against one that is
+// named by a host which no longer decides.
+func TestWaits(t *testing.T) {
+	is := is.New(t)
+	c := newCluster()
+	_, _, d := c.parts(1)
+	d.decideAll(context.Background())
+	is.Equal(d.Waits("m1"), "waiting for reports of calls")
+	c.move.Phase = pb.MovePhase_MOVE_PHASE_STOPPED
+	d.decideAll(context.Background())
+	is.Equal(d.Waits("m1"), "") // it has ended
+	c.move.Phase = pb.MovePhase_MOVE_PHASE_RUNNING
+	d.decideAll(context.Background())
+	c.leads = false
+	d.decideAll(context.Background())
+	is.Equal(d.Waits("m1"), "") // another host decides
+}
--- a/app/operator/client.go
+++ b/app/operator/client.go
@@ -97,7 +97,8 @@
 }
 
 // QueryLeader is Query, answered by the leader if it can be reached: only the
-// leader knows how far the other control hosts are.
+// leader knows how far the other control hosts are and what a move waits for.
+// The subjects must include the members.
 func (c *Client) QueryLeader(ctx context.Context, q *pb.QueryRequest) (*pb.QueryResponse, error) {
 	answer, err := c.Query(ctx, q)
 	if err != nil || answer.GetFreshness().GetHost() == answer.GetFreshness().GetLeader() {
--- a/app/operator/rows.go
+++ b/app/operator/rows.go
@@ -26,7 +26,7 @@
 	query.ViewNodes:    {pb.Subject_SUBJECT_NODES},
 	query.ViewRevision: {pb.Subject_SUBJECT_NODES},
 	query.ViewMembers:  {pb.Subject_SUBJECT_MEMBERS},
-	query.ViewMoves:    {pb.Subject_SUBJECT_MOVES},
+	query.ViewMoves:    {pb.Subject_SUBJECT_MOVES, pb.Subject_SUBJECT_MEMBERS}, // members: to find the leader
 	query.ViewHistory:  {pb.Subject_SUBJECT_HISTORY},
 }
 
--- a/app/operator/session.go
+++ b/app/operator/session.go
@@ -64,7 +64,7 @@
 
 func (s *Session) show(ctx context.Context, show query.Show) (int, error) {
 	ask := s.Client.Query
-	if show.View == query.ViewMembers {
+	if show.View == query.ViewMembers || show.View == query.ViewMoves {
 		ask = s.Client.QueryLeader
 	}
 	answer, err := ask(ctx, &pb.QueryRequest{Subjects: subjects[show.View]})
