--- a/core/rollout/simulate/calls.go
+++ b/core/rollout/simulate/calls.go
@@ -123,9 +123,9 @@
 		errorRate += f.ErrorRate * fault
 		if f.Slow > 0 {
 			slow *= 1 + (f.Slow-1)*fault
-			w.result.AffectedCalls += uint64(n)
+			w.result.AffectedCalls += float64(n)
 		} else {
-			w.result.AffectedCalls += uint64(float64(n) * f.ErrorRate * fault)
+			w.result.AffectedCalls += float64(n) * f.ErrorRate * fault
 		}
 	}
 	lost := binomial(w.rand, n, w.process.lost(v, domain))
--- a/core/rollout/simulate/run.go
+++ b/core/rollout/simulate/run.go
@@ -20,9 +20,10 @@
 	Reason      string
 	FaultAt     int // -1: the fault never began
 	LastNewCall int // of a move that was rolled back
-	// Calls of the new version from the first fault to its last call, all of
-	// them and those that failed or were slow because of the fault.
-	BadCalls, AffectedCalls uint64
+	// BadCalls of the new version were made from the first fault to its last call.
+	BadCalls uint64
+	// AffectedCalls is the expected number of those that failed or were slow because of the fault.
+	AffectedCalls float64
 	// Calls of the service within the planned time and until the last new call.
 	PlannedCalls, CallsUntilEnd uint64
 	Steps                       []Step
--- a/core/rollout/simulate/summary.go
+++ b/core/rollout/simulate/summary.go
@@ -87,7 +87,7 @@
 	s.Faulty++
 	share := float64(r.BadCalls) / float64(r.PlannedCalls)
 	s.BadShare += share
-	s.AffectedShare += float64(r.AffectedCalls) / float64(r.PlannedCalls)
+	s.AffectedShare += r.AffectedCalls / float64(r.PlannedCalls)
 	s.BadShareUntilEnd += float64(r.BadCalls) / float64(max(1, r.CallsUntilEnd))
 	*shares = append(*shares, share)
 	if r.RolledBack() {
