--- a/adapters/httpproxy/gate.go
+++ b/adapters/httpproxy/gate.go
@@ -24,8 +24,8 @@
 	MaxQueue int
 	// Metrics receives counters and histograms; nil keeps them unregistered.
 	Metrics *metrics.Set
-	// WithoutLimits turns admission off. It is the baseline of measurements.
-	WithoutLimits bool
+	// Baseline turns admission and quarantine off. Measurements compare with it.
+	Baseline bool
 }
 
 const defaultMaxQueue = 64
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	leaving  bool // the node stops
 	upstream *upstream
+	former   *upstream // the instance before; it may still finish requests
 	// leftInstance is the upstream process that left last; late renewals of it are ignored.
 	leftInstance string
 	quarantine   *quarantine.Registry
@@ -216,7 +217,7 @@
 	if rejected != nil || claim.answered {
 		return rejected
 	}
-	result, rejected = g.forward(ctx, c, s)
+	result, rejected = g.forward(ctx, c, s, claim.held != nil)
 	g.settle(ctx, t, claim, result, rejected)
 	return rejected
 }
--- a/app/calls/once_test.go
+++ b/app/calls/once_test.go
@@ -23,6 +23,9 @@
 			if body == "slow" {
 				time.Sleep(100 * time.Millisecond)
 			}
+			if body == "slower" {
+				time.Sleep(700 * time.Millisecond)
+			}
 			if body == "lost" {
 				_ = ctx.Conn().Close() // the response is lost, the upstream lives on
 				return
@@ -120,6 +123,20 @@
 	is.Equal(e.of("lost"), 1)
 }
 
+// A caller that gives up and sends again must get the response of the first run.
+func TestCallerGivesUpAndSendsAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 4)
+	e := payments(c, "n1", "n2")
+	c.only("n1")
+	r := sendWithin(c.nodes["n3"].entryAddr, "/fares", "k", "slower", "400") // the run takes 700 ms
+	is.Equal([]any{r.status, r.ran, r.reason, e.of("slower")}, []any{504, "unknown", "deadline-after-start", 1})
+	c.only("n2")
+	r = resend(c.nodes["n4"].entryAddr, "/fares", "k", "slower")
+	is.Equal([]any{r.status, r.body, r.replayed, e.of("slower")}, []any{200, "slower paid 1", true, 1})
+}
+
 // A gate that crashes while its upstream runs the request leaves the claim; the
 // upstream set changes as well, since the node is gone.
 func TestGateCrashDuringRun(t *testing.T) {
@@ -258,3 +275,29 @@
 	r := send(c.nodes["n1"].entryAddr, "/fares", "k", "slow")
 	is.Equal([]any{r.body, r.replayed}, []any{"slow paid 1", true})
 }
+
+// When an upstream crashes, the gates of the other nodes must know its requests
+// before the caller gets its failure, since it may repeat the call at once.
+func TestSuspectsReachOtherGates(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 3)
+	var u *ledgerUpstream
+	u = c.nodes["n1"].announce(func(ctx *fasthttp.RequestCtx) {
+		_ = u.listener.Close()
+		_ = ctx.Conn().Close()
+	})
+	payments(c, "n2", "n3")
+	for id, n := range c.nodes {
+		if id != "n1" {
+			n.Publish(pb.EndpointState_ENDPOINT_STATE_SERVING, n.upstream.Upstream)
+			c.records[id].Version = "v2" // reached by pushes, not by calls of v1
+		}
+	}
+	r := send(c.nodes["n1"].entryAddr, "/fares", "", "poison")
+	is.Equal([]any{r.status, r.reason}, []any{502, "upstream-crashed"})
+	for _, n := range c.nodes {
+		is.Equal(len(n.Gate().Suspects()), 1)
+		is.Equal(n.Gate().Suspects()[0].GetState(), pb.SuspectState_SUSPECT_STATE_SUSPECT)
+	}
+}
--- a/app/consensus/cluster_test.go
+++ b/app/consensus/cluster_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,10 +16,13 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
 )
 
 const testWait = 20 * time.Second
 
+var clusters atomic.Int32
+
 // cluster runs hosts on loopback listeners and can cut the links between them.
 type cluster struct {
 	t       testing.TB
@@ -40,10 +45,12 @@
 }
 
 func newCluster(t testing.TB, regions ...string) *cluster {
+	clusters.Add(1)
 	c := &cluster{t: t, dir: t.TempDir(), cut: make(map[string]bool), hosts: make(map[string]*testHost)}
 	for i, region := range regions {
 		id := fmt.Sprintf("c%d", i+1)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// An own address per host: no connection of another host can take the port while this one is down.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, clusters.Load()%250+1, i+1))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -80,6 +87,31 @@
 	c.cut[id] = cut
 }
 
+// topology classifies the links of one host by region.
+type topology struct {
+	c  *cluster
+	id string
+}
+
+func (t topology) LinkTo(address string) ports.Link {
+	for _, m := range t.c.members {
+		if m.GetAddress() == address && m.GetRegion() != memberOf(t.c.members, t.id).GetRegion() {
+			return ports.LinkRemote
+		}
+	}
+	return ports.LinkRegion
+}
+
+// regionBytes counts what crossed between regions; a connection is counted at the side that opened it.
+func (c *cluster) regionBytes() uint64 {
+	var sum uint64
+	for _, h := range c.running() {
+		b := h.client.Bytes(ports.LinkRemote)
+		sum += b.Sent.Load() + b.Received.Load()
+	}
+	return sum
+}
+
 func (c *cluster) address(id string) string { return memberOf(c.members, id).GetAddress() }
 
 func (c *cluster) start(id string) *testHost {
@@ -88,7 +120,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	options := rpc.Options{Blocked: func(to string) bool { return c.blocked(id, to) }}
+	options := rpc.Options{Blocked: func(to string) bool { return c.blocked(id, to) }, Topology: topology{c, id}}
 	if c.delay != nil {
 		options.Delay = func(to string) time.Duration { return c.delay(id, to) }
 	}
--- a/app/consensus/service_operator.go
+++ b/app/consensus/service_operator.go
@@ -8,14 +8,17 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/raft"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 	"github.com/rattanfield/rattanfield/ports"
 )
 
 const (
 	maxQueryWait     = 30 * time.Second
 	confirmTimeout   = time.Second
+	membersTimeout   = 500 * time.Millisecond
 	defaultHistory   = 100
 	roleLeader       = "leader"
 	roleFollower     = "follower"
@@ -26,6 +29,10 @@
 	maxContactMillis = math.MaxUint32
 )
 
+// localHeader marks a question of another control host. It is answered here,
+// so that hosts that take each other for the leader do not ask in a circle.
+const localHeader = "X-Rattanfield-Local"
+
 type operatorService struct{ h *Host }
 
 // Submit proposes a command for an operator.
@@ -49,13 +56,19 @@
 	return connect.NewResponse(&pb.GetCommandResponse{Found: r != nil, Result: r, Freshness: f}), nil
 }
 
-// Query answers from this host's state, marked with its age.
+// Query answers from this host's state, marked with its age. While a quorum is
+// reachable the answer holds every change accepted before, so that operators
+// see what they have just been told; without one it is what this host has.
 func (s operatorService) Query(ctx context.Context, req *connect.Request[pb.QueryRequest]) (*connect.Response[pb.QueryResponse], error) {
 	q := req.Msg
 	if q.GetWaitMs() > 0 {
 		s.h.waitRevision(ctx, q.GetHaveRevision(), time.Duration(q.GetWaitMs())*time.Millisecond)
 	}
+	confirm, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	confirmed := s.h.ConfirmRead(confirm) == nil
 	f := s.h.freshness() // before the state, so that the answer is never older than it says
+	f.Confirmed = f.Confirmed && confirmed
 	st := s.h.State()
 	out := &pb.QueryResponse{Freshness: f}
 	f.Revision = st.Configuration.GetRevision()
@@ -68,7 +81,11 @@
 		case pb.Subject_SUBJECT_HISTORY:
 			out.History = newest(st.History, int(q.GetHistoryLimit()))
 		case pb.Subject_SUBJECT_MEMBERS:
-			out.Members = s.h.memberStatuses(st)
+			if req.Header().Get(localHeader) != "" {
+				out.Members = s.h.memberStatuses(st)
+			} else {
+				out.Members = s.h.memberStatusesOfLeader(ctx, st)
+			}
 		case pb.Subject_SUBJECT_NODES:
 			if r := s.h.nodes.Load(); r != nil {
 				out.Nodes = (*r).NodeStatuses()
@@ -113,6 +130,25 @@
 	}
 }
 
+// memberStatusesOfLeader asks the leader, who alone hears from all members. It
+// falls back to what this host knows.
+func (h *Host) memberStatusesOfLeader(ctx context.Context, st *ports.AppliedState) []*pb.MemberStatus {
+	id, address := h.Leader()
+	if id == "" || id == h.options.ID {
+		return h.memberStatuses(st)
+	}
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	client := rattanfieldv1connect.NewOperatorServiceClient(h.client.HTTP(), rpc.URL(address))
+	req := connect.NewRequest(&pb.QueryRequest{Subjects: []pb.Subject{pb.Subject_SUBJECT_MEMBERS}})
+	req.Header().Set(localHeader, "1")
+	resp, err := client.Query(ctx, req)
+	if err != nil || resp.Msg.GetFreshness().GetLeader() != id {
+		return h.memberStatuses(st)
+	}
+	return resp.Msg.GetMembers()
+}
+
 // memberStatuses is complete on the leader; other hosts know roles only.
 func (h *Host) memberStatuses(st *ports.AppliedState) []*pb.MemberStatus {
 	s := h.Status()
--- a/core/ledger/attempt.go
+++ b/core/ledger/attempt.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -44,6 +45,18 @@
 	return out
 }
 
+// Nearest returns the members that a gate asks first: of each group the majority
+// with the lowest rank. The others are asked when that is not enough.
+func Nearest(groups [][]string, rank func(member string) int) []string {
+	near := make([][]string, 0, len(groups))
+	for _, g := range groups {
+		sorted := slices.Clone(g)
+		slices.SortStableFunc(sorted, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+		near = append(near, sorted[:majority(g)])
+	}
+	return Union(near)
+}
+
 // Attempt collects the votes on one claim of one gate. It is not safe for concurrent use.
 type Attempt struct {
 	claim   *pb.Claim
@@ -142,6 +155,22 @@
 	return len(a.groups) > 0
 }
 
+// RecoveryComplete reports that a restarted member has pulled the claims of
+// enough other members: in each of its groups so many that at least one of them
+// holds any claim that a majority has granted. With 3 members these are both
+// others, with 4 any 2 and with 5 any 3 others.
+func RecoveryComplete(groups [][]string, self string, pulled map[string]bool) bool {
+	for _, g := range groups {
+		if !slices.Contains(g, self) {
+			continue
+		}
+		if needed := len(g) - majority(g) + 1; count(g, pulled) < needed {
+			return false
+		}
+	}
+	return true
+}
+
 func majority(g []string) int { return len(g)/2 + 1 }
 
 func count(g []string, set map[string]bool) int {
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -24,6 +24,7 @@
 	lastContact      time.Duration // last message of the leader; also the start of the process
 	votes            map[string]vote
 
+	matched      uint64 // highest index known to match the log of the leader of this term
 	confirmation confirmation
 	floors       map[string]*pb.Acknowledged
 	confirmedAt  time.Duration
@@ -44,6 +45,7 @@
 		config: config, now: now, state: stored.State, savedState: stored.State, log: newLog(stored),
 		floors: make(map[string]*pb.Acknowledged), remote: make(map[uint64]bool),
 	}
+	n.confirmation.done = stored.Fresh
 	n.loadSets(stored)
 	// A vote right after a restart could break a lease that this host confirmed before it stopped.
 	n.lastContact = now
