rollout: check the rare route with 4 upstreams like every other cell

Change: the exception is removed. Measured: go test ./core/rollout/simulate passes with every cell checked.

--- a/core/rollout/simulate/matrix_test.go
+++ b/core/rollout/simulate/matrix_test.go
@@ -1,17 +1,10 @@
 package simulate
 
 import (
-	"strings"
 	"testing"
 	"time"
 )
 
-// hard is the one cell where a service of 4 upstreams has too few calls on the
-// route for certainty within ten minutes; its rate stands in docs/results.
-func hard(s Service, c Case) bool {
-	return s.Upstreams == 4 && strings.HasPrefix(c.Name, "1.5x slower on a route")
-}
-
 // Guards against any fault at any step of a move, with any process fault, that is
 // taken for a good version, and any process fault that is taken for a bad one.
 func TestEveryFaultAtEveryStep(t *testing.T) {
@@ -25,7 +18,7 @@
 				switch {
 				case c.Fault == nil && !r.Completed(&tr):
 					t.Errorf("%s: %s at %d s: %s", c.Name, r.Phase, r.EndedAt, r.Reason)
-				case r.FaultAt >= 0 && !r.RolledBack() && !hard(s, c):
+				case r.FaultAt >= 0 && !r.RolledBack():
 					t.Errorf("%s: %s at %d s: %s", c.Name, r.Phase, r.EndedAt, r.Reason)
 				case r.RolledBack() && r.LastNewCall > r.EndedAt+1:
 					t.Errorf("%s: new calls until %d s after the end at %d s", c.Name, r.LastNewCall, r.EndedAt)
