--- a/app/calls/cluster_test.go
+++ b/app/calls/cluster_test.go
@@ -64,6 +64,9 @@
 	c.projection.Store(p)
 }
 
+// sameDomain lets gates ask the smallest majority first, which leaves a claim with the fewest holders.
+func sameDomain(string) ports.Link { return ports.LinkDomain }
+
 func tills() *pb.Service {
 	return &pb.Service{
 		Name: "tills", ActiveVersion: "v1", Limits: &pb.Limits{Slots: 9, MaxQueue: 64, TimeoutMs: 1500},
@@ -137,7 +140,7 @@
 		return cut
 	}, Delay: func(string) time.Duration { return time.Duration(n.delay.Load()) }})
 	n.Calls = New(
-		Options{NodeID: id, Incarnation: started.UnixNano(), Started: started, Seed: 7},
+		Options{NodeID: id, Incarnation: started.UnixNano(), Started: started, Seed: 7, LinkTo: sameDomain},
 		Dependencies{Configuration: c, Endpoints: c, Local: n, Peers: c, HTTP: n.client.HTTP()},
 	)
 	n.Start(el, gl)
@@ -239,7 +242,9 @@
 var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 
 // send is one call of a caller; on new connections the client never resends.
-func send(address, path, key, body string) reply {
+func send(address, path, key, body string) reply { return sendWithin(address, path, key, body, "") }
+
+func sendWithin(address, path, key, body, deadlineMs string) reply {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -247,6 +252,9 @@
 	if key != "" {
 		req.Header.Set(httpproxy.HeaderIdempotencyKey, key)
 	}
+	if deadlineMs != "" {
+		req.Header.Set(httpproxy.HeaderDeadline, deadlineMs)
+	}
 	resp, err := caller.Do(req)
 	if err != nil {
 		return reply{err: err}
