--- a/app/control/run.go
+++ b/app/control/run.go
@@ -6,6 +6,7 @@
 	"go.uber.org/dig"
 
 	"github.com/rattanfield/rattanfield/adapters/settings"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 )
 
 // Run builds the control host from its settings and runs it until the context
@@ -22,7 +23,7 @@
 	c := dig.New()
 	constructors := []any{
 		func() *settings.Control { return s },
-		newTopology, newClient, newLogger, newMetrics, newHost, newCollector, newDecider, newRelay, newAdmin, newProcess,
+		newTopology, newClient, newLogger, lifecycle.NewMetrics, newHost, newCollector, newDecider, newRelay, newAdmin, newProcess,
 	}
 	for _, f := range constructors {
 		if err := c.Provide(f); err != nil {
--- a/app/control/wire.go
+++ b/app/control/wire.go
@@ -1,17 +1,16 @@
 package control
 
 import (
-	"net"
 	"os"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/adapters/settings"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/consensus"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/moves"
 	"github.com/rattanfield/rattanfield/app/relay"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -25,29 +24,13 @@
 }
 
 func newClient(s *settings.Control, t *settings.Topology) *rpc.Client {
-	return rpc.NewClient(rpc.Options{Topology: t, LocalIP: hostIP(s.Addresses.Peer), Delay: t.Delay})
-}
-
-// hostIP makes connections start at the host's own address, which tells other
-// hosts in which failure domain they come from.
-func hostIP(address string) net.IP {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil
-	}
-	return net.ParseIP(host)
+	return lifecycle.NewClient(s.Addresses.Peer, t)
 }
 
 func newLogger(s *settings.Control) log.Logger {
 	return telemetry.NewLogger(os.Stderr, Program, s.ID, s.LogLevel)
 }
 
-func newMetrics(client *rpc.Client) *metrics.Set {
-	set := metrics.NewSet()
-	telemetry.AddLinks(set, client)
-	return set
-}
-
 func members(site *settings.Site) []*pb.Member {
 	out := make([]*pb.Member, 0, len(site.ControlHosts))
 	for _, h := range site.ControlHosts {
--- a/app/node/run.go
+++ b/app/node/run.go
@@ -6,6 +6,7 @@
 	"go.uber.org/dig"
 
 	"github.com/rattanfield/rattanfield/adapters/settings"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 )
 
 // Run builds the node from its settings and runs it until the context ends or
@@ -22,7 +23,7 @@
 	c := dig.New()
 	constructors := []any{
 		func() *settings.Node { return s },
-		newIncarnation, newTopology, newClient, newLogger, newMetrics,
+		newIncarnation, newTopology, newClient, newLogger, lifecycle.NewMetrics,
 		newMembers, newInterests, newFollower, newRecorder, newCalls, newAdmin, newProcess,
 	}
 	for _, f := range constructors {
--- a/app/node/wire.go
+++ b/app/node/wire.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net"
 	"os"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/calls"
 	"github.com/rattanfield/rattanfield/app/follower"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/members"
 	"github.com/rattanfield/rattanfield/app/moves"
 	"github.com/rattanfield/rattanfield/core/membership"
@@ -31,29 +31,13 @@
 }
 
 func newClient(s *settings.Node, t *settings.Topology) *rpc.Client {
-	return rpc.NewClient(rpc.Options{Topology: t, LocalIP: hostIP(s.Addresses.Peer), Delay: t.Delay})
-}
-
-// hostIP makes connections start at the host's own address, which tells other
-// hosts in which failure domain they come from.
-func hostIP(address string) net.IP {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil
-	}
-	return net.ParseIP(host)
+	return lifecycle.NewClient(s.Addresses.Peer, t)
 }
 
 func newLogger(s *settings.Node) log.Logger {
 	return telemetry.NewLogger(os.Stderr, Program, s.ID, s.LogLevel)
 }
 
-func newMetrics(client *rpc.Client) *metrics.Set {
-	set := metrics.NewSet()
-	telemetry.AddLinks(set, client)
-	return set
-}
-
 func relays(site *settings.Site) []membership.Relay {
 	out := make([]membership.Relay, 0, len(site.ControlHosts))
 	for _, h := range site.ControlHosts {
@@ -123,7 +107,7 @@
 func newCalls(s *settings.Node, i incarnation, t *settings.Topology, f *follower.Follower, n *interests, m *members.Members, r *moves.Recorder, client *rpc.Client, set *metrics.Set) *calls.Calls {
 	c := calls.New(calls.Options{
 		NodeID: s.ID, Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
-		Incarnation: int64(i), Started: time.Unix(0, int64(i)), LocalIP: hostIP(s.Addresses.Gate), Seed: uint64(i),
+		Incarnation: int64(i), Started: time.Unix(0, int64(i)), LocalIP: lifecycle.HostIP(s.Addresses.Gate), Seed: uint64(i),
 		RemoteBytesPerSecond: remoteCallBytesPerSecond, FirstRevision: f.FirstRevision, LinkTo: t.LinkTo,
 	}, calls.Dependencies{
 		Configuration: f, Endpoints: m, Local: n, Outcomes: r, Versions: r, Suspects: m,
