telemetry: export the rings of both daemons

Cause: no daemon reported depth and drops of its rings. Change: control hosts export those of the replicated log, nodes that of claim notices.

--- a/adapters/telemetry/metrics.go
+++ b/adapters/telemetry/metrics.go
@@ -7,17 +7,11 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/ports"
+	"github.com/rattanfield/rattanfield/ring"
 )
 
-// Gauger is what AddRing reads; every ring.Ring implements it.
-type Gauger interface {
-	Depth() int
-	Capacity() int
-	Dropped() uint64
-}
-
 // AddRing registers depth, capacity and drops of a ring under its name.
-func AddRing(set *metrics.Set, name string, r Gauger) {
+func AddRing(set *metrics.Set, name string, r ring.Gauge) {
 	gauge := func(metric string, read func() float64) {
 		set.NewGauge(fmt.Sprintf("%s{ring=%q}", metric, name), read)
 	}
--- a/app/calls/calls.go
+++ b/app/calls/calls.go
@@ -16,6 +16,7 @@
 	"github.com/rattanfield/rattanfield/app/ledger"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 	"github.com/rattanfield/rattanfield/ports"
+	"github.com/rattanfield/rattanfield/ring"
 )
 
 // Options of the calls of one node.
@@ -122,6 +123,9 @@
 // Gate of the node.
 func (c *Calls) Gate() *httpproxy.Gate { return c.gate }
 
+// Notices is the ring of ends of claims that wait to be sent.
+func (c *Calls) Notices() ring.Gauge { return c.keeper.Notices() }
+
 // Ledger is the ledger service of the node.
 func (c *Calls) Ledger() *ledger.Service { return c.ledger }
 
--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -216,3 +216,11 @@
 
 // abort ends Run at once, as a crash of the process would; tests use it.
 func (h *Host) abort() { h.crash(errStopped) }
+
+// Rings are the rings between the host's responsibilities by name, for metrics.
+func (h *Host) Rings() map[string]ring.Gauge {
+	return map[string]ring.Gauge{
+		"raft_inbox": h.inbox, "raft_proposals": h.proposed, "raft_control": h.control,
+		"raft_disk": h.diskJobs, "raft_apply": h.apply,
+	}
+}
--- a/app/control/admin.go
+++ b/app/control/admin.go
@@ -46,5 +46,8 @@
 		}
 		return 0
 	})
+	for name, r := range host.Rings() {
+		telemetry.AddRing(set, name, r)
+	}
 	return admin
 }
--- a/app/ledger/keeper.go
+++ b/app/ledger/keeper.go
@@ -238,6 +238,9 @@
 	return nil
 }
 
+// Notices is the ring of ends of claims that wait to be sent, for metrics.
+func (k *Keeper) Notices() ring.Gauge { return k.notices }
+
 // Dropped counts notices that were given up.
 func (k *Keeper) Dropped() uint64 { return k.dropped.Load() }
 
--- a/app/node/admin.go
+++ b/app/node/admin.go
@@ -40,5 +40,6 @@
 	admin.Router().POST("/v1/leave", announce)
 	set.NewGauge("rattanfield_revision", func() float64 { return float64(f.Revision()) })
 	set.NewGauge("rattanfield_endpoint_records", func() float64 { return float64(len(m.Records())) })
+	telemetry.AddRing(set, "claim_notices", c.Notices())
 	return admin
 }
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -14,6 +14,13 @@
 	dropped atomic.Uint64
 }
 
+// Gauge is what metrics read of a ring.
+type Gauge interface {
+	Depth() int
+	Capacity() int
+	Dropped() uint64
+}
+
 // New returns a ring that holds at most capacity items.
 func New[T any](capacity int) *Ring[T] { return &Ring[T]{items: make(chan T, capacity)} }
 
