--- a/cmd/rattanfield-plot/main.go
+++ b/cmd/rattanfield-plot/main.go
@@ -32,7 +32,7 @@
 	if err := os.MkdirAll(a.Out, 0o755); err != nil {
 		return err
 	}
-	for _, draw := range []func(arguments) error{drawConvergence, drawBytes, drawGoodput, writeFits} {
+	for _, draw := range []func(arguments) error{drawConvergence, drawBytes, drawGoodput, drawMoves, writeFits} {
 		if err := draw(a); err != nil {
 			return err
 		}
