core, app: model the plan, rollouts, the table of nodes and placement

Cause: the users' platform replaces the routing configuration as a whole, has no list of hosts and moves versions within seconds; the product's configuration, site file and moves assume the opposite. Measured: go test ./core/plan ./core/roster ./core/admission ./core/placement ./core/pace ./core/state: ok. No process runs them yet.

--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -133,7 +133,7 @@
 	run, cancel := h.run, h.crash
 	defer close(h.done)
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context) error{h.stepLoop, h.diskLoop, h.applyLoop} {
+	for _, loop := range []func(context.Context) error{h.stepLoop, h.diskLoop, h.applyLoop, h.pruneLoop} {
 		wg.Go(func() {
 			if err := loop(run); err != nil {
 				cancel(err)
--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -22,7 +22,8 @@
 // Options of a Host.
 type Options struct {
 	ID string
-	// Members is the initial member set; this host is one of them, or is added later.
+	// Members is the initial member set; this host is one of them, or is added later (see Join). It may
+	// be empty for a host that joins.
 	Members []*pb.Member
 	DataDir string
 
@@ -41,8 +42,8 @@
 }
 
 func (o Options) withDefaults() (Options, error) {
-	if o.ID == "" || o.DataDir == "" || len(o.Members) == 0 {
-		return o, eris.New("id, data directory and members of a control host must be set")
+	if o.ID == "" || o.DataDir == "" {
+		return o, eris.New("id and data directory of a control host must be set")
 	}
 	setDefault(&o.ElectionTimeout, DefaultElectionTimeout)
 	setDefault(&o.HeartbeatInterval, DefaultHeartbeatInterval)
--- /dev/null
+++ b/app/hub/exchange.go
@@ -0,0 +1,196 @@
+package hub
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
+)
+
+const (
+	// exchangeWait is the long poll between control hosts; records change seldom.
+	exchangeWait = 2 * time.Second
+	// exchangeTimeout bounds a request beyond its wait: several round trips between regions.
+	exchangeTimeout = time.Second
+	exchangeRetry   = 250 * time.Millisecond
+	joinInterval    = 500 * time.Millisecond
+	joinTimeout     = 800 * time.Millisecond
+)
+
+var errNoMember = errors.New("a member needs an id and an address")
+
+// exchangeWithAll keeps one poll at each other control host.
+func (h *Hub) exchangeWithAll(ctx context.Context) {
+	running := make(map[string]context.CancelFunc)
+	for {
+		changed := h.state.Changed()
+		wanted := make(map[string]bool)
+		for _, m := range h.state.State().Members {
+			if m.GetId() != h.id {
+				wanted[m.GetAddress()] = true
+			}
+		}
+		for address := range wanted {
+			if running[address] == nil {
+				peer, cancel := context.WithCancel(ctx)
+				running[address] = cancel
+				go h.exchangeWith(peer, address)
+			}
+		}
+		for address, cancel := range running {
+			if !wanted[address] {
+				cancel()
+				delete(running, address)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			for _, cancel := range running {
+				cancel()
+			}
+			return
+		}
+	}
+}
+
+func (h *Hub) exchangeWith(ctx context.Context, address string) {
+	var epoch int64
+	var version uint64
+	reachable := true
+	for ctx.Err() == nil {
+		r, err := h.poll(ctx, address, epoch, version)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != reachable {
+			reachable = err == nil
+			_ = h.logger.Log("event", "control host", "peer", address, "reachable", reachable, "err", err)
+		}
+		if err != nil {
+			pause(ctx, exchangeRetry/2+rand.N(exchangeRetry))
+			continue
+		}
+		epoch, version = r.GetTableEpoch(), r.GetTableVersion()
+		h.merge(address, r.GetRecords())
+	}
+}
+
+func (h *Hub) poll(ctx context.Context, address string, epoch int64, version uint64) (*pb.MeshServiceExchangeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeWait+exchangeTimeout)
+	defer cancel()
+	r, err := h.nodes.Get(address).Exchange(ctx, connect.NewRequest(&pb.MeshServiceExchangeRequest{
+		TableEpoch: epoch, TableVersion: version, WaitMs: uint32(exchangeWait.Milliseconds()),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+func (h *Hub) merge(owner string, records []*pb.NodeRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	h.table.Confirm(owner, now)
+	changed := false
+	for _, r := range records {
+		if len(r.GetOutcomes()) > 0 {
+			h.outcomes.Merge(r, owner, now)
+			continue
+		}
+		changed = h.table.Merge(r, owner, now) || changed
+	}
+	if changed {
+		h.wakeLocked()
+	}
+}
+
+// Joiner asks to be admitted until this host is a member.
+type Joiner struct {
+	Self   *pb.Member
+	Seeds  func() []string // peer addresses of control hosts to ask first
+	State  State
+	Client *rpc.Client
+	Log    func(keyvals ...any) error
+}
+
+// Run asks until the context ends; a host that has joined only checks from time to time.
+func (j *Joiner) Run(ctx context.Context) error {
+	waiting := false
+	for ctx.Err() == nil {
+		if j.isMember() {
+			if waiting {
+				_ = j.Log("event", "joined the control group")
+			}
+			waiting = false
+			pause(ctx, 4*joinInterval)
+			continue
+		}
+		addresses := j.addresses()
+		if !waiting {
+			_ = j.Log("event", "waiting to join the control group", "asking", len(addresses), "first", first(addresses))
+		}
+		waiting = true
+		for _, a := range addresses {
+			j.ask(ctx, a)
+		}
+		pause(ctx, joinInterval/2+rand.N(joinInterval))
+	}
+	return nil
+}
+
+func first(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[0]
+}
+
+// isMember reports that the member set names this host with its present address and place.
+func (j *Joiner) isMember() bool {
+	for _, m := range j.State.State().Members {
+		if m.GetId() == j.Self.GetId() && m.GetAddress() == j.Self.GetAddress() && m.GetFailureDomain() == j.Self.GetFailureDomain() {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Joiner) addresses() []string {
+	seen := map[string]bool{}
+	var out []string
+	add := func(a string) {
+		if a != "" && !seen[a] {
+			seen[a] = true
+			out = append(out, a)
+		}
+	}
+	_, leader := j.State.Leader()
+	add(leader)
+	for _, a := range j.Seeds() {
+		add(a)
+	}
+	for _, m := range j.State.State().Members {
+		add(m.GetAddress())
+	}
+	return out
+}
+
+func (j *Joiner) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	client := rattanfieldv1connect.NewMeshServiceClient(j.Client.HTTP(), rpc.URL(address))
+	r, err := client.Join(ctx, connect.NewRequest(&pb.JoinRequest{Member: j.Self}))
+	if err != nil || r.Msg.GetLeaderAddress() == "" || r.Msg.GetLeaderAddress() == address {
+		return // the next round asks again
+	}
+	leader := rattanfieldv1connect.NewMeshServiceClient(j.Client.HTTP(), rpc.URL(r.Msg.GetLeaderAddress()))
+	_, _ = leader.Join(ctx, connect.NewRequest(&pb.JoinRequest{Member: j.Self})) // the member set shows the result
+}
--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,162 @@
+// Package admission decides which requests run on one upstream: at most as many
+// at once as it has slots, the most urgent ones first, and none that would wait
+// longer than its response time allows. It does no I/O and reads no clock.
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Decision on a request.
+type Decision uint8
+
+// Decisions. After Queued, Finish, Cancel or Expire brings the final one.
+const (
+	Started Decision = iota + 1
+	Queued
+	Busy // it would wait too long
+)
+
+// Request asks for a slot.
+type Request struct {
+	ID       uint64
+	Priority uint32 // 0 is the most urgent
+	// Goal is when the answer should be there; Deadline when it must.
+	Goal, Deadline time.Time
+	// Budget is the whole time from the caller's request to its goal.
+	Budget time.Duration
+}
+
+// Load of the upstream, which entries weigh against that of others.
+type Load struct {
+	Running, Queued, Slots int
+	Service                time.Duration // time of a request on the upstream
+}
+
+const (
+	// goalShare of the response time is planned with; the rest covers the way back and the
+	// spread of the time on the upstream.
+	goalShare = 0.75
+	// leastWait is the share of the response time that a request may wait although the
+	// upstream alone takes longer than the goal: a late answer is still worth something.
+	leastWait = 0.1
+	// averageWeight of a new measurement in the running average: about the last 20 requests.
+	averageWeight = 0.05
+	// firstService stands for the time of a request before any was measured.
+	firstService = 30 * time.Millisecond
+)
+
+// Queue of one upstream. It is not safe for concurrent use.
+type Queue struct {
+	slots   int
+	service float64 // seconds
+	running map[uint64]bool
+	waiting []Request // by priority, then in order of arrival
+}
+
+// New returns an empty queue for an upstream that runs so many requests at once.
+func New(slots int) *Queue {
+	return &Queue{slots: max(1, slots), service: firstService.Seconds(), running: make(map[uint64]bool)}
+}
+
+// SetSlots changes how many requests run at once; it returns those that start.
+func (q *Queue) SetSlots(slots int) []uint64 {
+	q.slots = max(1, slots)
+	return q.fill()
+}
+
+// Offer decides on a new request. Evicted requests were queued and are less urgent.
+func (q *Queue) Offer(now time.Time, r Request) (d Decision, evicted []uint64) {
+	if len(q.running) < q.slots && len(q.waiting) == 0 {
+		q.running[r.ID] = true
+		return Started, nil
+	}
+	at := q.position(r.Priority)
+	if q.wait(at) > q.allowed(now, r) {
+		return Busy, nil
+	}
+	q.waiting = slices.Insert(q.waiting, at, r)
+	for i := len(q.waiting) - 1; i > at; i-- {
+		if w := q.waiting[i]; q.wait(i) > q.allowed(now, w)+evictSlack {
+			evicted = append(evicted, w.ID)
+			q.waiting = slices.Delete(q.waiting, i, i+1)
+		}
+	}
+	return Queued, evicted
+}
+
+// evictSlack keeps a queued request in its place that a more urgent one delays a little.
+const evictSlack = 50 * time.Millisecond
+
+// position behind the last request that is at least as urgent.
+func (q *Queue) position(priority uint32) int {
+	i := len(q.waiting)
+	for i > 0 && q.waiting[i-1].Priority > priority {
+		i--
+	}
+	return i
+}
+
+// wait is the expected time until the request at a position of the queue starts.
+func (q *Queue) wait(position int) time.Duration {
+	ahead := float64(len(q.running)-q.slots) + float64(position) + 1
+	return time.Duration(max(0, ahead) * q.service / float64(q.slots) * float64(time.Second))
+}
+
+// allowed is how long a request may wait and still be answered in time.
+func (q *Queue) allowed(now time.Time, r Request) time.Duration {
+	service := time.Duration(q.service * float64(time.Second))
+	planned := r.Goal.Sub(now) - time.Duration((1-goalShare)*float64(r.Budget)) - service
+	least := time.Duration(leastWait * float64(r.Budget))
+	return min(max(planned, least), r.Deadline.Sub(now)-service)
+}
+
+// Finish frees the slot of a request; measured tells that the latency says how
+// long the upstream takes. It returns the requests that start.
+func (q *Queue) Finish(id uint64, latency time.Duration, measured bool) []uint64 {
+	if !q.running[id] {
+		return nil
+	}
+	delete(q.running, id)
+	if measured {
+		q.service += averageWeight * (latency.Seconds() - q.service)
+	}
+	return q.fill()
+}
+
+// Cancel forgets a request that waits; it reports whether it did.
+func (q *Queue) Cancel(id uint64) bool {
+	before := len(q.waiting)
+	q.waiting = slices.DeleteFunc(q.waiting, func(r Request) bool { return r.ID == id })
+	return len(q.waiting) < before
+}
+
+// Clear empties the queue and returns what waited.
+func (q *Queue) Clear() []uint64 {
+	out := make([]uint64, 0, len(q.waiting))
+	for _, r := range q.waiting {
+		out = append(out, r.ID)
+	}
+	q.waiting = nil
+	return out
+}
+
+func (q *Queue) fill() []uint64 {
+	var started []uint64
+	for len(q.running) < q.slots && len(q.waiting) > 0 {
+		r := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		q.running[r.ID] = true
+		started = append(started, r.ID)
+	}
+	return started
+}
+
+// Load returns the present load.
+func (q *Queue) Load() Load {
+	return Load{
+		Running: len(q.running), Queued: len(q.waiting), Slots: q.slots,
+		Service: time.Duration(q.service * float64(time.Second)),
+	}
+}
--- /dev/null
+++ b/core/pace/pace.go
@@ -0,0 +1,187 @@
+// Package pace decides the steps of a rollout that lasts seconds: how large the
+// share of the new version is, when it is complete and when it is taken back.
+// It does no I/O and reads no clock.
+//
+// The share grows in steps that keep the part of all requests that a bad
+// version gets below a tenth, also when its fault shows only under the whole
+// load. A cumulative sum of log likelihood ratios per route tells a version
+// that fails or is slow from one that does not.
+package pace
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Counts of one version on one route since the rollout began.
+type Counts struct {
+	Answered, Failed uint64
+	Time             time.Duration // sum of the response times
+}
+
+// Route has the counts of the new and of all other versions.
+type Route struct {
+	New, Old Counts
+}
+
+// Input of one decision.
+type Input struct {
+	Elapsed, Duration time.Duration
+	Routes            map[string]Route
+	// Ready tells that upstreams of the new version serve.
+	Ready bool
+}
+
+// Decision of one moment.
+type Decision struct {
+	Phase         pb.RolloutPhase
+	SharePermille uint32
+	Reason        string
+}
+
+// stage of the plan: the share from a part of the duration on.
+type stage struct {
+	from  float64
+	share uint32
+}
+
+// The integral of the shares up to the last stage is 0.055 of the duration; the
+// 0.7 s until a fault at the full share takes effect add 0.044 in a rollout of 16 s.
+var stages = []stage{{0, 40}, {0.34, 120}, {0.46, 300}, {0.51, 600}, {0.53, 1000}}
+
+const (
+	// completeAt leaves the requests on the old version a quarter of the duration to end.
+	completeAt = 0.80
+	fullShare  = 1000
+
+	// Bounds of the assumed failure rates: a good version fails at least as seldom as
+	// floorRate or twice the old one; a bad one fails badFactor times as often, at least badRate.
+	floorRate = 0.02
+	badRate   = 0.2
+	badFactor = 3.0
+	maxRate   = 0.9
+	// failureBound is the log likelihood ratio that condemns a version: 1 in 60,000 by chance.
+	failureBound = 11.0
+
+	// slowRatio of the mean response times condemns a version; coldRatio while the new
+	// upstreams are in their slow start, which doubles their time.
+	slowRatio = 3.0
+	coldRatio = 6.0
+	coldTime  = 4 * time.Second
+	// recentAnswers of the new version make up its mean, so that a fault that begins late shows.
+	recentAnswers = 24
+	minNew        = 16 // answers of the new version that its mean needs
+	minOld    = 5 // answers of the old version that its mean needs
+	// priorAnswers, one of them failed, stand for the old version before its answers are known.
+	priorAnswers = 40
+)
+
+// Judge follows one rollout. It is not safe for concurrent use.
+type Judge struct {
+	last map[string]Route
+	fail map[string]float64
+	slow map[string]recent
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{last: make(map[string]Route), fail: make(map[string]float64), slow: make(map[string]recent)}
+}
+
+// Decide looks at the counts and returns what holds from now on.
+func (j *Judge) Decide(in Input) Decision {
+	if reason := j.condemn(in); reason != "" {
+		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_REVERTED, Reason: reason}
+	}
+	part := float64(in.Elapsed) / float64(max(in.Duration, 1))
+	if !in.Ready {
+		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: stages[0].share, Reason: "no upstream of the new version serves"}
+	}
+	if part >= completeAt {
+		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE, SharePermille: fullShare, Reason: "no fault was seen"}
+	}
+	share := uint32(0)
+	for _, s := range stages {
+		if part >= s.from {
+			share = s.share
+		}
+	}
+	return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: share, Reason: fmt.Sprintf("%.0f%% of the time has passed", 100*part)}
+}
+
+// condemn returns why the new version is bad, or "".
+func (j *Judge) condemn(in Input) string {
+	for name, now := range in.Routes {
+		step := difference(now, j.last[name])
+		j.last[name] = now
+		if reason := j.failures(name, step, now); reason != "" {
+			return reason
+		}
+		if reason := j.slowness(name, step, now, in.Elapsed); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func difference(now, before Route) Route {
+	return Route{New: minus(now.New, before.New), Old: minus(now.Old, before.Old)}
+}
+
+// minus is what was added; a restarted node counts from zero again.
+func minus(a, b Counts) Counts {
+	if a.Answered < b.Answered || a.Failed < b.Failed || a.Time < b.Time {
+		return Counts{}
+	}
+	return Counts{Answered: a.Answered - b.Answered, Failed: a.Failed - b.Failed, Time: a.Time - b.Time}
+}
+
+func (j *Judge) failures(name string, step, all Route) string {
+	good := max(floorRate, 2*rate(all.Old))
+	bad := min(maxRate, max(badRate, badFactor*good))
+	if good >= bad {
+		return ""
+	}
+	n, f := float64(step.New.Answered), float64(step.New.Failed)
+	j.fail[name] = max(0, j.fail[name]+f*math.Log(bad/good)+(n-f)*math.Log((1-bad)/(1-good)))
+	if j.fail[name] < failureBound {
+		return ""
+	}
+	return fmt.Sprintf("route %s: %d of %d answers failed, %d of %d on the old version", name, all.New.Failed, all.New.Answered, all.Old.Failed, all.Old.Answered)
+}
+
+// rate of failures of the old version; while few answers are known it is
+// assumed to be higher, so that a fault of both versions condemns neither.
+func rate(c Counts) float64 {
+	return (float64(c.Failed) + 1) / (float64(c.Answered) + priorAnswers)
+}
+
+// recent answers of the new version, with those before fading out.
+type recent struct{ answers, seconds float64 }
+
+func (j *Judge) slowness(name string, step, all Route, elapsed time.Duration) string {
+	r := j.slow[name]
+	n := float64(step.New.Answered)
+	keep := recentAnswers / (recentAnswers + n)
+	r = recent{answers: r.answers*keep + n, seconds: r.seconds*keep + step.New.Time.Seconds()}
+	j.slow[name] = r
+	old := step.Old
+	if old.Answered < minOld {
+		old = all.Old
+	}
+	if old.Answered < minOld || r.answers < minNew {
+		return ""
+	}
+	ratio := (r.seconds / r.answers) / max(0.001, all.Old.Time.Seconds()/float64(all.Old.Answered), old.Time.Seconds()/float64(old.Answered))
+	bound := slowRatio
+	if elapsed < coldTime {
+		bound = coldRatio
+	}
+	if ratio < bound {
+		return ""
+	}
+	return fmt.Sprintf("route %s: answers take %.1f times as long as on the old version", name, ratio)
+}
--- /dev/null
+++ b/core/pace/pace_test.go
@@ -0,0 +1,126 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// model is a service under a rollout; requests arrive evenly and are spread by share.
+type model struct {
+	perSecond        float64
+	oldRate, newRate func(t time.Duration, share uint32) float64
+	oldTime, newTime time.Duration
+}
+
+const (
+	tick     = 200 * time.Millisecond
+	delay    = 500 * time.Millisecond // from an answer to the share that follows from it
+	duration = 16 * time.Second
+)
+
+func always(p float64) func(time.Duration, uint32) float64 {
+	return func(time.Duration, uint32) float64 { return p }
+}
+
+// run returns how the rollout ended, when, and the part of all requests of its
+// whole duration that the new version got.
+func (m model) run(seed uint64) (phase pb.RolloutPhase, at time.Duration, exposed float64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	j := NewJudge()
+	route := Route{}
+	share, total, toNew := uint32(0), 0.0, 0.0
+	type change struct {
+		at    time.Duration
+		share uint32
+	}
+	var pending []change
+	for t := time.Duration(0); t < duration; t += tick {
+		for len(pending) > 0 && pending[0].at <= t {
+			share, pending = pending[0].share, pending[1:]
+		}
+		for range int(m.perSecond * tick.Seconds()) {
+			total++
+			if random.Float64() < float64(share)/1000 {
+				toNew++
+				count(&route.New, random, m.newRate(t, share), m.newTime)
+			} else {
+				count(&route.Old, random, m.oldRate(t, share), m.oldTime)
+			}
+		}
+		if phase != 0 {
+			continue
+		}
+		d := j.Decide(Input{Elapsed: t, Duration: duration, Routes: map[string]Route{"r": route}, Ready: true})
+		if d.Phase != pb.RolloutPhase_ROLLOUT_PHASE_RUNNING {
+			phase, at = d.Phase, t
+		}
+		pending = append(pending, change{t + delay, d.SharePermille})
+	}
+	return phase, at, toNew / total
+}
+
+func count(c *Counts, random *rand.Rand, p float64, latency time.Duration) {
+	c.Answered++
+	if random.Float64() < p {
+		c.Failed++
+	}
+	c.Time += time.Duration(random.ExpFloat64() * float64(latency))
+}
+
+// Guards: a good version is complete in time, at a low and a high rate of requests and beside faults of both versions.
+func TestGoodVersionIsComplete(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(200) {
+		for _, perSecond := range []float64{40, 300, 640} {
+			for _, p := range []float64{0.004, 0.05} {
+				m := model{perSecond: perSecond, oldRate: always(p), newRate: always(p), oldTime: 60 * time.Millisecond, newTime: 75 * time.Millisecond}
+				phase, at, _ := m.run(seed)
+				is.Equal(phase, pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE)
+				is.True(at < duration)
+			}
+		}
+	}
+}
+
+// Guards: a bad version is taken back, and gets less than a tenth of the requests
+// and fifty more, whichever way its fault shows.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	late := func(t time.Duration, _ uint32) float64 {
+		if t < 3*time.Second {
+			return 0.004
+		}
+		return 0.35
+	}
+	underLoad := func(limit uint32) func(time.Duration, uint32) float64 {
+		return func(_ time.Duration, share uint32) float64 {
+			if share < limit {
+				return 0.004
+			}
+			return 0.5
+		}
+	}
+	for name, m := range map[string]model{
+		"errors":          {newRate: always(0.35), newTime: 60 * time.Millisecond},
+		"late":            {newRate: late, newTime: 60 * time.Millisecond},
+		"under load":      {newRate: underLoad(300), newTime: 60 * time.Millisecond},
+		"under full load": {newRate: underLoad(1000), newTime: 60 * time.Millisecond},
+		"slow":            {newRate: always(0.004), newTime: 300 * time.Millisecond},
+	} {
+		for _, perSecond := range []float64{150, 300, 640} {
+			m.perSecond, m.oldRate, m.oldTime = perSecond, always(0.004), 60*time.Millisecond
+			for seed := range uint64(50) {
+				phase, _, exposed := m.run(seed)
+				is.Equal(phase, pb.RolloutPhase_ROLLOUT_PHASE_REVERTED) // every kind of fault is found
+				if limit := 0.1 + 50/(perSecond*duration.Seconds()); exposed > limit {
+					t.Fatalf("%s at %v/s, seed %d: the new version got %.3f, at most %.3f is allowed", name, perSecond, seed, exposed, limit)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/picker_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+var base = time.Unix(1000, 0)
+
+func none(string) bool { return false }
+
+func half() float64 { return 0.5 }
+
+var sites = []Candidate{
+	{Gate: "own", Slots: 9, Own: true},
+	{Gate: "domain", Slots: 9, Link: ports.LinkDomain},
+	{Gate: "region", Slots: 9, Link: ports.LinkRegion},
+	{Gate: "remote", Slots: 9, Link: ports.LinkRemote},
+}
+
+func pick(p *Picker, now time.Time) string {
+	if i := p.Pick(now, sites, none, half); i >= 0 {
+		return sites[i].Gate
+	}
+	return ""
+}
+
+// Guards against calls that leave the failure domain or the region while there
+// is room nearby, and against a near node that gets calls while it is overloaded.
+func TestNearestWithRoom(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	is.Equal(pick(p, base), "own")
+	full := &admission.Load{Running: 9, Queued: 30, Slots: 9, Service: 60 * time.Millisecond}
+	for _, want := range []string{"domain", "region", "remote"} {
+		gate := pick(p, base)
+		p.Sent(gate)
+		p.Done(base, gate, Outcome{Load: full})
+		is.Equal(pick(p, base), want)
+	}
+	is.Equal(pick(p, base.Add(5*time.Second)), "own") // what was stated has aged
+}
+
+// Guards against a node that fails and keeps its calls, and against one that is never tried again.
+func TestFailingNodeIsAvoidedForAWhile(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	for range 10 {
+		p.Sent("own")
+		p.Done(base, "own", Outcome{Failed: true})
+	}
+	is.Equal(pick(p, base), "domain")
+	is.Equal(pick(p, base.Add(30*time.Second)), "own")
+}
+
+// Guards: a node that cannot be reached gets no call until its time is over or it was reached again.
+func TestUnreachableNode(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	p.Sent("own")
+	p.Done(base, "own", Outcome{Unreachable: true})
+	is.Equal(pick(p, base), "domain")
+	is.Equal(p.Down(base), []string{"own"})
+	p.Up("own")
+	is.Equal(pick(p, base), "own")
+	only := func(gate string) bool { return gate != "own" }
+	p.Sent("own")
+	p.Done(base, "own", Outcome{Unreachable: true})
+	is.Equal(p.Pick(base, sites, only, half), -1)
+	is.Equal(p.Pick(base.Add(firstDown), sites, only, half), 0)
+}
--- /dev/null
+++ b/core/plan/split.go
@@ -0,0 +1,90 @@
+package plan
+
+import pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+
+// Splitter spreads the requests of routes over their targets by smooth weighted
+// round robin, so that shares hold over short times too. It is not safe for
+// concurrent use.
+type Splitter struct {
+	routes map[string]*splitState
+}
+
+type splitState struct {
+	weights []uint32
+	current []int64
+}
+
+// NewSplitter returns a splitter without history.
+func NewSplitter() *Splitter { return &Splitter{routes: make(map[string]*splitState)} }
+
+// Pick returns the target service of the next request of a route; u in [0,1)
+// sets where a route begins, so that nodes do not move in step.
+func (s *Splitter) Pick(r *pb.PlanRoute, u float64) string {
+	targets := r.GetTargets()
+	if len(targets) == 1 {
+		return targets[0].GetService()
+	}
+	key := r.GetHost() + " " + r.GetPathPrefix()
+	st := s.routes[key]
+	if st == nil || !st.matches(targets) {
+		st = newSplitState(targets, u)
+		s.routes[key] = st
+	}
+	return targets[st.next()].GetService()
+}
+
+// Forget drops the history of routes that a plan no longer has.
+func (s *Splitter) Forget(keep func(host, prefix string) bool) {
+	for key := range s.routes {
+		for i := range key {
+			if key[i] == ' ' && !keep(key[:i], key[i+1:]) {
+				delete(s.routes, key)
+				break
+			}
+		}
+	}
+}
+
+func newSplitState(targets []*pb.PlanTarget, u float64) *splitState {
+	st := &splitState{weights: make([]uint32, len(targets)), current: make([]int64, len(targets))}
+	total := int64(0)
+	for i, t := range targets {
+		st.weights[i] = t.GetWeight()
+		total += int64(t.GetWeight())
+	}
+	for range int(u * float64(min(total, maxWarmup))) {
+		st.next()
+	}
+	return st
+}
+
+// maxWarmup bounds the steps that set where a route begins.
+const maxWarmup = 128
+
+func (st *splitState) matches(targets []*pb.PlanTarget) bool {
+	if len(st.weights) != len(targets) {
+		return false
+	}
+	for i, t := range targets {
+		if st.weights[i] != t.GetWeight() {
+			return false
+		}
+	}
+	return true
+}
+
+func (st *splitState) next() int {
+	best, total := -1, int64(0)
+	for i, w := range st.weights {
+		if w == 0 {
+			continue
+		}
+		st.current[i] += int64(w)
+		total += int64(w)
+		if best < 0 || st.current[i] > st.current[best] {
+			best = i
+		}
+	}
+	st.current[best] -= total
+	return best
+}
--- /dev/null
+++ b/core/plan/validate.go
@@ -0,0 +1,77 @@
+package plan
+
+import (
+	"fmt"
+	"strings"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Validate returns every problem of a plan; a plan with any is never proposed.
+func Validate(p *pb.Plan) []*pb.Problem {
+	v := validator{services: make(map[string]bool), places: make(map[string]bool)}
+	if p.GetNumber() == 0 {
+		v.add("version", "must be above 0")
+	}
+	for _, s := range p.GetServices() {
+		v.service(s)
+	}
+	for i, r := range p.GetRoutes() {
+		v.route(i, r)
+	}
+	return v.problems
+}
+
+type validator struct {
+	services, places map[string]bool
+	problems         []*pb.Problem
+}
+
+func (v *validator) add(subject, format string, args ...any) {
+	v.problems = append(v.problems, &pb.Problem{Subject: subject, Message: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) service(s *pb.PlanService) {
+	switch {
+	case s.GetName() == "":
+		v.add("service", "a service has no name")
+	case v.services[s.GetName()]:
+		v.add("service/"+s.GetName(), "is listed twice")
+	}
+	v.services[s.GetName()] = true
+}
+
+func (v *validator) route(i int, r *pb.PlanRoute) {
+	subject := "route/" + r.GetName()
+	if r.GetName() == "" {
+		subject = fmt.Sprintf("route[%d]", i)
+	}
+	if r.GetHost() == "" {
+		v.add(subject, "the host is empty")
+	}
+	if !strings.HasPrefix(r.GetPathPrefix(), "/") {
+		v.add(subject, "the path prefix %q does not begin with a slash", r.GetPathPrefix())
+	}
+	place := strings.ToLower(r.GetHost()) + " " + r.GetPathPrefix()
+	if v.places[place] {
+		v.add(subject, "another route has host %q and path prefix %q", r.GetHost(), r.GetPathPrefix())
+	}
+	v.places[place] = true
+	if r.GetTimeoutMs() == 0 {
+		v.add(subject, "the timeout must be above 0")
+	}
+	v.targets(subject, r)
+}
+
+func (v *validator) targets(subject string, r *pb.PlanRoute) {
+	total := uint64(0)
+	for _, t := range r.GetTargets() {
+		total += uint64(t.GetWeight())
+		if !v.services[t.GetService()] {
+			v.add(subject, "service %q does not exist", t.GetService())
+		}
+	}
+	if total == 0 {
+		v.add(subject, "the weights add up to 0")
+	}
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,97 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Guards: tables that got the same records in any order and number agree, and
+// hold the newest record of each node.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []*pb.NodeRecord
+		newest := make(map[string]*pb.NodeRecord)
+		for range rapid.IntRange(1, 20).Draw(t, "records") {
+			r := &pb.NodeRecord{
+				Node: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node"), Epoch: rapid.Int64Range(1, 3).Draw(t, "epoch"),
+				Seq: rapid.Uint64Range(1, 5).Draw(t, "seq"),
+			}
+			records = append(records, r)
+			if n := newest[r.GetNode()]; n == nil || Newer(r, n) {
+				newest[r.GetNode()] = r
+			}
+		}
+		table := New()
+		for _, r := range rapid.Permutation(append(records, records...)).Draw(t, "order") {
+			if rapid.Bool().Draw(t, "direct") {
+				table.Put(r, 0)
+			} else {
+				table.Merge(r, "host", 0)
+			}
+		}
+		for node, want := range newest {
+			if got := table.Find(node); got.GetEpoch() != want.GetEpoch() || got.GetSeq() != want.GetSeq() {
+				t.Fatalf("%s: %v, want %v", node, got, want)
+			}
+		}
+	})
+}
+
+// Guards: a node that stops is marked by the host that heard it last, a record
+// from elsewhere is not, and a node that speaks again is no longer silent.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	mark := func(r *pb.NodeRecord) *pb.NodeRecord {
+		c := proto.CloneOf(r)
+		c.Silent = true
+		return c
+	}
+	table := New()
+	table.Put(&pb.NodeRecord{Node: "a", Epoch: 1, Seq: 1}, 0)
+	table.Merge(&pb.NodeRecord{Node: "b", Epoch: 1, Seq: 1}, "other", 0)
+	is.True(!table.Silence(time.Second, 2*time.Second, time.Minute, mark))
+	is.True(table.Silence(3*time.Second, 2*time.Second, time.Minute, mark))
+	is.True(table.Find("a").GetSilent())
+	is.True(!table.Find("b").GetSilent())
+	is.True(table.Put(&pb.NodeRecord{Node: "a", Epoch: 1, Seq: 1}, 4*time.Second))
+	is.True(!table.Find("a").GetSilent())
+	table.Confirm("other", 50*time.Second)
+	table.Silence(70*time.Second, 2*time.Second, time.Minute, mark)
+	is.Equal(table.Find("a"), nil)
+	is.True(table.Find("b") != nil)
+}
+
+func announcement(instance string, born int64, seq uint64, state pb.UpstreamState) *pb.Announcement {
+	return &pb.Announcement{Instance: instance, BornUnixMs: born, Seq: seq, State: state, Service: "s", Address: "a"}
+}
+
+const (
+	serving = pb.UpstreamState_UPSTREAM_STATE_SERVING
+	away    = pb.UpstreamState_UPSTREAM_STATE_LEAVING
+	gone    = pb.UpstreamState_UPSTREAM_STATE_GONE
+)
+
+// Guards against late announcements that bring back an upstream that leaves,
+// or one that another process has replaced at its address.
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	var u Upstream
+	is.True(u.Take(announcement("i1", 10, 1, serving)))
+	is.True(u.Take(announcement("i1", 10, 3, away)))
+	is.True(!u.Take(announcement("i1", 10, 2, serving))) // older
+	is.True(!u.Take(announcement("i1", 10, 4, serving))) // a process that leaves does not come back
+	is.True(u.Take(announcement("i1", 20, 1, serving)))  // the same id, another process
+	is.True(!u.Take(announcement("i1", 10, 9, serving))) // of the process before
+	is.True(u.Take(announcement("i2", 30, 1, serving)))
+	is.True(!u.Take(announcement("i1", 20, 7, away)))
+	is.Equal(u.Current().GetInstance(), "i2")
+	is.True(u.Take(&pb.Announcement{Instance: "i2", State: gone})) // says no more than its id
+	is.Equal(u.Current().GetService(), "s")
+	is.True(!u.Take(announcement("i2", 30, 5, serving)))
+}
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -32,6 +32,7 @@
 	order         []string // command ids, oldest first
 	history       []*pb.Decision
 	members       []*pb.Member
+	plans         plans
 }
 
 // New returns the state before the first entry: an empty configuration at InitialRevision.
@@ -41,6 +42,7 @@
 		moves:         make(map[string]*pb.Move),
 		results:       make(map[string]*pb.CommandResult),
 		members:       members,
+		plans:         plans{rollouts: make(map[string]*pb.Rollout)},
 	}
 }
 
@@ -108,6 +110,12 @@
 		return m.changeMove(c, x.ChangeMove)
 	case *pb.Command_StepMove:
 		return m.stepMove(c, x.StepMove)
+	case *pb.Command_ReplacePlan:
+		return m.replacePlan(c, x.ReplacePlan)
+	case *pb.Command_StartRollout:
+		return m.startRollout(c, x.StartRollout)
+	case *pb.Command_StepRollout:
+		return m.stepRollout(c, x.StepRollout)
 	default:
 		return invalid(problem("command", "the command has no content"))
 	}
@@ -150,6 +158,7 @@
 	return &ports.AppliedState{
 		Index: m.index, Configuration: m.configuration, Moves: m.sortedMoves(),
 		Members: m.members, History: m.history[:len(m.history):len(m.history)],
+		Plan: m.plans.current, Rollouts: m.plans.sortedRollouts(), PlanChanges: m.plans.changes,
 	}
 }
 
--- /dev/null
+++ b/core/state/plan_test.go
@@ -0,0 +1,104 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+func planCommand(id string, base, number, digest uint64) *pb.Command {
+	return &pb.Command{CommandId: id, Command: &pb.Command_ReplacePlan{ReplacePlan: &pb.ReplacePlan{
+		BaseNumber: base, Number: number, Digest: digest, Payload: fmt.Appendf(nil, "%d/%d", number, digest),
+	}}}
+}
+
+func rolloutCommand(id, service, version string) *pb.Command {
+	return &pb.Command{CommandId: id, SubmittedUnixMs: 1, Command: &pb.Command_StartRollout{StartRollout: &pb.StartRollout{
+		Service: service, TargetVersion: version, DurationMs: 1000,
+	}}}
+}
+
+// Guards: of two plans on the same base one is accepted; an accepted one is
+// acknowledged however often and late it is sent again; the number never falls.
+func TestPlansFormOneChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(nil)
+		type sent struct{ base, number, digest uint64 }
+		var all []sent
+		acknowledged := make(map[sent]bool)
+		winners := make(map[uint64]sent)
+		for i := range rapid.IntRange(1, 60).Draw(t, "orders") {
+			var s sent
+			if len(all) > 0 && rapid.Bool().Draw(t, "again") {
+				s = rapid.SampledFrom(all).Draw(t, "earlier")
+			} else {
+				s = sent{
+					base: rapid.Uint64Range(0, 8).Draw(t, "base"), number: rapid.Uint64Range(0, 12).Draw(t, "number"),
+					digest: rapid.Uint64Range(1, 3).Draw(t, "digest"),
+				}
+				all = append(all, s)
+			}
+			before := m.plans.current
+			r := m.applyCommand(planCommand(fmt.Sprint(i), s.base, s.number, s.digest))
+			ok := r.GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED
+			if acknowledged[s] && !ok {
+				t.Fatalf("%+v was acknowledged, then %v", s, r)
+			}
+			if ok && m.plans.current != before {
+				if w, taken := winners[s.base]; taken {
+					t.Fatalf("%+v and %+v were both accepted", w, s)
+				}
+				winners[s.base] = s
+				if s.base != before.GetNumber() || s.number <= before.GetNumber() || m.plans.current.GetSerial() != before.GetSerial()+1 {
+					t.Fatalf("%+v was accepted on plan %d", s, before.GetNumber())
+				}
+			}
+			if !ok && m.plans.current != before {
+				t.Fatalf("%+v was refused and is in force", s)
+			}
+			acknowledged[s] = acknowledged[s] || ok
+		}
+	})
+}
+
+// Guards: plan, what was accepted before and rollouts survive a snapshot.
+func TestSnapshotKeepsPlans(t *testing.T) {
+	is := is.New(t)
+	m := New(nil)
+	is.Equal(m.applyCommand(planCommand("1", 0, 4, 1)).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(m.applyCommand(planCommand("2", 4, 9, 1)).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(m.applyCommand(rolloutCommand("3", "a", "v2")).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	data, err := m.Encode()
+	is.NoErr(err)
+	got, err := Decode(data)
+	is.NoErr(err)
+	is.True(proto.Equal(got.plans.current, m.plans.current))
+	is.True(proto.Equal(got.plans.rollouts["a"], m.plans.rollouts["a"]))
+	is.Equal(got.applyCommand(planCommand("4", 0, 4, 1)).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED) // sent again
+	is.Equal(got.plans.current.GetNumber(), uint64(9))
+}
+
+// Guards: a decision on an older step, or on an ended rollout, changes nothing.
+func TestRolloutStepsInOrder(t *testing.T) {
+	is := is.New(t)
+	m := New(nil)
+	m.applyCommand(rolloutCommand("1", "a", "v2"))
+	step := func(id string, step uint64, phase pb.RolloutPhase) pb.Outcome {
+		return m.applyCommand(&pb.Command{CommandId: id, Command: &pb.Command_StepRollout{StepRollout: &pb.StepRollout{
+			Service: "a", Serial: 1, Step: step, Phase: phase, SharePermille: 100,
+		}}}).GetOutcome()
+	}
+	is.Equal(step("2", 2, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING), pb.Outcome_OUTCOME_INVALID)
+	is.Equal(step("3", 1, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(step("4", 2, pb.RolloutPhase_ROLLOUT_PHASE_REVERTED), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(step("5", 3, pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE), pb.Outcome_OUTCOME_INVALID)
+	is.Equal(m.applyCommand(rolloutCommand("6", "a", "v2")).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED) // sent again
+	is.Equal(m.plans.rollouts["a"].GetPhase(), pb.RolloutPhase_ROLLOUT_PHASE_REVERTED)
+	is.Equal(m.applyCommand(rolloutCommand("7", "a", "v3")).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(m.plans.rollouts["a"].GetSerial(), uint64(2))
+}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -12,6 +12,8 @@
 	s := &pb.Snapshot{
 		Index: m.index, Term: m.term, Configuration: m.configuration, Moves: m.sortedMoves(), History: m.history,
 		Members: m.members, ConfigurationRevision: m.configRev, ClockUnixMs: m.clock,
+		Plan: m.plans.current, AcceptedPlans: m.plans.accepted, Rollouts: m.plans.sortedRollouts(), RolloutSerial: m.plans.serial,
+		PlanChanges: m.plans.changes,
 	}
 	for _, id := range m.order {
 		s.Results = append(s.Results, m.results[id])
@@ -32,6 +34,11 @@
 		m.configuration = s.GetConfiguration()
 	}
 	m.history = s.GetHistory()
+	m.plans.current, m.plans.accepted, m.plans.serial = s.GetPlan(), s.GetAcceptedPlans(), s.GetRolloutSerial()
+	m.plans.changes = s.GetPlanChanges()
+	for _, r := range s.GetRollouts() {
+		m.plans.rollouts[r.GetService()] = r
+	}
 	for _, mv := range s.GetMoves() {
 		m.moves[mv.GetMoveId()] = mv
 	}
--- a/ports/consensus.go
+++ b/ports/consensus.go
@@ -40,6 +40,9 @@
 	Moves         []*pb.Move     // sorted by id
 	Members       []*pb.Member   // sorted by id
 	History       []*pb.Decision // oldest first
+	Plan          *pb.StoredPlan // nil until one is accepted
+	Rollouts      []*pb.Rollout  // sorted by service
+	PlanChanges   uint64         // accepted changes of the plan or a rollout
 }
 
 // StateReader gives the applied state and a signal for its next change.
