platform, app: serve the users' platform with a node and a control process

Cause: nothing ran on the users' platform: no adapter, no process that starts from its settings, finds control hosts through seeds or takes check-ins.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -47,7 +47,7 @@
 type Outcome struct {
 	Failure Failure
 	Err     error // nil when answered
-	Refused bool  // the destination took no connection
+	Refused bool  // the destination is there and does not listen
 	Reused  bool  // the connection had carried a request before
 }
 
@@ -104,7 +104,7 @@
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			return Outcome{Failure: NotSent, Err: err, Refused: !errors.Is(err, context.Canceled)}
+			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 		}
 	}
 	out := Outcome{Reused: c.used}
@@ -202,9 +202,6 @@
 	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, clientBuffer), limit: idleLimit}, nil
 }
 
-// IsRefused reports a destination that is there and does not listen.
-func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 func (c *clientConn) roundTrip(ctx context.Context, call *Call) (keep bool, f Failure, err error) {
 	if err := c.nc.SetDeadline(call.Deadline); err != nil {
 		return false, NotSent, err
--- /dev/null
+++ b/app/carry/forward.go
@@ -0,0 +1,323 @@
+package carry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/meshhttp"
+	"github.com/rattanfield/rattanfield/app/attach"
+	"github.com/rattanfield/rattanfield/core/placement"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// forwarding is one request on its way through the entry.
+type forwarding struct {
+	entry *Entry
+	x     *meshhttp.Exchange
+	view  *attach.View
+	id    string
+
+	route    *pb.PlanRoute
+	service  string
+	version  string
+	exclude  bool // any version but that one
+	deadline time.Time
+	goal     time.Time
+	out      *fasthttp.Request
+
+	sends      int // upstreams that the request may have reached
+	redirects  int
+	tried      []string
+	mayHaveRun bool
+	kept       *fasthttp.Response // a failure that an upstream answered, before it was tried again
+	last       string             // reason of the last attempt
+}
+
+// prepare finds the route and what the request is allowed; a reason says why it is refused.
+func (f *forwarding) prepare() string {
+	e := f.entry
+	if f.view.Plan == nil {
+		return reasonNoPlan
+	}
+	f.route = f.view.Plan.Match(hostOf(&f.x.Request), targetOf(&f.x.Request))
+	if f.route == nil {
+		return reasonNoRoute
+	}
+	timeout := time.Duration(f.route.GetTimeoutMs()) * time.Millisecond
+	if v := f.x.Request.Header.Peek(e.options.Headers.RemainingMs); len(v) > 0 {
+		remaining, ok := milliseconds(v)
+		if !ok {
+			return reasonBadRequest
+		}
+		timeout = min(timeout, remaining)
+	}
+	f.deadline = f.x.Received.Add(timeout)
+	f.goal = f.x.Received.Add(time.Duration(f.route.GetGoalMs()) * time.Millisecond)
+	e.mu.Lock()
+	f.service = e.splitter.Pick(f.route, e.random.Float64())
+	f.version, f.exclude = versionOf(f.view, f.service, e.random.Float64())
+	e.mu.Unlock()
+	e.called(f.service)
+	f.out = fasthttp.AcquireRequest()
+	f.describe()
+	return ""
+}
+
+// describe fills the request for the gate, except for what changes with each attempt.
+func (f *forwarding) describe() {
+	copyRequest(&f.x.Request, f.out)
+	h := &f.out.Header
+	dropHopHeaders(h, h.All())
+	h.Del(f.entry.options.Headers.ExpectInstance)
+	h.Set(f.entry.options.Headers.Caller, f.entry.options.Service)
+	h.Set(hopService, f.service)
+	h.Set(hopRoute, f.route.GetName())
+	h.Set(hopPriority, strconv.FormatUint(uint64(f.route.GetPriority()), 10))
+	h.Set(hopBudgetMs, strconv.FormatUint(uint64(f.route.GetGoalMs()), 10))
+	if f.route.GetIdempotent() {
+		h.Set(hopIdempotent, "1")
+	}
+}
+
+// forward tries gates until one gives the answer.
+func (f *forwarding) forward(ctx context.Context) {
+	for {
+		gate, version, ok := f.pick()
+		if !ok {
+			if f.last == "" {
+				f.last = reasonNoEndpoint
+			}
+			f.giveUp()
+			return
+		}
+		a := f.try(ctx, gate, version)
+		if a.ran == ranYes && !f.worthRepeating(a) {
+			f.answered(a)
+			return
+		}
+		f.last = a.reason
+		if ctx.Err() != nil || !f.again(a) {
+			if a.ran == ranYes {
+				f.answered(a)
+				return
+			}
+			f.giveUp()
+			return
+		}
+		f.tried = append(f.tried, gate)
+	}
+}
+
+// pick chooses the gate of the next attempt.
+func (f *forwarding) pick() (gate, version string, ok bool) {
+	e := f.entry
+	now := time.Now()
+	f.view = e.mesh.View() // what is known may have changed since the last attempt
+	list := candidates(f.view, f.service, f.version, e.options.Node, f.exclude, now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := e.picker.Pick(now, list, f.isTried, e.random.Float64)
+	if i < 0 {
+		return "", "", false
+	}
+	gate = list[i].Gate
+	e.picker.Sent(gate)
+	for _, c := range f.view.Endpoints[f.service] {
+		if c.Gate == gate {
+			version = c.Version
+		}
+	}
+	return gate, version, true
+}
+
+func (f *forwarding) isTried(gate string) bool {
+	for _, t := range f.tried {
+		if t == gate {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt is how one try ended.
+type attempt struct {
+	ran, reason string
+	status      int
+	latency     time.Duration
+}
+
+// try sends the request to one gate.
+func (f *forwarding) try(ctx context.Context, gate, version string) attempt {
+	e := f.entry
+	start := time.Now()
+	h := &f.out.Header
+	h.Set(hopVersion, version)
+	h.Set(hopRemainingMs, formatMs(f.deadline.Sub(start)))
+	h.Set(hopGoalMs, strconv.FormatInt(max(0, f.goal.Sub(start).Milliseconds()), 10))
+	o := f.send(ctx, gate, start)
+	a := f.judge(o)
+	a.latency = time.Since(start)
+	if a.ran != ranNo {
+		f.sends++
+	}
+	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
+	out := placement.Outcome{
+		Latency: a.latency, Refused: a.ran == ranNo, Unreachable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
+		Failed: a.reason == reasonShed || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
+	}
+	if o.Failure == meshhttp.Answered {
+		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
+	}
+	e.mu.Lock()
+	e.picker.Done(time.Now(), gate, out)
+	e.mu.Unlock()
+	return a
+}
+
+// send passes the request to the gate of this node directly, to others over a connection.
+func (f *forwarding) send(ctx context.Context, gate string, now time.Time) meshhttp.Outcome {
+	e := f.entry
+	if gate != e.options.Node {
+		return e.pool.Do(ctx, gate, &meshhttp.Call{
+			Request: f.out, Response: &f.x.Response, Deadline: f.deadline.Add(2 * answerSlack),
+			IDHeader: e.options.Headers.ID, ID: f.id, Fresh: !f.route.GetIdempotent(),
+		})
+	}
+	local := &meshhttp.Exchange{Received: now}
+	f.out.CopyTo(&local.Request)
+	e.gate.Handle(ctx, local)
+	local.Response.CopyTo(&f.x.Response)
+	return meshhttp.Outcome{}
+}
+
+// judge reads what the gate said.
+func (f *forwarding) judge(o meshhttp.Outcome) attempt {
+	switch o.Failure {
+	case meshhttp.NotSent:
+		return attempt{ran: ranNo, reason: reasonUnreachable}
+	case meshhttp.TimedOut:
+		return attempt{ran: ranUnknown, reason: reasonDeadline}
+	case meshhttp.Cancelled:
+		return attempt{ran: ranUnknown, reason: reasonCancelled}
+	case meshhttp.Unread:
+		return attempt{ran: ranUnknown, reason: reasonUnreadable}
+	case meshhttp.Lost:
+		return attempt{ran: ranUnknown, reason: reasonLost}
+	}
+	h := &f.x.Response.Header
+	a := attempt{ran: string(h.Peek(hopRan)), reason: string(h.Peek(hopReason))}
+	switch a.ran {
+	case ranYes:
+		a.status = f.x.Response.StatusCode()
+	case ranNo:
+	default:
+		a.ran = ranUnknown
+	}
+	return a
+}
+
+// worthRepeating reports an answer that another upstream may improve.
+func (f *forwarding) worthRepeating(a attempt) bool {
+	return a.status >= fasthttp.StatusInternalServerError && f.route.GetIdempotent()
+}
+
+// again decides on another attempt.
+func (f *forwarding) again(a attempt) bool {
+	now := time.Now()
+	if f.deadline.Sub(now) < minRemaining {
+		return false
+	}
+	if a.ran == ranNo && a.reason != reasonShed {
+		f.redirects++
+		return f.redirects <= maxRedirects
+	}
+	if a.ran != ranNo && !f.route.GetIdempotent() {
+		return false
+	}
+	if f.sends >= max(1, int(f.route.GetMaxAttempts())) || a.reason == reasonDeadline || a.reason == reasonCancelled {
+		return false
+	}
+	if !f.entry.mayRepeat(f.service, now) {
+		return false
+	}
+	f.entry.metrics.count("entry", "repeated")
+	if a.ran == ranYes {
+		f.kept = fasthttp.AcquireResponse()
+		f.x.Response.CopyTo(f.kept)
+	}
+	return true
+}
+
+// answered passes the answer of an upstream on.
+func (f *forwarding) answered(a attempt) {
+	r := &f.x.Response
+	cleanResponse(r)
+	dropHopHeaders(&r.Header, r.Header.All())
+	f.entry.metrics.observe("entry", f.route.GetName(), time.Since(f.x.Received))
+	if a.status >= fasthttp.StatusInternalServerError {
+		f.log("failure of the upstream", "upstream", a.status)
+	}
+}
+
+// giveUp answers for a request that no upstream answered, or only with a failure.
+func (f *forwarding) giveUp() {
+	if f.kept != nil {
+		f.kept.CopyTo(&f.x.Response)
+		fasthttp.ReleaseResponse(f.kept)
+		f.kept = nil
+		f.answered(attempt{ran: ranYes, status: f.x.Response.StatusCode()})
+		return
+	}
+	f.refuse(f.last)
+}
+
+// refuse writes the entry's own answer.
+func (f *forwarding) refuse(reason string) {
+	r := &f.x.Response
+	r.Reset()
+	status := fasthttp.StatusServiceUnavailable
+	switch {
+	case reason == reasonNoRoute:
+		status = fasthttp.StatusNotFound
+	case reason == reasonBadRequest:
+		status = fasthttp.StatusBadRequest
+	case f.mayHaveRun && reason == reasonDeadline:
+		status = fasthttp.StatusGatewayTimeout
+	case f.mayHaveRun:
+		status = fasthttp.StatusBadGateway
+	case reason == reasonNoPlan:
+		r.Header.Set(fasthttp.HeaderRetryAfter, seconds(retryAfterNoPlan))
+	default:
+		r.Header.Set(fasthttp.HeaderRetryAfter, seconds(f.entry.comeBack()))
+	}
+	r.SetStatusCode(status)
+	if f.id != "" {
+		r.Header.Set(f.entry.options.Headers.ID, f.id)
+	}
+	r.SetBodyString(reason + "\n")
+	f.entry.metrics.count("entry", reason)
+	f.log("not answered", reason, status)
+}
+
+// comeBack spreads refused clients, so that they do not return together.
+func (e *Entry) comeBack() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return retryAfter/2 + time.Duration(e.random.Float64()*float64(retryAfter))
+}
+
+// log explains a failed request from its id: what decided it and how old that was.
+func (f *forwarding) log(event, reason string, status int) {
+	now := time.Now()
+	serial, number := uint64(0), uint64(0)
+	if f.view.Plan != nil {
+		serial, number = f.view.Plan.Serial, f.view.Plan.Plan.GetNumber()
+	}
+	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "status", status, "host", hostOf(&f.x.Request),
+		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
+		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.redirects,
+		"may_have_run", f.mayHaveRun, "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
+}
--- /dev/null
+++ b/app/carry/gate.go
@@ -0,0 +1,333 @@
+package carry
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/meshhttp"
+	"github.com/rattanfield/rattanfield/app/attach"
+	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/roster"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Mesh gives what a node knows of the mesh.
+type Mesh interface {
+	View() *attach.View
+}
+
+// GateOptions of a Gate.
+type GateOptions struct {
+	Headers Headers
+	// DrainBound is the time after the acknowledgement of a departure in which requests may
+	// still reach the upstream.
+	DrainBound time.Duration
+	// Publish spreads the upstream of this node.
+	Publish func(*pb.Announcement)
+	// LostAfter is the time without an announcement after which an upstream counts as gone.
+	LostAfter time.Duration
+}
+
+// drainShare of DrainBound after which the gate takes no more requests; the rest covers
+// requests that are under way to the upstream.
+const drainShare = 0.6
+
+// answerSlack is how long after the deadline an answer that is on its way is awaited.
+const answerSlack = 40 * time.Millisecond
+
+// Gate is the proxy in front of the upstream of its host.
+type Gate struct {
+	options  GateOptions
+	mesh     Mesh
+	pool     *meshhttp.Pool
+	logger   log.Logger
+	metrics  *Metrics
+	outcomes outcomes
+	nextID   atomic.Uint64
+
+	mu       sync.Mutex
+	known    roster.Upstream
+	upstream *upstream
+	stopping bool
+}
+
+// NewGate returns a gate without an upstream; an announcement brings one.
+func NewGate(o GateOptions, mesh Mesh, pool *meshhttp.Pool, m *Metrics, logger log.Logger) *Gate {
+	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger}
+}
+
+// Announce takes what an upstream of this host says of itself.
+func (g *Gate) Announce(a *pb.Announcement) {
+	now := time.Now()
+	g.mu.Lock()
+	changed := g.known.Take(a)
+	current := g.known.Current()
+	if u := g.upstream; u != nil && isProcess(u.announced, a) {
+		u.lost, u.renewed = false, now
+	}
+	if changed {
+		g.adopt(now, current)
+	}
+	if u := g.upstream; u != nil && isProcess(u.announced, a) && u.cutAt.IsZero() && a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING {
+		u.cutAt = now.Add(g.drainTime()) // its announcement came late, its departure counts all the same
+	}
+	g.mu.Unlock()
+	if changed {
+		_ = g.logger.Log("event", "upstream", "instance", current.GetInstance(), "service", current.GetService(), "version", current.GetVersion(),
+			"state", current.GetState(), "seq", current.GetSeq(), "born", current.GetBornUnixMs())
+		g.options.Publish(current)
+	}
+}
+
+func (g *Gate) drainTime() time.Duration {
+	return time.Duration(float64(g.options.DrainBound) * drainShare)
+}
+
+func isProcess(a, b *pb.Announcement) bool {
+	return a.GetInstance() == b.GetInstance() && (a.GetBornUnixMs() == b.GetBornUnixMs() || b.GetBornUnixMs() == 0)
+}
+
+// adopt is called with the lock held.
+func (g *Gate) adopt(now time.Time, a *pb.Announcement) {
+	u := g.upstream
+	if u == nil || u.announced.GetInstance() != a.GetInstance() || u.announced.GetBornUnixMs() != a.GetBornUnixMs() {
+		if u != nil {
+			u.deliver(u.queue.Clear(), reasonMoved)
+		}
+		u = newUpstream(a, now)
+		g.upstream = u
+	}
+	u.announced = a
+	u.deliver(u.queue.SetSlots(int(a.GetSlots())), "")
+	if a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING && u.cutAt.IsZero() {
+		u.cutAt = now.Add(g.drainTime())
+		time.AfterFunc(g.drainTime(), func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			u.deliver(u.queue.Clear(), reasonLeaving)
+		})
+	}
+}
+
+// Stop makes the node tell others that its upstream is leaving.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	g.stopping = true
+	current := g.known.Current()
+	g.mu.Unlock()
+	if current != nil && current.GetState() == pb.UpstreamState_UPSTREAM_STATE_SERVING {
+		leaving := &pb.Announcement{
+			Instance: current.GetInstance(), Service: current.GetService(), Version: current.GetVersion(), Slots: current.GetSlots(),
+			State: pb.UpstreamState_UPSTREAM_STATE_LEAVING,
+		}
+		g.options.Publish(leaving)
+	}
+}
+
+// Outcomes of the local upstream in the running rollout of its service.
+func (g *Gate) Outcomes() []*pb.RouteOutcomes {
+	g.mu.Lock()
+	u := g.upstream
+	g.mu.Unlock()
+	if u == nil {
+		return nil
+	}
+	return g.outcomes.snapshot(g.mesh.View().Rollouts[u.announced.GetService()])
+}
+
+// job is a request as its entry describes it.
+type job struct {
+	id, service, version, route string
+	priority                    uint32
+	idempotent                  bool
+	deadline, goal              time.Time
+	budget                      time.Duration
+	received                    time.Time
+}
+
+func (g *Gate) parse(x *meshhttp.Exchange) (job, bool) {
+	h := &x.Request.Header
+	remaining, ok := milliseconds(h.Peek(hopRemainingMs))
+	goal, _ := milliseconds(h.Peek(hopGoalMs))
+	budget, _ := milliseconds(h.Peek(hopBudgetMs))
+	priority, err := strconv.ParseUint(string(h.Peek(hopPriority)), 10, 32)
+	j := job{
+		id: string(h.Peek(g.options.Headers.ID)), service: string(h.Peek(hopService)), version: string(h.Peek(hopVersion)),
+		route: string(h.Peek(hopRoute)), priority: uint32(priority), idempotent: len(h.Peek(hopIdempotent)) > 0,
+		deadline: x.Received.Add(remaining), goal: x.Received.Add(goal), budget: budget, received: x.Received,
+	}
+	return j, ok && err == nil && j.service != ""
+}
+
+// Handle decides whether the request runs, and runs it.
+func (g *Gate) Handle(ctx context.Context, x *meshhttp.Exchange) {
+	j, ok := g.parse(x)
+	if !ok {
+		g.reject(x, j, ranNo, reasonBadRequest, "")
+		return
+	}
+	u, id, reason := g.admit(ctx, j)
+	if reason != "" {
+		g.reject(x, j, ranNo, reason, "")
+		return
+	}
+	g.run(ctx, x, j, u, id)
+}
+
+// admit waits for a slot; a reason says that the request will not run.
+func (g *Gate) admit(ctx context.Context, j job) (*upstream, uint64, string) {
+	now := time.Now()
+	g.mu.Lock()
+	u := g.upstream
+	if reason := u.refusal(now, g.options.LostAfter); reason != "" {
+		g.mu.Unlock()
+		return nil, 0, reason
+	}
+	a := u.announced
+	if a.GetService() != j.service || (j.version != "" && a.GetVersion() != j.version) {
+		g.mu.Unlock()
+		return nil, 0, reasonMoved
+	}
+	id := g.nextID.Add(1)
+	decision, evicted := u.queue.Offer(now, admission.Request{ID: id, Priority: j.priority, Goal: j.goal, Deadline: j.deadline, Budget: j.budget})
+	u.deliver(evicted, reasonEvicted)
+	if decision != admission.Queued {
+		g.mu.Unlock()
+		if decision == admission.Busy {
+			return nil, 0, reasonBusy
+		}
+		return u, id, ""
+	}
+	ch := make(chan string, 1)
+	u.waiting[id] = ch
+	g.mu.Unlock()
+	return u, id, g.await(ctx, u, id, ch, j.deadline)
+}
+
+func (g *Gate) await(ctx context.Context, u *upstream, id uint64, ch chan string, deadline time.Time) string {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	reason := reasonDeadline
+	select {
+	case r := <-ch:
+		return r
+	case <-timer.C:
+	case <-ctx.Done():
+		reason = reasonCancelled
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case r := <-ch: // decided at the same moment
+		if r == "" {
+			u.deliver(u.queue.Finish(id, 0, false), "")
+		}
+	default:
+		delete(u.waiting, id)
+		u.queue.Cancel(id)
+	}
+	return reason
+}
+
+// run sends the request to the upstream once.
+func (g *Gate) run(ctx context.Context, x *meshhttp.Exchange, j job, u *upstream, id uint64) {
+	now := time.Now()
+	g.mu.Lock()
+	reason, a := u.refusal(now, g.options.LostAfter), u.announced
+	if reason != "" {
+		u.deliver(u.queue.Finish(id, 0, false), "")
+	}
+	g.mu.Unlock()
+	if reason != "" {
+		g.reject(x, j, ranNo, reason, "")
+		return
+	}
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	copyRequest(&x.Request, out)
+	dropHopHeaders(&out.Header, out.Header.All())
+	out.Header.Set(g.options.Headers.RemainingMs, formatMs(j.deadline.Sub(now)))
+	out.Header.Set(g.options.Headers.ExpectInstance, a.GetInstance())
+	o := g.pool.Do(ctx, a.GetAddress(), &meshhttp.Call{
+		Request: out, Response: &x.Response, Deadline: j.deadline.Add(answerSlack),
+		IDHeader: g.options.Headers.ID, ID: j.id, Fresh: !j.idempotent,
+	})
+	g.finish(x, j, u, id, o, time.Since(now))
+}
+
+func (g *Gate) finish(x *meshhttp.Exchange, j job, u *upstream, id uint64, o meshhttp.Outcome, latency time.Duration) {
+	notRun := o.Failure == meshhttp.NotSent
+	status := 0
+	if o.Failure == meshhttp.Answered {
+		status = x.Response.StatusCode()
+		notRun = len(x.Response.Header.Peek(g.options.Headers.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest
+	}
+	ran := o.Failure == meshhttp.Answered && !notRun
+	g.mu.Lock()
+	a := u.announced
+	u.deliver(u.queue.Finish(id, latency, ran && status < fasthttp.StatusInternalServerError), "")
+	if o.Refused || status == fasthttp.StatusMisdirectedRequest {
+		u.lost = true
+		u.deliver(u.queue.Clear(), reasonNoUpstream)
+	}
+	g.mu.Unlock()
+	failed := !ran && o.Failure != meshhttp.NotSent && !notRun || status >= fasthttp.StatusInternalServerError
+	if ran || (failed && o.Failure != meshhttp.Cancelled) {
+		r := g.mesh.View().Rollouts[a.GetService()]
+		g.outcomes.add(r, a.GetInstance(), j.route, failed, latency)
+	}
+	switch {
+	case ran:
+		g.metrics.observe("gate", j.route, latency)
+		cleanResponse(&x.Response)
+		dropHopHeaders(&x.Response.Header, x.Response.Header.All())
+		x.Response.Header.Set(hopRan, ranYes)
+		x.Response.Header.Set(hopLoad, g.load(u))
+	case notRun && o.Failure == meshhttp.Answered:
+		g.reject(x, j, ranNo, reasonShed, strconv.Itoa(status))
+	case notRun:
+		g.reject(x, j, ranNo, reasonNoUpstream, o.Err.Error())
+	case o.Failure == meshhttp.Cancelled:
+		g.reject(x, j, ranUnknown, reasonCancelled, "")
+	case o.Failure == meshhttp.TimedOut:
+		g.reject(x, j, ranUnknown, reasonDeadline, "")
+	case o.Failure == meshhttp.Unread:
+		g.reject(x, j, ranUnknown, reasonUnreadable, o.Err.Error())
+	default:
+		g.reject(x, j, ranUnknown, reasonLost, o.Err.Error())
+	}
+}
+
+func (g *Gate) load(u *upstream) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return formatLoad(u.queue.Load())
+}
+
+// reject writes the gate's own answer.
+func (g *Gate) reject(x *meshhttp.Exchange, j job, ran, reason, detail string) {
+	g.metrics.count("gate", reason)
+	x.Response.Reset()
+	x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	h := &x.Response.Header
+	h.Set(hopRan, ran)
+	h.Set(hopReason, reason)
+	h.Set(g.options.Headers.ID, j.id)
+	g.mu.Lock()
+	u := g.upstream
+	if u != nil {
+		h.Set(hopLoad, formatLoad(u.queue.Load()))
+	}
+	g.mu.Unlock()
+	if reason == reasonCancelled {
+		return
+	}
+	_ = g.logger.Log("event", "not answered", "request", j.id, "route", j.route, "service", j.service, "ran", ran, "reason", reason,
+		"detail", detail, "load", string(h.Peek(hopLoad)), "after", time.Since(j.received).Round(time.Millisecond))
+}
--- /dev/null
+++ b/app/meshcontrol/meshcontrol.go
@@ -0,0 +1,155 @@
+// Package meshcontrol wires a control host of the mesh: the replicated log, the
+// hub that nodes attach to, the decisions on rollouts and the listeners.
+package meshcontrol
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/dig"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/consensus"
+	"github.com/rattanfield/rattanfield/app/hub"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
+	"github.com/rattanfield/rattanfield/app/paces"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Options of a control host. Addresses are IP:port; the peer address is the host's identity.
+type Options struct {
+	PeerAddress, MetricsAddress string
+	FailureDomain, Region       string
+	DataDir                     string
+	// Founders are the peer addresses of the hosts that form the group when the whole system
+	// starts for the first time; empty at every other start.
+	Founders []string
+	Seeds    func() []string
+	// Extra listeners with their handlers, for example of the platform.
+	Extra func(*Process) map[string]fasthttp.RequestHandler
+}
+
+const (
+	closeTimeout   = 300 * time.Millisecond
+	maxRequestBody = 64 << 20
+	maxHeader      = 16 << 10
+)
+
+// Process is a running control host.
+type Process struct {
+	options Options
+	Host    *consensus.Host
+	Hub     *hub.Hub
+	decider *paces.Decider
+	joiner  *hub.Joiner
+	client  *rpc.Client
+	set     *metrics.Set
+	logger  log.Logger
+}
+
+// Run builds a control host and runs it until the context ends or a part fails.
+func Run(ctx context.Context, o Options, logger log.Logger) error {
+	c := dig.New()
+	for _, f := range []any{
+		func() Options { return o },
+		func() log.Logger { return logger },
+		metrics.NewSet, newClient, newHost, newHub, newDecider, newProcess,
+	} {
+		if err := c.Provide(f); err != nil {
+			return err
+		}
+	}
+	return dig.RootCause(c.Invoke(func(p *Process) error { return p.run(ctx) }))
+}
+
+func newClient(o Options) *rpc.Client {
+	return rpc.NewClient(rpc.Options{LocalIP: lifecycle.HostIP(o.PeerAddress)})
+}
+
+func newHost(o Options, client *rpc.Client, logger log.Logger) (*consensus.Host, error) {
+	members := make([]*pb.Member, 0, len(o.Founders))
+	for _, address := range o.Founders {
+		members = append(members, &pb.Member{Id: address, Address: address, Voter: true})
+	}
+	return consensus.New(consensus.Options{ID: o.PeerAddress, Members: members, DataDir: o.DataDir}, client, logger)
+}
+
+func newHub(o Options, host *consensus.Host, client *rpc.Client, logger log.Logger) *hub.Hub {
+	return hub.New(o.PeerAddress, host, client, logger)
+}
+
+func newDecider(host *consensus.Host, h *hub.Hub, logger log.Logger) *paces.Decider {
+	return paces.New(host, h, logger)
+}
+
+func newProcess(o Options, host *consensus.Host, h *hub.Hub, d *paces.Decider, client *rpc.Client, set *metrics.Set, logger log.Logger) *Process {
+	for name, r := range host.Rings() {
+		telemetry.AddRing(set, name, r)
+	}
+	set.NewGauge("rattanfield_plan_serial", func() float64 { return float64(host.State().Plan.GetSerial()) })
+	set.NewGauge("rattanfield_confirmed_age_seconds", func() float64 { return host.ConfirmedAge().Seconds() })
+	return &Process{
+		options: o, Host: host, Hub: h, decider: d, client: client, set: set, logger: logger,
+		joiner: &hub.Joiner{
+			Self:  &pb.Member{Id: o.PeerAddress, Address: o.PeerAddress, FailureDomain: o.FailureDomain, Region: o.Region},
+			Seeds: o.Seeds, State: host, Client: client, Log: logger.Log,
+		},
+	}
+}
+
+func (p *Process) run(ctx context.Context) error {
+	o := p.options
+	servers := lifecycle.NewGroup(context.WithoutCancel(ctx))
+	duties := lifecycle.NewGroup(context.WithoutCancel(ctx))
+	peer := rpc.NewServer(append(p.Host.Handlers(), p.Hub.Handlers()...)...)
+	listen := func(address string, serve func(net.Listener) error) error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", address)
+		}
+		servers.Go("server on "+address, func(context.Context) error { return serve(l) })
+		return nil
+	}
+	if err := listen(o.PeerAddress, peer.Serve); err != nil {
+		return err
+	}
+	handlers := o.Extra(p)
+	handlers[o.MetricsAddress] = p.writeMetrics
+	for address, h := range handlers {
+		s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, ReadBufferSize: maxHeader, MaxRequestBodySize: maxRequestBody}
+		if err := listen(address, s.Serve); err != nil {
+			return err
+		}
+	}
+	duties.Go("replicated log", p.Host.Run)
+	duties.Go("hub", p.Hub.Run)
+	duties.Go("rollouts", p.decider.Run)
+	duties.Go("membership", p.joiner.Run)
+	_ = p.logger.Log("event", "started", "peer", o.PeerAddress, "domain", o.FailureDomain, "founders", len(o.Founders), "data", o.DataDir)
+	select {
+	case <-ctx.Done():
+		_ = p.logger.Log("event", "stopping")
+	case <-servers.Done():
+		return servers.Stop()
+	case <-duties.Done():
+	}
+	// The servers stay up while the log hands over its leadership.
+	err := duties.Stop()
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	_ = peer.Shutdown(closing)
+	p.client.Close()
+	_ = p.logger.Log("event", "stopped", "err", err)
+	return err
+}
+
+func (p *Process) writeMetrics(ctx *fasthttp.RequestCtx) {
+	p.set.WritePrometheus(ctx)
+	metrics.WriteProcessMetrics(ctx)
+}
--- /dev/null
+++ b/cmd/rattanfield-platform/main.go
@@ -0,0 +1,124 @@
+// Command rattanfield-platform runs a node or a control host of the mesh on the
+// users' platform, with the settings that the platform provides.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/meshcontrol"
+	"github.com/rattanfield/rattanfield/app/meshnode"
+	"github.com/rattanfield/rattanfield/platform"
+)
+
+const program = "rattanfield-platform"
+
+type arguments struct {
+	Node    *struct{} `arg:"subcommand:node" help:"run the process beside an upstream"`
+	Control *struct{} `arg:"subcommand:control" help:"run a control host"`
+	Check   bool      `arg:"--check" help:"check the settings and exit"`
+}
+
+func (arguments) Version() string { return program + " " + telemetry.Version() }
+
+func main() { os.Exit(run()) }
+
+// run returns 2 for settings that cannot be used, before it opens a port.
+func run() int {
+	var a arguments
+	p := arg.MustParse(&a)
+	role := platform.RoleNode
+	switch {
+	case a.Control != nil:
+		role = platform.RoleControl
+	case a.Node == nil:
+		p.Fail("want a command: node or control")
+	}
+	s, err := platform.ReadSettings(role)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, program+": "+err.Error())
+		return 2
+	}
+	if a.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logger := telemetry.NewBounded(os.Stdout, program, s.Name)
+	logged := make(chan struct{})
+	logging, end := context.WithCancel(context.Background())
+	go func() {
+		defer close(logged)
+		logger.Run(logging)
+	}()
+	w := platform.NewWatcher(s, role)
+	go w.Run(ctx, reloads(ctx), logger)
+	if role == platform.RoleNode {
+		err = meshnode.Run(ctx, nodeOptions(s, w), logger)
+	} else {
+		err = meshcontrol.Run(ctx, controlOptions(s, w, logger), logger)
+	}
+	end()
+	<-logged
+	if err != nil {
+		fmt.Fprintln(os.Stderr, program+": "+err.Error())
+		return 1
+	}
+	return 0
+}
+
+// reloads passes SIGHUP on.
+func reloads(ctx context.Context) <-chan struct{} {
+	signals, out := make(chan os.Signal, 1), make(chan struct{}, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-signals:
+				select {
+				case out <- struct{}{}:
+				default:
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
+
+// lostHeartbeats is how many check-ins of an upstream may be missing.
+const lostHeartbeats = 3
+
+func nodeOptions(s *platform.Settings, w *platform.Watcher) meshnode.Options {
+	return meshnode.Options{
+		EntryAddress: s.EntryAddress, GateAddress: s.GateAddress, PeerAddress: s.PeerAddress(), MetricsAddress: s.MetricsAddress(),
+		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
+		DrainBound: s.DrainBound, LostAfter: lostHeartbeats * s.Heartbeat, StopBound: s.StopBound,
+		RepeatPercent: 100 * s.RepeatRatio, RepeatExtra: s.RepeatExtra, RepeatWindow: s.RepeatWindow,
+		Extra: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
+			return map[string]fasthttp.RequestHandler{
+				s.ReadyAddress: platform.ReadyHandler(p), s.ControlAddress: platform.CheckInHandler(p),
+			}
+		},
+	}
+}
+
+func controlOptions(s *platform.Settings, w *platform.Watcher, logger log.Logger) meshcontrol.Options {
+	return meshcontrol.Options{
+		PeerAddress: s.PeerAddress(), MetricsAddress: s.MetricsAddress(), FailureDomain: s.FailureDomain, Region: s.Region,
+		DataDir: s.DataDir, Founders: s.Founders(), Seeds: w.Seeds,
+		Extra: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
+			return map[string]fasthttp.RequestHandler{s.ControlAddress: platform.NewControlAPI(s, p.Host, p.Hub, logger).Handle}
+		},
+	}
+}
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -74,7 +74,7 @@
 	// recentAnswers of the new version make up its mean, so that a fault that begins late shows.
 	recentAnswers = 24
 	minNew        = 16 // answers of the new version that its mean needs
-	minOld    = 5 // answers of the old version that its mean needs
+	minOld        = 5  // answers of the old version that its mean needs
 	// priorAnswers, one of them failed, stand for the old version before its answers are known.
 	priorAnswers = 40
 )
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -24,13 +24,19 @@
 // for concurrent use.
 type Budget struct {
 	percent float64
+	burst   float64
 	tokens  float64
 	last    time.Time // last retry
 }
 
 // NewBudget returns a budget in percent of calls; 0 selects the default.
 func NewBudget(percent uint32) *Budget {
-	b := &Budget{}
+	return NewBudgetWithBurst(percent, burst)
+}
+
+// NewBudgetWithBurst returns a budget that saves up at most so many retries.
+func NewBudgetWithBurst(percent uint32, burst float64) *Budget {
+	b := &Budget{burst: burst}
 	b.SetPercent(percent)
 	return b
 }
@@ -44,7 +50,7 @@
 }
 
 // Call counts one call of a caller.
-func (b *Budget) Call() { b.tokens = min(b.tokens+b.percent/100, burst) }
+func (b *Budget) Call() { b.tokens = min(b.tokens+b.percent/100, b.burst) }
 
 // Take uses one retry if the budget has one. A retry also costs the share that
 // its call brought in, so that calls and retries together stay below the share.
@@ -111,3 +117,13 @@
 	}
 	return Repeat
 }
+
+// TakeSaved uses one retry only if calls have brought it in.
+func (b *Budget) TakeSaved() bool {
+	cost := 1 + b.percent/100
+	if b.tokens < cost {
+		return false
+	}
+	b.tokens -= cost
+	return true
+}
