consensus: let a host with an empty disk answer the leader that admits it

Cause: a host that joins, or comes back with an empty disk, knows no members and so no address of the leader; its replies went nowhere. The fourth control host never became a voter, a wiped one never returned. Change: Options.AddressOf finds members that the member set does not name yet.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -223,7 +223,7 @@
 // write sends a response and reports whether it is the last of the connection.
 func (c *conn) write(x *Exchange) (last bool) {
 	c.mu.Lock()
-	last = x.close || (c.server.draining.Load() && c.outstanding == 1)
+	last = x.close || x.Response.ConnectionClose() || (c.server.draining.Load() && c.outstanding == 1)
 	if last {
 		c.closing = true
 	}
--- /dev/null
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -0,0 +1,330 @@
+package meshhttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+const testWait = 10 * time.Second
+
+// serve runs a server on a loopback listener until the test ends.
+func serve(t *testing.T, h Handler, farewell string) (*Server, string) {
+	s := NewServer(ServerOptions{
+		Handler: h, Limits: func() Limits { return Defaults }, Farewell: farewell,
+		Refuse: func(x *Exchange, status int, _ error) { x.Response.SetStatusCode(status) },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return s, l.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(testWait))
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func readBody(t *testing.T, r *bufio.Reader) (string, *fasthttp.Response) {
+	var resp fasthttp.Response
+	if err := resp.Read(r); err != nil {
+		t.Fatal(err)
+	}
+	return string(resp.Body()), &resp
+}
+
+// Guards against answers that overtake each other on a connection.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	_, address := serve(t, func(_ context.Context, x *Exchange) {
+		if string(x.Request.Header.RequestURI()) == "/1" {
+			<-release // answered last
+		} else if string(x.Request.Header.RequestURI()) == "/3" {
+			close(release)
+		}
+		x.Response.SetBodyString(string(x.Request.Header.RequestURI()))
+	}, "")
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		got, _ := readBody(t, r)
+		is.Equal(got, want)
+	}
+}
+
+// Guards against a request that is hidden in the body of another one.
+func TestBodyIsNeverARequest(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, func(_ context.Context, x *Exchange) {
+		x.Response.SetBodyString(fmt.Sprintf("%s %d", x.Request.Header.RequestURI(), len(x.Request.Body())))
+	}, "")
+	hidden := "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, method := range []string{"GET", "POST", "DELETE"} {
+		c, r := dial(t, address)
+		_, err := fmt.Fprintf(c, "%s /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%sGET /b HTTP/1.1\r\nHost: h\r\n\r\n", method, len(hidden), hidden)
+		is.NoErr(err)
+		got, _ := readBody(t, r)
+		is.Equal(got, fmt.Sprintf("/a %d", len(hidden)))
+		got, _ = readBody(t, r)
+		is.Equal(got, "/b 0")
+	}
+	c, r := dial(t, address)
+	_, err := fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n", len(hidden), hidden)
+	is.NoErr(err)
+	got, _ := readBody(t, r)
+	is.Equal(got, fmt.Sprintf("/a %d", len(hidden)))
+	got, _ = readBody(t, r)
+	is.Equal(got, "/b 0")
+}
+
+// Guards against work that goes on after the client has left.
+func TestClientThatLeavesCancels(t *testing.T) {
+	is := is.New(t)
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		cancelled := make(chan struct{})
+		started := make(chan struct{})
+		_, address := serve(t, func(ctx context.Context, _ *Exchange) {
+			close(started)
+			<-ctx.Done()
+			close(cancelled)
+		}, "")
+		c, _ := dial(t, address)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n"+header+"\r\n")
+		is.NoErr(err)
+		<-started
+		_ = c.Close()
+		select {
+		case <-cancelled:
+		case <-time.After(testWait):
+			t.Fatal("the handler was not told")
+		}
+	}
+}
+
+// Guards against a stop that loses a request which was read, and against
+// connections that stay open after it.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	s, address := serve(t, func(_ context.Context, x *Exchange) {
+		if string(x.Request.Header.RequestURI()) == "/slow" {
+			started <- struct{}{}
+			<-release
+		}
+		x.Response.SetBodyString("done")
+	}, "")
+	idle, idleReader := dial(t, address)
+	_, err := io.WriteString(idle, "GET /fast HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	got, _ := readBody(t, idleReader)
+	is.Equal(got, "done")
+	busy, busyReader := dial(t, address)
+	_, err = io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	s.Drain()
+	_, err = idleReader.ReadByte()
+	is.Equal(err, io.EOF) // closed without a further byte
+	close(release)
+	got, resp := readBody(t, busyReader)
+	is.Equal(got, "done")
+	is.True(resp.ConnectionClose())
+	_, err = busyReader.ReadByte()
+	is.Equal(err, io.EOF)
+	_ = idle.Close()
+	_ = busy.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	s.Wait(ctx)
+	is.NoErr(ctx.Err())
+}
+
+// backend answers each connection with raw bytes after it has read one request per answer.
+func backend(t *testing.T, answers ...string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for _, a := range answers {
+					var req fasthttp.Request
+					if req.Read(r) != nil {
+						return
+					}
+					if _, err := io.WriteString(c, a); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+const idHeader = "X-Id"
+
+func call(t *testing.T, p *Pool, address, id string) (Outcome, *fasthttp.Response) {
+	var req fasthttp.Request
+	req.Header.SetHost("h")
+	req.Header.SetRequestURI("/")
+	req.Header.Set(idHeader, id)
+	resp := &fasthttp.Response{}
+	o := p.Do(context.Background(), address, &Call{Request: &req, Response: resp, Deadline: time.Now().Add(testWait), IDHeader: idHeader, ID: id})
+	return o, resp
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+// Guards against an answer that is cut off, invalid or another request's and counts as an answer.
+func TestOnlyWholeAnswersCount(t *testing.T) {
+	is := is.New(t)
+	whole := answer("1", "body")
+	for name, c := range map[string]struct {
+		raw  string
+		want Failure
+	}{
+		"whole":             {whole, Answered},
+		"cut in the body":   {whole[:len(whole)-1], Unread},
+		"cut in the header": {whole[:20], Unread},
+		"nothing":           {"", Lost},
+		"no HTTP":           {"\x00\x01garbage\r\n\r\n", Unread},
+		"chunks cut":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", Unread},
+		"no length":         {"HTTP/1.1 200 OK\r\n\r\nbody", Answered},
+		"another request's": {answer("0", "other"), Lost},
+	} {
+		o, resp := call(t, NewPool(nil), backend(t, c.raw), "1")
+		if (o.Failure == Answered) != (c.want == Answered) || o.Failure == NotSent {
+			t.Fatalf("%s: %v (%v), want %v", name, o.Failure, o.Err, c.want)
+		}
+		if o.Failure == Answered {
+			is.Equal(string(resp.Body()), "body")
+		}
+	}
+}
+
+// Guards against an extra answer of an earlier request that is taken for the next one's.
+func TestExtraAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(nil)
+	address := backend(t, answer("1", "one"), answer("1", "extra")+answer("2", "two"))
+	o, resp := call(t, p, address, "1")
+	is.Equal(o.Failure, Answered)
+	is.Equal(string(resp.Body()), "one")
+	o, resp = call(t, p, address, "2")
+	is.Equal(o.Failure, Answered)
+	is.True(o.Reused)
+	is.Equal(string(resp.Body()), "two")
+	o, _ = call(t, p, address, "1")
+	is.True(!o.Reused) // the connection is out of step
+}
+
+// Guards against "not sent" for a request that was written, and against the opposite.
+func TestNotSentIsCertain(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	_ = l.Close()
+	o, _ := call(t, NewPool(nil), address, "1")
+	is.Equal(o.Failure, NotSent)
+	is.True(o.Refused)
+	o, _ = call(t, NewPool(nil), backend(t, ""), "1")
+	is.Equal(o.Failure, Lost)
+}
+
+// Guards against the rest of a long body that mixes with the next request, after
+// a destination has answered before it read the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var header fasthttp.RequestHeader
+			_ = header.Read(bufio.NewReader(c))
+			_, _ = io.WriteString(c, answer("1", "early")) // the body stays unread
+		}
+	}()
+	var req fasthttp.Request
+	req.Header.SetMethod("POST")
+	req.Header.SetHost("h")
+	req.Header.SetRequestURI("/")
+	req.SetBodyString(strings.Repeat("x", 32<<20))
+	p := NewPool(nil)
+	var resp fasthttp.Response
+	o := p.Do(context.Background(), l.Addr().String(), &Call{Request: &req, Response: &resp, Deadline: time.Now().Add(testWait)})
+	is.Equal(o.Failure, Answered)
+	is.Equal(string(resp.Body()), "early")
+	is.Equal(len(p.idle), 0)
+}
+
+// Guards: a request that crosses the close of an idle connection is answered by
+// the farewell, so that its sender knows that it was not read.
+func TestFarewellAnswersACrossingRequest(t *testing.T) {
+	is := is.New(t)
+	const farewell = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Read: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	s, address := serve(t, func(_ context.Context, x *Exchange) { x.Response.Header.Set(idHeader, "1") }, farewell)
+	p := NewPool(nil)
+	o, _ := call(t, p, address, "1")
+	is.Equal(o.Failure, Answered)
+	// Taken from the pool before the close, as a request that is on its way.
+	c := p.take(address, false)
+	is.True(c != nil)
+	s.Drain()
+	time.Sleep(50 * time.Millisecond)
+	var req fasthttp.Request
+	req.Header.SetHost("h")
+	req.Header.SetRequestURI("/")
+	var resp fasthttp.Response
+	_, f, _ := c.roundTrip(context.Background(), &Call{Request: &req, Response: &resp, Deadline: time.Now().Add(testWait)})
+	is.Equal(f, Answered)
+	is.Equal(string(resp.Header.Peek("X-Not-Read")), "1")
+}
+
+// Guards against a connection that is used beyond the idle time that its server states.
+func TestKeepAliveIsHonoured(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(nil)
+	raw := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5, max=100\r\nContent-Length: 0\r\n\r\n"
+	address := backend(t, raw, raw)
+	o, _ := call(t, p, address, "1")
+	is.Equal(o.Failure, Answered)
+	c := p.idle[address][0]
+	is.Equal(c.limit, 5*time.Second-keepAliveReserve)
+	c.since = time.Now().Add(-c.limit)
+	is.Equal(p.take(address, false), nil)
+}
--- /dev/null
+++ b/app/carry/carry_test.go
@@ -0,0 +1,235 @@
+package carry
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/meshhttp"
+	"github.com/rattanfield/rattanfield/app/attach"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// Guards: an upstream gets the request as it was sent, with the headers that it
+// needs and none of the product's own, and the caller gets the whole answer.
+func TestRequestAndAnswerArePassedOn(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	n := newNode(t, m, "i1", succeed)
+	e := newTestEntry(m)
+	x := &meshhttp.Exchange{Received: time.Now()}
+	x.Request.Header.SetMethod("PUT")
+	x.Request.Header.SetHost("h")
+	x.Request.Header.SetRequestURI("/write//a/../b?q=%2F&r")
+	x.Request.Header.Set(testHeaders.ID, "id-1")
+	x.Request.Header.Set(testHeaders.RemainingMs, "1500")
+	x.Request.Header.Set(testHeaders.Caller, "forged")
+	x.Request.Header.Set(hopService, "forged")
+	x.Request.Header.Set("X-Other", "kept")
+	x.Request.SetBodyString("body")
+	e.Handle(t.Context(), x)
+	is.Equal(x.Response.StatusCode(), 200)
+	is.Equal(string(x.Response.Body()), "ok")
+	is.Equal(string(x.Response.Header.Peek(testHeaders.Signature)), "s")
+	is.Equal(len(x.Response.Header.Peek(hopRan)), 0)
+	got := n.upstream.last()
+	is.Equal(string(got.Header.Method()), "PUT")
+	is.Equal(string(got.Header.RequestURI()), "/write//a/../b?q=%2F&r")
+	is.Equal(string(got.Body()), "body")
+	is.Equal(string(got.Header.Peek(testHeaders.Caller)), "caller")
+	is.Equal(string(got.Header.Peek(testHeaders.ExpectInstance)), "i1")
+	is.Equal(string(got.Header.Peek("X-Other")), "kept")
+	is.Equal(len(got.Header.Peek(hopService)), 0)
+	remaining, err := strconv.Atoi(string(got.Header.Peek(testHeaders.RemainingMs)))
+	is.NoErr(err)
+	is.True(remaining > 0 && remaining <= 1500)
+}
+
+// Guards against a request that runs twice: once it may have reached an
+// upstream, one that cannot be repeated is failed, and nothing says "not run".
+func TestNonIdempotentIsNeverSentTwice(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	a, b := newNode(t, m, "i1", garble), newNode(t, m, "i2", garble)
+	x := send(newTestEntry(m), "/write/1")
+	is.Equal(x.Response.StatusCode(), fasthttp.StatusBadGateway)
+	is.Equal(a.upstream.count()+b.upstream.count(), 1)
+	is.Equal(len(x.Response.Header.Peek(fasthttp.HeaderRetryAfter)), 0)
+}
+
+// Guards: an idempotent request whose answer is lost goes to another upstream, at most as often as its route allows.
+func TestIdempotentIsRepeatedElsewhere(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	var nodes []*node
+	for _, name := range []string{"i1", "i2", "i3"} {
+		nodes = append(nodes, newNode(t, m, name, garble))
+	}
+	x := send(newTestEntry(m), "/read/1")
+	is.Equal(x.Response.StatusCode(), fasthttp.StatusBadGateway)
+	total := 0
+	for _, n := range nodes {
+		is.True(n.upstream.count() <= 1)
+		total += n.upstream.count()
+	}
+	is.Equal(total, 2) // max_attempts
+}
+
+// Guards: what an upstream did not run goes elsewhere, also when it cannot be
+// repeated; when nobody runs it, the client learns that and when to come back.
+func TestNotRunMovesOn(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	a := newNode(t, m, "i1", shed)
+	e := newTestEntry(m)
+	x := send(e, "/write/1")
+	is.Equal(x.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(string(x.Response.Header.Peek(fasthttp.HeaderRetryAfter)), 64)
+	is.NoErr(err)
+	is.True(wait > 0 && wait < 0.5)
+	is.Equal(len(x.Response.Header.Peek(testHeaders.Signature)), 0)
+	b := newNode(t, m, "i2", succeed)
+	for range 3 {
+		x = send(e, "/write/1")
+		is.Equal(x.Response.StatusCode(), 200)
+	}
+	is.Equal(b.upstream.count(), 3)
+	is.True(a.upstream.count() >= 1)
+}
+
+// Guards against "not run" for a request whose earlier attempt may have run.
+func TestRefusalAfterALostAttemptDoesNotSayNotRun(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	newNode(t, m, "i1", garble)
+	n := newNode(t, m, "i2", shed)
+	e := newTestEntry(m)
+	for range 10 { // either node may be first
+		x := send(e, "/read/1")
+		if n.upstream.count() > 0 {
+			is.True(x.Response.StatusCode() != fasthttp.StatusServiceUnavailable || len(x.Response.Header.Peek(testHeaders.Signature)) == 0)
+		}
+		is.True(x.Response.StatusCode() != 200)
+	}
+}
+
+// Guards against a failure of an upstream that is replaced by one of the product's own.
+func TestFailureOfTheUpstreamIsDelivered(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	newNode(t, m, "i1", respond(500))
+	newNode(t, m, "i2", respond(500))
+	for _, path := range []string{"/read/1", "/write/1"} {
+		x := send(newTestEntry(m), path)
+		is.Equal(x.Response.StatusCode(), 500)
+		is.Equal(string(x.Response.Header.Peek(testHeaders.Signature)), "s")
+	}
+}
+
+// Guards against repeats beyond the part of the budget that this node has.
+func TestRepeatsStayInTheBudget(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	a, b := newNode(t, m, "i1", respond(500)), newNode(t, m, "i2", respond(500))
+	e := newTestEntry(m)
+	const requests = 200
+	for range requests {
+		send(e, "/read/1")
+	}
+	repeats := a.upstream.count() + b.upstream.count() - requests
+	is.True(repeats > 0)
+	is.True(float64(repeats) <= 0.2*requests+10)
+}
+
+// Guards against requests that reach an upstream after the bound of its departure, waiting ones included.
+func TestNothingReachesADepartedUpstream(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	n := newNode(t, m, "i1", succeed)
+	e := newTestEntry(m)
+	is.Equal(send(e, "/write/1").Response.StatusCode(), 200)
+	n.gate.Announce(n.announcement("i1", 2, pb.UpstreamState_UPSTREAM_STATE_LEAVING))
+	left := time.Now()
+	is.Equal(n.published[len(n.published)-1].GetState(), pb.UpstreamState_UPSTREAM_STATE_LEAVING)
+	for time.Since(left) < testDrain {
+		send(e, "/write/1") // entries may not know yet
+	}
+	before := n.upstream.count()
+	n.gate.Announce(n.announcement("i1", 1, pb.UpstreamState_UPSTREAM_STATE_SERVING)) // late
+	x := send(e, "/write/1")
+	is.Equal(x.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(n.upstream.count(), before)
+}
+
+// Guards against a request that runs on another service, version or process than was chosen.
+func TestGateRejectsWhatIsNotMeantForItsUpstream(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	n := newNode(t, m, "i1", succeed)
+	m.change(func(v *attach.View) { v.Endpoints["a"][0].Version = "v2" })
+	is.Equal(send(newTestEntry(m), "/write/1").Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	other := n.announcement("i2", 1, pb.UpstreamState_UPSTREAM_STATE_SERVING)
+	other.Service, other.BornUnixMs = "b", 2
+	n.gate.Announce(other)
+	m.change(func(v *attach.View) { v.Endpoints["a"][0].Version = "v1" })
+	is.Equal(send(newTestEntry(m), "/write/1").Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(n.upstream.count(), 0)
+}
+
+// Guards against an own 4xx for a request that is allowed, and against serving without a plan.
+func TestRequestsWithoutRouteOrPlan(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	newNode(t, m, "i1", succeed)
+	e := newTestEntry(m)
+	is.Equal(send(e, "/none/1").Response.StatusCode(), fasthttp.StatusNotFound)
+	m.change(func(v *attach.View) { v.Plan = nil })
+	x := send(e, "/none/1")
+	is.Equal(x.Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.True(len(x.Response.Header.Peek(fasthttp.HeaderRetryAfter)) > 0)
+}
+
+// Guards against a client that waits beyond the timeout of its route.
+func TestTimeoutOfTheRouteEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	release := make(chan struct{})
+	newNode(t, m, "i1", func(*meshhttp.Exchange) { <-release })
+	defer close(release)
+	start := time.Now()
+	x := send(newTestEntry(m), "/short/1")
+	is.Equal(x.Response.StatusCode(), fasthttp.StatusGatewayTimeout)
+	is.True(time.Since(start) >= 100*time.Millisecond)
+}
+
+func view(list ...*attach.Endpoint) *attach.View {
+	return &attach.View{Endpoints: map[string][]*attach.Endpoint{"a": list}, Rollouts: make(map[string]*pb.Rollout)}
+}
+
+// Guards against requests on a version that is not in service, or not any more.
+func TestVersionsFollowTheRollout(t *testing.T) {
+	is := is.New(t)
+	v := view(
+		&attach.Endpoint{Gate: "1", Version: "v1"}, &attach.Endpoint{Gate: "2", Version: "v1"}, &attach.Endpoint{Gate: "3", Version: "v2"},
+	)
+	gates := func(u float64) string {
+		out := ""
+		version, exclude := versionOf(v, "a", u)
+		for _, c := range candidates(v, "a", version, "", exclude, time.Now()) {
+			out += c.Gate
+		}
+		return out
+	}
+	is.Equal(gates(0), "12") // v2 waits for its rollout
+	r := &pb.Rollout{Service: "a", TargetVersion: "v2", Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: 40}
+	v.Rollouts["a"] = r
+	is.Equal(gates(0.039), "3")
+	is.Equal(gates(0.041), "12")
+	r.Phase = pb.RolloutPhase_ROLLOUT_PHASE_REVERTED
+	is.Equal(gates(0), "12")
+	r.Phase = pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE
+	is.Equal(gates(0.9), "3")
+}
--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -26,6 +26,9 @@
 	// be empty for a host that joins.
 	Members []*pb.Member
 	DataDir string
+	// AddressOf finds members that the member set of this host does not name yet, which is how a
+	// host with an empty disk reaches the leader that admits it; nil knows none.
+	AddressOf func(id string) string
 
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
--- a/app/consensus/sender.go
+++ b/app/consensus/sender.go
@@ -128,5 +128,8 @@
 			return m.GetAddress()
 		}
 	}
+	if h.options.AddressOf != nil {
+		return h.options.AddressOf(id)
+	}
 	return ""
 }
--- a/app/consensus/steploop.go
+++ b/app/consensus/steploop.go
@@ -118,6 +118,9 @@
 			p.address = m.GetAddress()
 		}
 	}
+	if p.address == "" && s.Leader != "" && h.options.AddressOf != nil {
+		p.address = h.options.AddressOf(s.Leader)
+	}
 	old := h.published.Swap(p)
 	if at, ok := h.node.ConfirmedAt(now); ok {
 		h.confirmed.Store(&confirmedAt{at: at, commit: s.Commit})
--- /dev/null
+++ b/app/hub/hub_test.go
@@ -0,0 +1,204 @@
+package hub_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/attach"
+	"github.com/rattanfield/rattanfield/app/consensus"
+	"github.com/rattanfield/rattanfield/app/hub"
+	"github.com/rattanfield/rattanfield/core/plan"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const testWait = 20 * time.Second
+
+// controlHost is a control host on a loopback address of its own.
+type controlHost struct {
+	address string
+	host    *consensus.Host
+	stop    func()
+}
+
+var groups atomic.Int32
+
+const testPort = 17002
+
+func addresses(n int) []string {
+	group := groups.Add(1)
+	out := make([]string, 0, n)
+	for i := range n {
+		out = append(out, fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()%128, 100+group, i+1, testPort))
+	}
+	return out
+}
+
+func startControl(t *testing.T, address, dir, domain string, founders, seeds []string) *controlHost {
+	client := rpc.NewClient(rpc.Options{})
+	members := make([]*pb.Member, 0, len(founders))
+	for _, f := range founders {
+		members = append(members, &pb.Member{Id: f, Address: f, Voter: true})
+	}
+	host, err := consensus.New(consensus.Options{
+		ID: address, Members: members, DataDir: dir, AddressOf: func(id string) string { return id },
+	}, client, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := hub.New(address, host, client, log.NewNopLogger())
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer(append(host.Handlers(), h.Handlers()...)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	joiner := &hub.Joiner{
+		Self: &pb.Member{Id: address, Address: address, FailureDomain: domain, Region: "r"}, Seeds: func() []string { return seeds },
+		State: host, Client: client, Log: log.NewNopLogger().Log,
+	}
+	ended := make(chan struct{}, 4)
+	for _, run := range []func() error{
+		func() error { return server.Serve(l) }, func() error { return host.Run(ctx) },
+		func() error { return h.Run(ctx) }, func() error { return joiner.Run(ctx) },
+	} {
+		go func() {
+			_ = run()
+			ended <- struct{}{}
+		}()
+	}
+	stopped := false
+	c := &controlHost{address: address, host: host}
+	c.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		_ = server.Close()
+		for range 4 {
+			<-ended
+		}
+		client.Close()
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testWait); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+func voters(h *consensus.Host) int {
+	n := 0
+	for _, m := range h.State().Members {
+		if m.GetVoter() && len(m.GetIncarnation()) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func samplePlan(number, base uint64) *pb.Command {
+	p := &pb.Plan{Number: number, BaseNumber: base, Services: []*pb.PlanService{{Name: "a"}}, Routes: []*pb.PlanRoute{
+		{Name: "r", Host: "h", PathPrefix: "/", TimeoutMs: 100, Targets: []*pb.PlanTarget{{Service: "a", Weight: 1}}},
+	}}
+	payload, digest, err := plan.Encode(p)
+	if err != nil {
+		panic(err)
+	}
+	return &pb.Command{CommandId: fmt.Sprint(number), Command: &pb.Command_ReplacePlan{ReplacePlan: &pb.ReplacePlan{
+		BaseNumber: base, Number: number, Payload: payload, Digest: digest,
+	}}}
+}
+
+func submit(t *testing.T, h *consensus.Host, number, base uint64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	if r := h.Submit(ctx, samplePlan(number, base)); r.GetOutcome() != pb.Outcome_OUTCOME_ACCEPTED {
+		t.Fatalf("plan %d: %v", number, r)
+	}
+}
+
+// Guards: hosts that know only three seeds form one group in any order of
+// starts, a fourth joins it, and one that lost its disk comes back without
+// forgetting what was accepted.
+func TestControlHostsFindEachOther(t *testing.T) {
+	is := is.New(t)
+	a := addresses(4)
+	seeds := a[:3]
+	dirs := make([]string, 4)
+	hosts := make([]*controlHost, 4)
+	for _, i := range []int{3, 1, 0, 2} {
+		dirs[i] = t.TempDir()
+		founders := seeds
+		if i == 3 {
+			founders = nil
+		}
+		hosts[i] = startControl(t, a[i], dirs[i], fmt.Sprint("d", i), founders, seeds)
+	}
+	eventually(t, "four voters", func() bool { return voters(hosts[3].host) == 4 })
+	submit(t, hosts[3].host, 5, 0)
+	hosts[1].stop()
+	hosts[1] = startControl(t, a[1], t.TempDir(), "d1", nil, []string{a[3]}) // an empty disk, other seeds
+	eventually(t, "the plan on the new disk", func() bool { return hosts[1].host.State().Plan.GetNumber() == 5 })
+	eventually(t, "four voters again", func() bool { return voters(hosts[0].host) == 4 })
+	is.Equal(len(hosts[0].host.State().Members), 4)
+}
+
+// Guards: a node gets plan and table from any control host, its record reaches
+// nodes that are attached elsewhere, and it goes on after its control host is lost.
+func TestNodesLearnOfEachOther(t *testing.T) {
+	is := is.New(t)
+	a := addresses(3)
+	hosts := make([]*controlHost, 3)
+	for i := range hosts {
+		hosts[i] = startControl(t, a[i], t.TempDir(), fmt.Sprint("d", i), a, a)
+	}
+	eventually(t, "three voters", func() bool { return voters(hosts[0].host) == 3 })
+	submit(t, hosts[0].host, 5, 0)
+	node := func(name, domain string) *attach.Attachment {
+		client := rpc.NewClient(rpc.Options{})
+		n := attach.New(attach.Options{Node: name, FailureDomain: domain, Region: "r", Seeds: func() []string { return a }}, client, log.NewNopLogger())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = n.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+			client.Close()
+		})
+		return n
+	}
+	n0, n1 := node("127.0.0.1:1", "d0"), node("127.0.0.1:2", "d1")
+	n0.Publish(&pb.Announcement{Instance: "i", Service: "a", Version: "v1", Slots: 3, State: pb.UpstreamState_UPSTREAM_STATE_SERVING})
+	eventually(t, "plan and endpoint at the other node", func() bool {
+		v := n1.View()
+		return v.Plan != nil && v.Plan.Plan.GetNumber() == 5 && len(v.Endpoints["a"]) == 1 && v.Nodes == 2
+	})
+	is.Equal(n1.View().Endpoints["a"][0].Gate, "127.0.0.1:1")
+	hosts[1].stop()
+	submit(t, hosts[0].host, 8, 5)
+	n0.Publish(&pb.Announcement{Instance: "i", Service: "a", Version: "v1", Slots: 3, State: pb.UpstreamState_UPSTREAM_STATE_LEAVING})
+	eventually(t, "the next plan and the departure", func() bool {
+		v := n1.View()
+		return v.Plan.Plan.GetNumber() == 8 && len(v.Endpoints["a"]) == 1 && v.Endpoints["a"][0].Leaving
+	})
+}
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -77,7 +77,9 @@
 	for _, address := range o.Founders {
 		members = append(members, &pb.Member{Id: address, Address: address, Voter: true})
 	}
-	return consensus.New(consensus.Options{ID: o.PeerAddress, Members: members, DataDir: o.DataDir}, client, logger)
+	return consensus.New(consensus.Options{
+		ID: o.PeerAddress, Members: members, DataDir: o.DataDir, AddressOf: func(id string) string { return id },
+	}, client, logger)
 }
 
 func newHub(o Options, host *consensus.Host, client *rpc.Client, logger log.Logger) *hub.Hub {
