disk, placement: wait for space on a full disk; do not ask full nodes

Change: disk.Options.OnFull; placement leaves out nodes whose stated queue is longer than the request may wait; the writer of a connection sets its last deadline.

--- a/adapters/disk/memfs_test.go
+++ b/adapters/disk/memfs_test.go
@@ -26,14 +26,18 @@
 	partial       int // bytes that a failing write leaves
 	failErr       error
 	transient     bool // only the one operation fails
+	writesOnly    bool // syncs and names do not fail
 }
 
 func newMemFS() *memFS {
 	return &memFS{live: make(map[string]*memFile), durable: make(map[string]*memFile), failErr: errInjected}
 }
 
-func (m *memFS) step() error {
+func (m *memFS) step(write ...bool) error {
 	m.op++
+	if m.writesOnly && len(write) == 0 {
+		return nil
+	}
 	if m.failAt > 0 && (m.op == m.failAt || (m.op > m.failAt && !m.transient)) {
 		return m.failErr
 	}
@@ -93,7 +97,7 @@
 }
 
 func (m *memFS) Create(name string) (File, error) {
-	if err := m.step(); err != nil {
+	if err := m.step(true); err != nil {
 		return nil, err
 	}
 	m.live[name] = &memFile{}
@@ -160,7 +164,7 @@
 }
 
 func (h *memHandle) Write(b []byte) (int, error) {
-	if err := h.fs.step(); err != nil {
+	if err := h.fs.step(true); err != nil {
 		n := min(h.fs.partial, len(b))
 		h.f.data = append(h.f.data, b[:n]...)
 		return n, err
--- a/adapters/disk/store.go
+++ b/adapters/disk/store.go
@@ -3,8 +3,10 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -26,6 +28,9 @@
 	SegmentBytes int64 // 0: 8 MiB
 	// NewIncarnation makes the identity of a new disk; nil: random.
 	NewIncarnation func() []byte
+	// OnFull is called when the disk has no space for a write; the write is tried again after it
+	// returned nil. Nothing is acknowledged in between. nil: a full disk is an error like any other.
+	OnFull func() error
 }
 
 // Batch is the work of one raft.Ready for the disk.
@@ -41,6 +46,7 @@
 	dir            string
 	segmentBytes   int64
 	newIncarnation func() []byte
+	onFull         func() error
 	lock           io.Closer
 	segments       []segment // the last one is open
 	snapshots      []string
@@ -59,7 +65,7 @@
 
 // Open reads a data directory, creating it when it does not exist.
 func Open(o Options) (*Store, raft.Stored, error) {
-	s := &Store{fs: o.FS, dir: o.Dir, segmentBytes: o.SegmentBytes, newIncarnation: o.NewIncarnation}
+	s := &Store{fs: o.FS, dir: o.Dir, segmentBytes: o.SegmentBytes, newIncarnation: o.NewIncarnation, onFull: o.OnFull}
 	if s.fs == nil {
 		s.fs = OS{}
 	}
@@ -164,7 +170,7 @@
 	seg := &s.segments[len(s.segments)-1]
 	buf := appendRecord(nil, recordBatch, binary.BigEndian.AppendUint64(nil, uint64(seg.size)))
 	buf = append(buf, records...)
-	if _, err := s.file.Write(buf); err != nil {
+	if err := s.writeLog(seg.size, buf); err != nil {
 		return s.fail(err, "write the log")
 	}
 	if err := s.file.Sync(); err != nil {
@@ -178,6 +184,34 @@
 	return nil
 }
 
+// writeLog appends to the open segment, whose size is given. What a write leaves
+// that found no space is cut off before the next try.
+func (s *Store) writeLog(size int64, b []byte) error {
+	return s.whileFull(func() error {
+		n, err := s.file.Write(b)
+		if err != nil && n > 0 && errors.Is(err, syscall.ENOSPC) {
+			if cut := s.fs.Truncate(s.path(s.segments[len(s.segments)-1].name), size); cut != nil {
+				return cut
+			}
+		}
+		return err
+	})
+}
+
+// whileFull repeats an operation that found no space on the disk. It is for
+// operations before a sync only: a sync that failed is never repeated.
+func (s *Store) whileFull(operation func() error) error {
+	for {
+		err := operation()
+		if err == nil || s.onFull == nil || !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
+		if stop := s.onFull(); stop != nil {
+			return errors.Join(err, stop)
+		}
+	}
+}
+
 func (s *Store) openSegment() error {
 	if len(s.segments) == 0 {
 		return s.addSegment()
@@ -199,7 +233,7 @@
 		next++
 	}
 	name := fmt.Sprintf("%s%016x", segmentPrefix, next)
-	f, err := s.fs.Create(s.path(name))
+	f, err := s.create(s.path(name))
 	if err != nil {
 		return s.fail(err, "create a log segment")
 	}
@@ -223,17 +257,36 @@
 	return s.replaceFile(metaName, appendRecord(nil, recordMeta, b))
 }
 
+func (s *Store) create(path string) (f File, err error) {
+	err = s.whileFull(func() error {
+		f, err = s.fs.Create(path)
+		return err
+	})
+	return f, err
+}
+
+// createWith makes a file with this content, not synced yet.
+func (s *Store) createWith(path string, b []byte) (f File, err error) {
+	err = s.whileFull(func() error {
+		if f, err = s.fs.Create(path); err != nil {
+			return err
+		}
+		if _, err = f.Write(b); err != nil {
+			_ = f.Close()
+		}
+		return err
+	})
+	return f, err
+}
+
 // replaceFile writes a file under a temporary name, syncs it and renames it.
 func (s *Store) replaceFile(name string, b []byte) error {
 	temp := s.path(name + tempSuffix)
-	f, err := s.fs.Create(temp)
+	f, err := s.createWith(temp, b)
 	if err != nil {
 		return s.fail(err, "create "+name)
 	}
-	_, err = f.Write(b)
-	if err == nil {
-		err = f.Sync()
-	}
+	err = f.Sync()
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
--- a/adapters/disk/store_test.go
+++ b/adapters/disk/store_test.go
@@ -239,6 +239,50 @@
 	}
 }
 
+// Guards: a disk that is full for a while loses nothing that was acknowledged,
+// ends nothing, and what a refused write left behind does not stay in the log.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		fs := newMemFS()
+		waits := 0
+		s, _, err := Open(Options{
+			Dir: "data", FS: fs, SegmentBytes: 400, NewIncarnation: func() []byte { return []byte("disk") },
+			OnFull: func() error {
+				if waits++; waits%3 == 0 {
+					fs.failAt = 0 // there is space again
+				}
+				return nil
+			},
+		})
+		is.NoErr(err)
+		fs.failErr = errFull
+		for i := range uint64(20) {
+			if rapid.Bool().Draw(t, "full") {
+				fs.failAt, fs.writesOnly, fs.partial = fs.op+1, true, rapid.IntRange(0, 30).Draw(t, "partial")
+			}
+			is.NoErr(s.Write([]Batch{{State: &raft.HardState{Term: i + 1}, Entries: entries(i+1, i+1, i+1)}}))
+		}
+		is.NoErr(s.Close())
+		_, stored, err := open(fs)
+		is.NoErr(err)
+		is.Equal(stored.State.Term, uint64(20))
+		is.Equal(len(stored.Entries), 20)
+	})
+}
+
+// Guards against a stop that hangs on a full disk.
+func TestFullDiskDoesNotHoldUpAStop(t *testing.T) {
+	is := is.New(t)
+	fs := newMemFS()
+	stop := errors.New("stop")
+	s, _, err := Open(Options{Dir: "data", FS: fs, OnFull: func() error { return stop }})
+	is.NoErr(err)
+	fs.failErr, fs.failAt = errFull, fs.op+1
+	err = s.Write([]Batch{{Entries: entries(1, 1, 1)}})
+	is.True(errors.Is(err, stop) && errors.Is(err, errFull))
+}
+
 // Guards against a start with damaged data: each changed byte before the last
 // batch is found, and the error names file and offset. A cut tail is no damage.
 func TestCorruptionBeforeTheTailRefusesToStart(t *testing.T) {
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -42,8 +42,9 @@
 func (c *conn) run() {
 	written := make(chan struct{})
 	go func() {
-		defer close(written)
 		c.writeResponses()
+		close(written)
+		_ = c.nc.SetReadDeadline(time.Now().Add(linger)) // see awaitPeer
 	}()
 	c.readRequests()
 	close(c.queue)
@@ -269,16 +270,11 @@
 func (c *conn) awaitPeer(written <-chan struct{}) {
 	var b [512]byte
 	for {
-		select {
+		_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+		select { // otherwise the end of the writer sets the deadline
 		case <-written:
 			_ = c.nc.SetReadDeadline(time.Now().Add(linger))
 		default:
-			_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-			select { // the writer may have set its deadline in between
-			case <-written:
-				_ = c.nc.SetReadDeadline(time.Now().Add(linger))
-			default:
-			}
 		}
 		_, err := c.br.Read(b[:])
 		switch {
--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -315,6 +315,24 @@
 	is.Equal(string(resp.Header.Peek("X-Not-Read")), "1")
 }
 
+// Guards against idle connections that keep a stopping server waiting although
+// their clients have not looked at them.
+func TestDrainEndsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	s, address := serve(t, func(_ context.Context, x *Exchange) { x.Response.SetBodyString("done") }, "")
+	for range 50 {
+		c, r := dial(t, address)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		readBody(t, r)
+	}
+	s.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	s.Wait(ctx)
+	is.NoErr(ctx.Err())
+}
+
 // Guards against a connection that is used beyond the idle time that its server states.
 func TestKeepAliveIsHonoured(t *testing.T) {
 	is := is.New(t)
--- a/app/carry/forward.go
+++ b/app/carry/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/attach"
+	"github.com/rattanfield/rattanfield/core/admission"
 	"github.com/rattanfield/rattanfield/core/placement"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -119,8 +120,13 @@
 	list := candidates(f.view, f.service, f.version, e.options.Node, f.exclude, now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	i := e.picker.Pick(now, list, f.isTried, e.random.Float64)
+	i, full := e.picker.Pick(now, list, placement.Ask{Tried: f.isTried, Random: e.random.Float64, Wait: func(service time.Duration) time.Duration {
+		return admission.Request{Goal: f.goal, Deadline: f.deadline, Budget: f.goal.Sub(f.x.Received)}.Allowed(now, service)
+	}})
 	if i < 0 {
+		if full {
+			f.last = reasonFull
+		}
 		return "", "", false
 	}
 	gate = list[i].Gate
--- a/app/carry/headers.go
+++ b/app/carry/headers.go
@@ -49,7 +49,8 @@
 	reasonNoRoute     = "no-route"
 	reasonBadRequest  = "bad-request"
 	reasonNoEndpoint  = "no-endpoint"
-	reasonBusy        = "busy"
+	reasonBusy        = "busy" // the gate has too long a queue
+	reasonFull        = "full" // every gate that is known stated too long a queue
 	reasonEvicted     = "evicted"
 	reasonLeaving     = "leaving"
 	reasonNoUpstream  = "no-upstream"
--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -69,6 +69,7 @@
 	run         context.Context // of all goroutines of a running host
 	crash       context.CancelCauseFunc
 	done        chan struct{} // closed when Run ends
+	fullLogged  time.Time     // disk loop only
 }
 
 var (
@@ -86,17 +87,19 @@
 	if err != nil {
 		return nil, err
 	}
-	store, stored, err := disk.Open(disk.Options{Dir: o.DataDir, FS: o.FS, SegmentBytes: o.SegmentBytes})
-	if err != nil {
-		return nil, err
-	}
 	h := &Host{
-		options: o, client: client, logger: log.With(logger, "host", o.ID), clock: newClock(), store: store,
+		options: o, client: client, logger: log.With(logger, "host", o.ID), clock: newClock(),
 		inbox: ring.New[*pb.RaftMessage](inboxCapacity), proposed: ring.New[proposal](proposalCapacity),
 		control: ring.New[func()](controlCapacity), diskJobs: ring.New[diskJob](diskCapacity),
 		apply: ring.New[applyJob](applyCapacity), synced: ring.New[struct{}](1),
 		payloads: newPayloadCache(), waiters: newWaiters(), done: make(chan struct{}),
 	}
+	h.run, h.crash = context.WithCancelCause(context.Background())
+	store, stored, err := disk.Open(disk.Options{Dir: o.DataDir, FS: o.FS, SegmentBytes: o.SegmentBytes, OnFull: h.waitForSpace})
+	if err != nil {
+		return nil, err
+	}
+	h.store = store
 	if store.TornBytes() > 0 {
 		_ = h.logger.Log("event", "cut off a torn tail of the log", "bytes", store.TornBytes())
 	}
@@ -111,13 +114,26 @@
 		ID: o.ID, Members: o.Members, ElectionTimeout: o.ElectionTimeout, HeartbeatInterval: o.HeartbeatInterval,
 		Rand: newRand(o.Seed),
 	}, stored, h.clock.now())
-	h.run, h.crash = context.WithCancelCause(context.Background())
 	h.senders = newSenders(h)
 	h.publishView()
 	h.publish()
 	return h, nil
 }
 
+// fullPause is the time between two tries to write to a full disk.
+const fullPause = 100 * time.Millisecond
+
+// waitForSpace lets the host go on as a member that acknowledges nothing until
+// its disk has space again.
+func (h *Host) waitForSpace() error {
+	if now := time.Now(); now.Sub(h.fullLogged) > time.Second {
+		h.fullLogged = now
+		_ = h.logger.Log("event", "disk full", "directory", h.options.DataDir, "effect", "nothing is acknowledged here until there is space")
+	}
+	sleep(h.run, fullPause)
+	return context.Cause(h.run)
+}
+
 func newRand(seed uint64) *rand.Rand {
 	if seed != 0 {
 		return rand.New(rand.NewPCG(seed, seed))
--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -28,7 +28,7 @@
 	DataDir string
 	// AddressOf finds members that the member set of this host does not name yet, which is how a
 	// host with an empty disk reaches the leader that admits it; nil knows none.
-	AddressOf func(id string) string
+	AddressOf func(id string) string `json:"-"`
 
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -106,7 +106,11 @@
 
 // allowed is how long a request may wait and still be answered in time.
 func (q *Queue) allowed(now time.Time, r Request) time.Duration {
-	service := time.Duration(q.service * float64(time.Second))
+	return r.Allowed(now, time.Duration(q.service*float64(time.Second)))
+}
+
+// Allowed is how long a request may wait for an upstream that takes so long and still be answered in time.
+func (r Request) Allowed(now time.Time, service time.Duration) time.Duration {
 	planned := r.Goal.Sub(now) - time.Duration((1-goalShare)*float64(r.Budget)) - service
 	least := time.Duration(leastWait * float64(r.Budget))
 	return min(max(planned, least), r.Deadline.Sub(now)-service)
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -54,6 +54,12 @@
 	defaultService  = 50 * time.Millisecond
 	// refusedHold avoids a node that has just refused a request for lack of room.
 	refusedHold = 40 * time.Millisecond
+	// statedValid is how long a stated load decides that a node is not even asked; after that one
+	// request finds out.
+	statedValid = 150 * time.Millisecond
+	// refuseSlack lets a request try a node whose queue is about as long as it may be.
+	refuseSlack = 15 * time.Millisecond
+	remoteTime  = 40 * time.Millisecond
 	maxNodes    = 4096 // bounds the memory of nodes that are gone
 )
 
@@ -91,23 +97,55 @@
 	return n
 }
 
-// Pick returns the index of the cheapest candidate, or -1. Random returns
-// uniform numbers in [0,1).
-func (p *Picker) Pick(now time.Time, candidates []Candidate, tried func(gate string) bool, random func() float64) int {
+// Ask describes a request that needs a node.
+type Ask struct {
+	Tried func(gate string) bool
+	// Wait is how long the request may wait in a queue and still be answered in time, given
+	// the time that the upstream takes. A node that recently stated a longer queue would
+	// refuse it and is not asked.
+	Wait func(service time.Duration) time.Duration
+	// Random returns uniform numbers in [0,1).
+	Random func() float64
+}
+
+// Pick returns the index of the cheapest candidate, or -1. Full tells that
+// nodes were left out because their queues are too long.
+func (p *Picker) Pick(now time.Time, candidates []Candidate, a Ask) (best int, full bool) {
 	best, bestCost := -1, time.Duration(math.MaxInt64)
 	for i, c := range candidates {
-		if tried(c.Gate) {
+		if a.Tried(c.Gate) {
 			continue
 		}
 		n := p.node(c.Gate)
 		if now.Before(n.downUntil) {
 			continue
 		}
-		if cost := n.cost(now, c) + time.Duration(random()*float64(noise)); cost < bestCost {
+		if n.wouldRefuse(now, c, a) {
+			full = true
+			continue
+		}
+		if cost := n.cost(now, c) + time.Duration(a.Random()*float64(noise)); cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
-	return best
+	return best, full
+}
+
+// wouldRefuse predicts the decision of a gate from what it recently stated.
+func (n *node) wouldRefuse(now time.Time, c Candidate, a Ask) bool {
+	if a.Wait == nil || now.Sub(n.loadAt) > statedValid {
+		return false
+	}
+	service, queue := n.wait(now, c)
+	return queue+linkTime(c) > a.Wait(service)+refuseSlack
+}
+
+// linkTime is the round trip to a node, roughly.
+func linkTime(c Candidate) time.Duration {
+	if c.Link == ports.LinkRemote && !c.Own {
+		return remoteTime
+	}
+	return 0
 }
 
 func (n *node) cost(now time.Time, c Candidate) time.Duration {
@@ -127,12 +165,14 @@
 	if now.Before(n.refusedUntil) {
 		cost += refusedHold
 	}
-	return cost + n.wait(now, c) + time.Duration(n.failureRate(now)*float64(failureCost))
+	service, queue := n.wait(now, c)
+	return cost + service + queue + time.Duration(n.failureRate(now)*float64(failureCost))
 }
 
-// wait is the expected time until the answer, as far as it depends on the load.
-func (n *node) wait(now time.Time, c Candidate) time.Duration {
-	slots, service := max(1, c.Slots), defaultService
+// wait is the expected time on the upstream and in its queue.
+func (n *node) wait(now time.Time, c Candidate) (service, queue time.Duration) {
+	slots := max(1, c.Slots)
+	service = defaultService
 	if n.load.Slots > 0 {
 		slots = n.load.Slots
 	}
@@ -146,8 +186,8 @@
 	stated := float64(n.load.Running+n.load.Queued)*age + float64(n.outstanding) - float64(n.atReport)*age
 	busy := max(stated, float64(n.outstanding))
 	// A request that finds a free slot still slows the others down a little.
-	queue := max(0, busy+1-float64(slots)) + 0.25*busy/float64(slots)
-	return service + time.Duration(queue/float64(slots)*float64(service))
+	ahead := max(0, busy+1-float64(slots)) + 0.25*busy/float64(slots)
+	return service, time.Duration(ahead / float64(slots) * float64(service))
 }
 
 func (n *node) failureRate(now time.Time) float64 {
--- a/core/placement/picker_test.go
+++ b/core/placement/picker_test.go
@@ -24,7 +24,7 @@
 }
 
 func pick(p *Picker, now time.Time) string {
-	if i := p.Pick(now, sites, none, half); i >= 0 {
+	if i, _ := p.Pick(now, sites, Ask{Tried: none, Random: half}); i >= 0 {
 		return sites[i].Gate
 	}
 	return ""
@@ -71,6 +71,27 @@
 	only := func(gate string) bool { return gate != "own" }
 	p.Sent("own")
 	p.Done(base, "own", Outcome{Unreachable: true})
-	is.Equal(p.Pick(base, sites, only, half), -1)
-	is.Equal(p.Pick(base.Add(firstDown), sites, only, half), 0)
+	i, full := p.Pick(base, sites, Ask{Tried: only, Random: half})
+	is.Equal(i, -1)
+	is.True(!full)
+	i, _ = p.Pick(base.Add(firstDown), sites, Ask{Tried: only, Random: half})
+	is.Equal(i, 0)
+}
+
+// Guards against requests that go from node to node although all of them are
+// full, and against nodes that are never asked again.
+func TestFullNodesAreNotAsked(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	full := &admission.Load{Running: 9, Queued: 30, Slots: 9, Service: 60 * time.Millisecond}
+	ask := Ask{Tried: none, Random: half, Wait: func(time.Duration) time.Duration { return 100 * time.Millisecond }}
+	for _, c := range sites {
+		p.Sent(c.Gate)
+		p.Done(base, c.Gate, Outcome{Load: full, Refused: true})
+	}
+	i, all := p.Pick(base, sites, ask)
+	is.Equal(i, -1)
+	is.True(all)
+	i, _ = p.Pick(base.Add(2*statedValid), sites, ask)
+	is.True(i >= 0)
 }
