carry, placement: late requests go last, another region only with room

Change: the entry learns how long clients of a route wait, so a goal counts from the client's first attempt; the queue puts those that can no longer meet it last; another region is asked only when it has just stated a free slot, with one request in fifty to find out.

--- a/app/carry/entry.go
+++ b/app/carry/entry.go
@@ -60,6 +60,8 @@
 	logger  log.Logger
 	metrics *Metrics
 
+	patience patience
+
 	mu       sync.Mutex
 	random   *rand.Rand
 	picker   *placement.Picker
@@ -73,7 +75,7 @@
 	return &Entry{
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
-		budgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
+		patience: patience{longest: make(map[string]time.Duration)}, budgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
 	}
 }
 
--- a/app/carry/forward.go
+++ b/app/carry/forward.go
@@ -27,6 +27,7 @@
 	exclude  bool // any version but that one
 	deadline time.Time
 	goal     time.Time
+	waited   time.Duration // in earlier attempts of the client
 	out      *fasthttp.Request
 
 	sends      int // upstreams that the request may have reached
@@ -54,9 +55,10 @@
 			return reasonBadRequest
 		}
 		timeout = min(timeout, remaining)
+		f.waited = e.patience.waited(f.route.GetName(), remaining)
 	}
 	f.deadline = f.x.Received.Add(timeout)
-	f.goal = f.x.Received.Add(time.Duration(f.route.GetGoalMs()) * time.Millisecond)
+	f.goal = f.x.Received.Add(time.Duration(f.route.GetGoalMs())*time.Millisecond - f.waited)
 	e.mu.Lock()
 	f.service = e.splitter.Pick(f.route, e.random.Float64())
 	f.version, f.exclude = versionOf(f.view, f.service, e.random.Float64())
@@ -121,7 +123,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i, full := e.picker.Pick(now, list, placement.Ask{Tried: f.isTried, Random: e.random.Float64, Wait: func(service time.Duration) time.Duration {
-		return admission.Request{Goal: f.goal, Deadline: f.deadline, Budget: f.goal.Sub(f.x.Received)}.Allowed(now, service)
+		return admission.Request{Goal: f.goal, Deadline: f.deadline, Budget: time.Duration(f.route.GetGoalMs()) * time.Millisecond}.Allowed(now, service)
 	}})
 	if i < 0 {
 		if full {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -80,6 +80,9 @@
 		q.running[r.ID] = true
 		return Started, nil
 	}
+	if r.Goal.Sub(now) < q.serviceTime() {
+		r.Goal = r.Deadline // too late for the goal: those that can still meet theirs go first
+	}
 	at := q.position(r.Goal)
 	if q.refuses(q.wait(at), q.allowed(now, r), r) {
 		return Busy, nil
@@ -129,12 +132,17 @@
 
 // allowed is how long a request may wait and still be answered in time.
 func (q *Queue) allowed(now time.Time, r Request) time.Duration {
-	return r.Allowed(now, time.Duration(q.service*float64(time.Second)))
+	return r.Allowed(now, q.serviceTime())
 }
 
+func (q *Queue) serviceTime() time.Duration { return time.Duration(q.service * float64(time.Second)) }
+
 // Allowed is how long a request may wait for an upstream that takes so long and still be answered in time.
 func (r Request) Allowed(now time.Time, service time.Duration) time.Duration {
 	planned := r.Goal.Sub(now) - time.Duration((1-goalShare)*float64(r.Budget)) - service
+	if r.Goal.Equal(r.Deadline) {
+		planned = 0
+	}
 	least := time.Duration(leastWait * float64(r.Budget))
 	return min(max(planned, least), r.Deadline.Sub(now)-service)
 }
@@ -184,6 +192,6 @@
 func (q *Queue) Load() Load {
 	return Load{
 		Running: len(q.running), Queued: len(q.waiting), Slots: q.slots,
-		Service: time.Duration(q.service * float64(time.Second)),
+		Service: q.serviceTime(),
 	}
 }
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -142,3 +142,25 @@
 	is.True(share(1) > share(2))      //
 	is.True(share(0)-share(2) < 0.35) // but not at any price
 }
+
+// Guards against late requests that take the slots of those that can still be answered in time.
+func TestLateRequestsGoLast(t *testing.T) {
+	is := is.New(t)
+	q := New(1)
+	late := request(1, 0)
+	late.Goal = base
+	_, _ = q.Offer(base, request(0, 0))
+	d, _ := q.Offer(base, late)
+	is.Equal(d, Queued) // there is room
+	d, _ = q.Offer(base, request(2, 2))
+	is.Equal(d, Queued)
+	is.Equal(q.Finish(0, time.Millisecond, true), []uint64{2})
+	for id := uint64(3); ; id++ {
+		if d, _ = q.Offer(base, request(id, 2)); d == Busy {
+			break
+		}
+	}
+	late.ID = 1000
+	d, _ = q.Offer(base, late)
+	is.Equal(d, Busy)
+}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -60,7 +60,12 @@
 	// refuseSlack lets a request try a node whose queue is about as long as it may be.
 	refuseSlack = 15 * time.Millisecond
 	remoteTime  = 40 * time.Millisecond
-	maxNodes    = 4096 // bounds the memory of nodes that are gone
+	// roomValid is how long a stated free slot in another region counts: about as long as a
+	// request takes there.
+	roomValid = 300 * time.Millisecond
+	// remoteExplore of the requests may find out whether another region has room.
+	remoteExplore = 0.02
+	maxNodes      = 4096 // bounds the memory of nodes that are gone
 )
 
 type node struct {
@@ -112,12 +117,14 @@
 // nodes were left out because their queues are too long.
 func (p *Picker) Pick(now time.Time, candidates []Candidate, a Ask) (best int, full bool) {
 	best, bestCost := -1, time.Duration(math.MaxInt64)
+	stay := p.servedInRegion(now, candidates, a) && a.Random() >= remoteExplore
 	for i, c := range candidates {
-		if a.Tried(c.Gate) {
+		n := p.node(c.Gate)
+		if a.Tried(c.Gate) || now.Before(n.downUntil) {
 			continue
 		}
-		n := p.node(c.Gate)
-		if now.Before(n.downUntil) {
+		if stay && isRemote(c) && !n.hasRoom(now, c) {
+			full = true
 			continue
 		}
 		if n.wouldRefuse(now, c, a) {
@@ -131,6 +138,27 @@
 	return best, full
 }
 
+// servedInRegion reports a node of the own region that may take the request now or soon.
+func (p *Picker) servedInRegion(now time.Time, candidates []Candidate, a Ask) bool {
+	for _, c := range candidates {
+		if !isRemote(c) && !a.Tried(c.Gate) && !now.Before(p.node(c.Gate).downUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+func isRemote(c Candidate) bool { return !c.Own && c.Link == ports.LinkRemote }
+
+// hasRoom reports that a node recently stated a free slot. Under overload of
+// both regions, a request that crosses between them only displaces another one.
+func (n *node) hasRoom(now time.Time, c Candidate) bool {
+	if now.Sub(n.loadAt) > roomValid {
+		return false
+	}
+	return n.load.Running+n.load.Queued+n.outstanding-n.atReport < max(n.load.Slots, 1) && !now.Before(n.refusedUntil)
+}
+
 // wouldRefuse predicts the decision of a gate from what it recently stated.
 func (n *node) wouldRefuse(now time.Time, c Candidate, a Ask) bool {
 	if a.Wait == nil || now.Sub(n.loadAt) > statedValid {
@@ -143,7 +171,7 @@
 
 // linkTime is the round trip to a node, roughly.
 func linkTime(c Candidate) time.Duration {
-	if c.Link == ports.LinkRemote && !c.Own {
+	if isRemote(c) {
 		return remoteTime
 	}
 	return 0
