attach, meshcontrol: shorter recovery after all hosts lost power

Change: such a node stays for a second poll of 0.3 s, which is answered when the plan is there; elections in 500 ms.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -27,8 +27,10 @@
 	// reportInterval is the poll while a rollout of the local service runs, so that
 	// outcomes reach the leader within a fraction of the time to take a version back.
 	reportInterval = 250 * time.Millisecond
-	retryPause     = 50 * time.Millisecond
-	maxRetryPause  = 500 * time.Millisecond
+	// firstWait is the poll of a node without a plan, which asks one host after the other.
+	firstWait     = 300 * time.Millisecond
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = 500 * time.Millisecond
 	// homeRetry is how long a node stays with a less preferred control host.
 	homeRetry = 10 * time.Second
 )
@@ -54,9 +56,8 @@
 	kick    chan struct{}
 	view    atomic.Pointer[View]
 
-	mu       sync.Mutex
-	self     *pb.NodeRecord
-	outcomes []*pb.RouteOutcomes // last reported
+	mu   sync.Mutex
+	self *pb.NodeRecord
 
 	// Owned by the goroutine of Run.
 	hosts        []*pb.Member
@@ -204,6 +205,8 @@
 	}
 	if v.Plan != nil {
 		r.HavePlan = v.Plan.Serial
+	} else {
+		r.WaitMs = uint32(firstWait.Milliseconds())
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -256,11 +259,16 @@
 	}
 }
 
-// tryOther leaves a control host without a quorum, unless no other has one.
+// tryOther leaves a control host without a quorum, unless no other has one. A
+// node that has no plan yet stays for one more poll, because the host may be
+// about to learn it.
 func (a *Attachment) tryOther(ctx context.Context) {
 	a.unconfirmed++
+	if a.view.Load().Plan == nil && a.unconfirmed%2 == 1 {
+		return
+	}
 	hosts := len(a.addresses())
-	if a.unconfirmed%max(hosts, 1) == 0 {
+	if a.view.Load().Plan != nil && a.unconfirmed%max(hosts, 1) == 0 {
 		sleep(ctx, maxRetryPause)
 	}
 	if hosts > 1 {
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -36,10 +36,10 @@
 }
 
 const (
-	// electionTimeout is 15 round trips between regions of 40 ms; it bounds how long callers wait
+	// electionTimeout is 12 round trips between regions of 40 ms; it bounds how long callers wait
 	// for a plan after all hosts lost power.
-	electionTimeout   = 600 * time.Millisecond
-	heartbeatInterval = 120 * time.Millisecond
+	electionTimeout   = 500 * time.Millisecond
+	heartbeatInterval = 100 * time.Millisecond
 
 	closeTimeout   = 300 * time.Millisecond
 	maxRequestBody = 64 << 20
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -69,17 +69,15 @@
 )
 
 type node struct {
-	outstanding   int
-	load          admission.Load
-	loadAt        time.Time
-	atReport      int // outstanding when the load was stated
-	failures      float64
-	failuresAt    time.Time
-	downUntil     time.Time
-	downs         int
-	refusedUntil  time.Time
-	everAnswered  bool
-	lastReachable time.Time
+	outstanding  int
+	load         admission.Load
+	loadAt       time.Time
+	atReport     int // outstanding when the load was stated
+	failures     float64
+	failuresAt   time.Time
+	downUntil    time.Time
+	downs        int
+	refusedUntil time.Time
 }
 
 // Picker remembers how nodes answered. It is not safe for concurrent use.
@@ -249,7 +247,7 @@
 		}
 		n.failures, n.failuresAt = rate+failureWeight*(failed-rate), now
 	}
-	n.downs, n.downUntil, n.lastReachable = 0, time.Time{}, now
+	n.downs, n.downUntil = 0, time.Time{}
 }
 
 func (n *node) down(now time.Time) {
