admission: keep the queue of an unknown or hanging upstream short

Change: the first estimate is a share of the goal, the average starts from the first measurements, requests that run longer than the average raise it, at most 3 requests per slot wait.

--- a/app/carry/gate.go
+++ b/app/carry/gate.go
@@ -105,7 +105,7 @@
 		g.upstream = u
 	}
 	u.announced = a
-	u.deliver(u.queue.SetSlots(int(a.GetSlots())), "")
+	u.deliver(u.queue.SetSlots(now, int(a.GetSlots())), "")
 	if a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING && u.cutAt.IsZero() {
 		u.cutAt = now.Add(g.drainTime())
 		time.AfterFunc(g.drainTime(), func() {
@@ -230,7 +230,7 @@
 	select {
 	case r := <-ch: // decided at the same moment
 		if r == "" {
-			u.deliver(u.queue.Finish(id, 0, false), "")
+			u.deliver(u.queue.Finish(time.Now(), id, 0, false), "")
 		}
 	default:
 		delete(u.waiting, id)
@@ -245,7 +245,7 @@
 	g.mu.Lock()
 	reason, a := u.refusal(now, g.options.LostAfter), u.announced
 	if reason != "" {
-		u.deliver(u.queue.Finish(id, 0, false), "")
+		u.deliver(u.queue.Finish(time.Now(), id, 0, false), "")
 	}
 	g.mu.Unlock()
 	if reason != "" {
@@ -275,7 +275,7 @@
 	ran := o.Failure == meshhttp.Answered && !notRun
 	g.mu.Lock()
 	a := u.announced
-	u.deliver(u.queue.Finish(id, latency, ran && status < fasthttp.StatusInternalServerError), "")
+	u.deliver(u.queue.Finish(time.Now(), id, latency, ran && status < fasthttp.StatusInternalServerError), "")
 	if o.Refused || status == fasthttp.StatusMisdirectedRequest {
 		u.lost = true
 		u.deliver(u.queue.Clear(), reasonNoUpstream)
@@ -311,7 +311,7 @@
 func (g *Gate) load(u *upstream) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return formatLoad(u.queue.Load())
+	return formatLoad(u.queue.Load(time.Now()))
 }
 
 // reject writes the gate's own answer.
@@ -326,7 +326,7 @@
 	g.mu.Lock()
 	u := g.upstream
 	if u != nil {
-		h.Set(hopLoad, formatLoad(u.queue.Load()))
+		h.Set(hopLoad, formatLoad(u.queue.Load(time.Now())))
 	}
 	g.mu.Unlock()
 	if reason == reasonCancelled {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -51,45 +51,51 @@
 	softShare = 0.45
 	// averageWeight of a new measurement in the running average: about the last 20 requests.
 	averageWeight = 0.05
-	// firstService stands for the time of a request before any was measured.
-	firstService = 30 * time.Millisecond
+	// firstShare of the response time stands for the time of a request before any was measured.
+	firstShare = 0.3
+	// firstMeasured requests make up the average at first, before averageWeight does.
+	firstMeasured = 20
+	// maxQueued requests per slot wait, whatever the average says.
+	maxQueued = 3
 )
 
 // Queue of one upstream. It is not safe for concurrent use.
 type Queue struct {
-	slots   int
-	service float64 // seconds
-	running map[uint64]bool
-	waiting []Request // by goal
+	slots    int
+	service  float64 // seconds, average of what was measured
+	measured int
+	running  map[uint64]time.Time // since when
+	waiting  []Request            // by goal
 }
 
 // New returns an empty queue for an upstream that runs so many requests at once.
 func New(slots int) *Queue {
-	return &Queue{slots: max(1, slots), service: firstService.Seconds(), running: make(map[uint64]bool)}
+	return &Queue{slots: max(1, slots), running: make(map[uint64]time.Time)}
 }
 
 // SetSlots changes how many requests run at once; it returns those that start.
-func (q *Queue) SetSlots(slots int) []uint64 {
+func (q *Queue) SetSlots(now time.Time, slots int) []uint64 {
 	q.slots = max(1, slots)
-	return q.fill()
+	return q.fill(now)
 }
 
 // Offer decides on a new request. Evicted requests were queued and are due later.
 func (q *Queue) Offer(now time.Time, r Request) (d Decision, evicted []uint64) {
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
-		q.running[r.ID] = true
+		q.running[r.ID] = now
 		return Started, nil
 	}
-	if r.Goal.Sub(now) < q.serviceTime() {
+	service := q.serviceTime(now, r.Budget)
+	if r.Goal.Sub(now) < service {
 		r.Goal = r.Deadline // too late for the goal: those that can still meet theirs go first
 	}
 	at := q.position(r.Goal)
-	if q.refuses(q.wait(at), q.allowed(now, r), r) {
+	if len(q.waiting) >= maxQueued*q.slots || q.refuses(q.wait(at, service), r.Allowed(now, service), r) {
 		return Busy, nil
 	}
 	q.waiting = slices.Insert(q.waiting, at, r)
 	for i := len(q.waiting) - 1; i > at; i-- {
-		if w := q.waiting[i]; q.wait(i) > q.allowed(now, w)+evictSlack {
+		if w := q.waiting[i]; q.wait(i, service) > w.Allowed(now, service)+evictSlack {
 			evicted = append(evicted, w.ID)
 			q.waiting = slices.Delete(q.waiting, i, i+1)
 		}
@@ -125,18 +131,28 @@
 }
 
 // wait is the expected time until the request at a position of the queue starts.
-func (q *Queue) wait(position int) time.Duration {
+func (q *Queue) wait(position int, service time.Duration) time.Duration {
 	ahead := float64(len(q.running)-q.slots) + float64(position) + 1
-	return time.Duration(max(0, ahead) * q.service / float64(q.slots) * float64(time.Second))
+	return time.Duration(max(0, ahead) / float64(q.slots) * float64(service))
 }
 
-// allowed is how long a request may wait and still be answered in time.
-func (q *Queue) allowed(now time.Time, r Request) time.Duration {
-	return r.Allowed(now, q.serviceTime())
+// serviceTime is what a request takes on the upstream: the average of those that
+// ended, or more when those that run have taken longer already.
+func (q *Queue) serviceTime(now time.Time, budget time.Duration) time.Duration {
+	service := time.Duration(q.service * float64(time.Second))
+	if q.measured == 0 {
+		service = time.Duration(firstShare * float64(budget))
+	}
+	if len(q.running) == 0 {
+		return service
+	}
+	elapsed := time.Duration(0)
+	for _, since := range q.running {
+		elapsed += now.Sub(since)
+	}
+	return max(service, elapsed/time.Duration(len(q.running)))
 }
 
-func (q *Queue) serviceTime() time.Duration { return time.Duration(q.service * float64(time.Second)) }
-
 // Allowed is how long a request may wait for an upstream that takes so long and still be answered in time.
 func (r Request) Allowed(now time.Time, service time.Duration) time.Duration {
 	planned := r.Goal.Sub(now) - time.Duration((1-goalShare)*float64(r.Budget)) - service
@@ -149,15 +165,16 @@
 
 // Finish frees the slot of a request; measured tells that the latency says how
 // long the upstream takes. It returns the requests that start.
-func (q *Queue) Finish(id uint64, latency time.Duration, measured bool) []uint64 {
-	if !q.running[id] {
+func (q *Queue) Finish(now time.Time, id uint64, latency time.Duration, measured bool) []uint64 {
+	if _, ok := q.running[id]; !ok {
 		return nil
 	}
 	delete(q.running, id)
 	if measured {
-		q.service += averageWeight * (latency.Seconds() - q.service)
+		q.measured++
+		q.service += max(averageWeight, 1/float64(min(q.measured, firstMeasured))) * (latency.Seconds() - q.service)
 	}
-	return q.fill()
+	return q.fill(now)
 }
 
 // Cancel forgets a request that waits; it reports whether it did.
@@ -177,21 +194,21 @@
 	return out
 }
 
-func (q *Queue) fill() []uint64 {
+func (q *Queue) fill(now time.Time) []uint64 {
 	var started []uint64
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
 		r := q.waiting[0]
 		q.waiting = q.waiting[1:]
-		q.running[r.ID] = true
+		q.running[r.ID] = now
 		started = append(started, r.ID)
 	}
 	return started
 }
 
-// Load returns the present load.
-func (q *Queue) Load() Load {
+// Load returns the present load; the service time is 0 until one was measured.
+func (q *Queue) Load(now time.Time) Load {
 	return Load{
 		Running: len(q.running), Queued: len(q.waiting), Slots: q.slots,
-		Service: q.serviceTime(),
+		Service: q.serviceTime(now, 0),
 	}
 }
