soak: run the real processes under seeded signals and check the promises

Faults: SIGKILL, SIGSTOP, SIGTERM, SIGHUP, wiped disks, all control hosts at once, replaced and departing upstreams, overlapping. Connections through a proxy, clocks and storage are not covered yet.

--- /dev/null
+++ b/app/soak/process.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/rattanfield/rattanfield/platform/standin"
+)
+
+// process is one process of the system that the soak started.
+type process struct {
+	binary, role, dir string
+	host              standin.Host
+	log               *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+func newProcess(binary, role, dir string, h standin.Host) (*process, error) {
+	dir = filepath.Join(dir, h.IP)
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, eris.Wrap(err, "directory of a process")
+	}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return nil, eris.Wrap(err, "log of a process")
+	}
+	if role == "control" {
+		h.DataDir = filepath.Join(dir, "data")
+	}
+	return &process{binary: binary, role: role, dir: dir, host: h, log: log}, nil
+}
+
+// start runs the process; one that runs already stays.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		return nil
+	}
+	settings := filepath.Join(p.dir, "settings.toml")
+	if err := os.WriteFile(settings, p.host.Settings(), 0o600); err != nil {
+		return eris.Wrap(err, "settings of a process")
+	}
+	c := exec.Command(p.binary, p.role)
+	c.Env = append(os.Environ(), standin.SettingsVariable+"="+settings)
+	c.Stdout, c.Stderr = p.log, p.log
+	if err := c.Start(); err != nil {
+		return eris.Wrap(err, "start a process")
+	}
+	ended := make(chan struct{})
+	p.command, p.ended = c, ended
+	go func() {
+		_ = c.Wait() // how it ended shows in its log and in the checks
+		p.mu.Lock()
+		p.command = nil
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal reaches the process only while it runs; it is the one that was started here.
+func (p *process) signal(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	_ = p.command.Process.Signal(s)
+	return p.ended
+}
+
+// restart ends the process with a signal, waits and starts it again.
+func (p *process) restart(s syscall.Signal, down time.Duration, wipe bool) error {
+	<-p.signal(s)
+	if wipe {
+		if err := os.RemoveAll(p.host.DataDir); err != nil {
+			return eris.Wrap(err, "wipe a disk")
+		}
+	}
+	time.Sleep(down)
+	p.host.FirstStart = false
+	return p.start()
+}
+
+func (p *process) close() {
+	<-p.signal(syscall.SIGKILL)
+	_ = p.log.Close()
+}
--- /dev/null
+++ b/app/soak/soak_test.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/platform/standin"
+)
+
+// Guards: the promises hold while real processes are killed, paused, stopped
+// and wiped. The seed and the schedule are fixed; longer runs are done by hand.
+func TestShortSoak(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "rattanfield-platform")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/rattanfield/rattanfield/cmd/rattanfield-platform").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	r, err := Run(context.Background(), Options{
+		Binary: binary, Dir: filepath.Join(dir, "run"), Seed: 1, Length: 6 * time.Second, Nodes: 3, Controls: 3,
+		Net: 10 + os.Getpid()%40, Out: t.Output(),
+	})
+	is.NoErr(err)
+	is.Equal(r.Broken, nil)
+	is.True(r.Answered > 0 && r.Plans > 0)
+	t.Logf("%d of %d requests answered, newest plan %d", r.Answered, r.Asked, r.Plans)
+}
+
+// Guards against checks that cannot fail.
+func TestChecksSeeBrokenPromises(t *testing.T) {
+	is := is.New(t)
+	for name, act := range map[string]func(*checks){
+		"ran twice":        func(c *checks) { c.run("w-1"); c.run("w-1") },
+		"ran after":        func(c *checks) { c.answer("w-1", standin.Answer{Status: 503}); c.run("w-1") },
+		"refused and ran":  func(c *checks) { c.run("w-1"); c.answer("w-1", standin.Answer{Status: 429}) },
+		"unsigned":         func(c *checks) { c.answer("r-1", standin.Answer{Status: 200, Body: "body-r-1"}) },
+		"another's answer": func(c *checks) { c.answer("r-1", standin.Answer{Status: 200, Signed: true, Body: "body-r-2"}) },
+		"denied":           func(c *checks) { c.answer("r-1", standin.Answer{Status: 404}) },
+		"older plan":       func(c *checks) { c.acknowledged(5); c.read("h", 4, c.newest()) },
+	} {
+		c := newChecks()
+		act(c)
+		if len(c.problems()) != 1 {
+			t.Errorf("%s: %v", name, c.problems())
+		}
+	}
+	c := newChecks()
+	c.run("r-1")
+	c.run("r-1")
+	c.answer("r-1", standin.Answer{Status: 200, Signed: true, Body: "body-r-1"})
+	c.answer("w-2", standin.Answer{Status: 502})
+	c.run("w-2")
+	is.Equal(c.problems(), nil)
+}
+
+// Guards against schedules that a seed does not repeat, and against kinds that never occur.
+func TestScheduleIsSeeded(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[Kind]bool)
+	for seed := range uint64(20) {
+		a := Schedule(seed, 20*time.Second, 4, 4)
+		is.Equal(a, Schedule(seed, 20*time.Second, 4, 4))
+		for _, e := range a {
+			seen[e.Kind] = true
+		}
+	}
+	is.Equal(len(seen), len(kinds))
+}
--- /dev/null
+++ b/cmd/rattanfield-soak/main.go
@@ -0,0 +1,65 @@
+// Command rattanfield-soak plays seeded faults on real processes and checks the
+// promises of the system from outside.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/soak"
+)
+
+type arguments struct {
+	Binary   string        `arg:"--bin" default:"bin/rattanfield-platform" help:"the program to run"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds"`
+	Length   time.Duration `arg:"--length" default:"20s" help:"time in which faults begin"`
+	Nodes    int           `arg:"--nodes" default:"6" help:"nodes, each with an upstream"`
+	Controls int           `arg:"--controls" default:"4" help:"control hosts"`
+	Dir      string        `arg:"--dir" help:"directory for logs of failed seeds [default: a temporary one]"`
+}
+
+func (arguments) Version() string { return "rattanfield-soak " + telemetry.Version() }
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var a arguments
+	arg.MustParse(&a)
+	dir := a.Dir
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "soak"); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+	}
+	failed := 0
+	for seed := a.Seed; seed < a.Seed+uint64(a.Seeds); seed++ {
+		fmt.Println("seed", seed)
+		r, err := soak.Run(context.Background(), soak.Options{
+			Binary: a.Binary, Dir: filepath.Join(dir, fmt.Sprint("seed-", seed)), Seed: seed, Length: a.Length,
+			Nodes: a.Nodes, Controls: a.Controls, Net: 60 + int(seed%60), Out: os.Stdout,
+		})
+		fmt.Printf("seed %d: %d of %d requests answered, newest plan %d, %d promises broken, error: %v\n",
+			seed, r.Answered, r.Asked, r.Plans, len(r.Broken), err)
+		for _, b := range r.Broken {
+			fmt.Println("  BROKEN:", b)
+		}
+		if err != nil || len(r.Broken) > 0 {
+			failed++
+			fmt.Println("  logs in", dir)
+		}
+	}
+	fmt.Printf("%d of %d seeds failed\n", failed, a.Seeds)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
