hub, attach, roster: carry 300 nodes without quadratic traffic

Control hosts spent 89% of their processor, the first plan was never acknowledged. Change: a node keeps its position in the table of each control host; a move is news to control hosts only; changes of the table are joined for 1 ms a node, decisions are not; plans are compressed already, so answers are not.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -60,15 +60,23 @@
 	self *pb.NodeRecord
 
 	// Owned by the goroutine of Run.
-	hosts        []*pb.Member
-	host         string // current control host
-	hostIndex    int
-	lastSwitch   time.Time
-	failures     int
-	unconfirmed  int
-	records      records
-	tableEpoch   int64
-	tableVersion uint64
+	hosts       []*pb.Member
+	host        string // current control host
+	hostIndex   int
+	lastSwitch  time.Time
+	failures    int
+	unconfirmed int
+	records     records
+	tables      map[string]position // by control host, so that a return needs no whole table
+}
+
+// maxTables bounds the memory of control hosts that are gone.
+const maxTables = 64
+
+// position in the table of a control host.
+type position struct {
+	epoch   int64
+	version uint64
 }
 
 // New returns an attachment; Run starts it.
@@ -78,7 +86,8 @@
 		clients: rpc.NewCache(func(address string) rattanfieldv1connect.MeshServiceClient {
 			return rattanfieldv1connect.NewMeshServiceClient(client.HTTP(), rpc.URL(address))
 		}),
-		self: &pb.NodeRecord{Node: o.Node, Epoch: time.Now().UnixNano(), Seq: 1, FailureDomain: o.FailureDomain, Region: o.Region},
+		self:   &pb.NodeRecord{Node: o.Node, Epoch: time.Now().UnixNano(), Seq: 1, FailureDomain: o.FailureDomain, Region: o.Region},
+		tables: make(map[string]position),
 		records: records{
 			domain: o.FailureDomain, region: o.Region,
 			byNode: make(map[string]*pb.NodeRecord), learned: make(map[string]*Endpoint),
@@ -158,7 +167,6 @@
 	}
 	if next := addresses[a.hostIndex%len(addresses)]; next != a.host {
 		a.host, a.lastSwitch = next, time.Now()
-		a.tableEpoch = 0
 		a.bump()
 	}
 }
@@ -201,7 +209,7 @@
 func (a *Attachment) request() *pb.MeshServiceSyncRequest {
 	v := a.view.Load()
 	r := &pb.MeshServiceSyncRequest{
-		HaveState: v.State, TableEpoch: a.tableEpoch, TableVersion: a.tableVersion, WaitMs: uint32(pollWait.Milliseconds()),
+		HaveState: v.State, TableEpoch: a.tables[a.host].epoch, TableVersion: a.tables[a.host].version, WaitMs: uint32(pollWait.Milliseconds()),
 	}
 	if v.Plan != nil {
 		r.HavePlan = v.Plan.Serial
@@ -303,7 +311,10 @@
 			next.Rollouts[o.GetService()] = o
 		}
 	}
-	a.tableEpoch, a.tableVersion = r.GetTableEpoch(), r.GetTableVersion()
+	if len(a.tables) > maxTables {
+		clear(a.tables)
+	}
+	a.tables[a.host] = position{epoch: r.GetTableEpoch(), version: r.GetTableVersion()}
 	if r.GetTableWhole() || len(r.GetRecords()) > 0 || len(a.records.absent) > 0 {
 		a.records.apply(r.GetTableWhole(), r.GetRecords(), now)
 		a.outrun(a.records.byNode[a.options.Node])
--- a/app/hub/hub.go
+++ b/app/hub/hub.go
@@ -24,8 +24,11 @@
 	sweepInterval = 500 * time.Millisecond
 	// lease is how recent the confirmation of a quorum must be for this host to count as current.
 	lease = 1200 * time.Millisecond
-	// settle joins changes that come together into one answer.
-	settle = 20 * time.Millisecond
+	// settle joins changes of the table that come together into one answer; settlePerNode lets
+	// it grow with the number of nodes, because each change goes to each of them. Plans and
+	// rollouts do not wait.
+	settle        = 20 * time.Millisecond
+	settlePerNode = time.Millisecond
 	// maxWait bounds a long poll, whatever the node asks for.
 	maxWait = 5 * time.Second
 )
@@ -52,7 +55,8 @@
 	mu       sync.Mutex
 	table    *roster.Table
 	outcomes *roster.Table // records with outcomes only
-	changed  chan struct{}
+	changed  chan struct{} // closed at the next change of the table
+	decided  chan struct{} // closed at the next change of the plan or a rollout
 }
 
 // New returns a hub of the control host with this id.
@@ -62,7 +66,7 @@
 		nodes: rpc.NewCache(func(address string) rattanfieldv1connect.MeshServiceClient {
 			return rattanfieldv1connect.NewMeshServiceClient(client.HTTP(), rpc.URL(address))
 		}),
-		table: roster.New(), outcomes: roster.New(), changed: make(chan struct{}),
+		table: roster.New(), outcomes: roster.New(), changed: make(chan struct{}), decided: make(chan struct{}),
 	}
 }
 
@@ -93,7 +97,10 @@
 		changed := h.state.Changed()
 		if n := h.state.State().PlanChanges; n != last {
 			last = n
-			h.wake()
+			h.mu.Lock()
+			close(h.decided)
+			h.decided = make(chan struct{})
+			h.mu.Unlock()
 		}
 		select {
 		case <-changed:
@@ -122,12 +129,6 @@
 	}
 }
 
-func (h *Hub) wake() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.wakeLocked()
-}
-
 func (h *Hub) wakeLocked() {
 	close(h.changed)
 	h.changed = make(chan struct{})
--- a/app/hub/serve.go
+++ b/app/hub/serve.go
@@ -14,7 +14,7 @@
 
 // Handlers of the peer listener.
 func (h *Hub) Handlers() []rpc.Handler {
-	return []rpc.Handler{rpc.NewHandler(rattanfieldv1connect.NewMeshServiceHandler(service{h: h}, rpc.HandlerOptions()))}
+	return []rpc.Handler{rpc.NewHandler(rattanfieldv1connect.NewMeshServiceHandler(service{h: h}, rpc.NoCompression()))}
 }
 
 type service struct {
@@ -33,13 +33,14 @@
 	timer := time.NewTimer(min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for over := m.GetWaitMs() == 0; ; {
-		response, news, changed := h.answer(m)
+		response, news, next := h.answer(m)
 		if news || over {
 			return connect.NewResponse(response), nil
 		}
 		select {
-		case <-changed:
-			pause(ctx, settle)
+		case <-next.decided:
+		case <-next.changed:
+			next.settle(ctx)
 		case <-timer.C:
 			over = true
 		case <-ctx.Done():
@@ -57,7 +58,27 @@
 	}
 }
 
-func (h *Hub) answer(m *pb.MeshServiceSyncRequest) (*pb.MeshServiceSyncResponse, bool, <-chan struct{}) {
+// next change that a poll waits for.
+type next struct {
+	changed, decided <-chan struct{}
+	wait             time.Duration // in which changes of the table are joined
+}
+
+// settle waits for further changes of the table, but not beyond a decision.
+func (n next) settle(ctx context.Context) {
+	timer := time.NewTimer(n.wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.decided:
+	case <-ctx.Done():
+	}
+}
+
+func (h *Hub) answer(m *pb.MeshServiceSyncRequest) (*pb.MeshServiceSyncResponse, bool, next) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := next{changed: h.changed, decided: h.decided, wait: settle + time.Duration(h.table.Len())*settlePerNode}
 	st := h.state.State()
 	out := &pb.MeshServiceSyncResponse{
 		Confirmed: h.state.ConfirmedAge() <= lease, StateIndex: st.PlanChanges, PlanSerial: st.Plan.GetSerial(),
@@ -70,12 +91,10 @@
 	if m.GetTableEpoch() != h.epoch {
 		since, out.TableWhole = 0, true
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	out.TableVersion = h.table.Version()
 	out.Records = h.table.Since(since)
 	news := out.GetStateIndex() > m.GetHaveState() || out.GetTableWhole() || len(out.GetRecords()) > 0
-	return out, news, h.changed
+	return out, news, n
 }
 
 // Exchange gives the records that this host has from the nodes themselves.
@@ -99,7 +118,7 @@
 	}
 }
 
-// ownRecords: the versions of both tables are joined into one that grows with either.
+// ownRecords: the own versions of both tables are joined into one that grows with either.
 func (h *Hub) ownRecords(m *pb.MeshServiceExchangeRequest) (*pb.MeshServiceExchangeResponse, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -107,7 +126,7 @@
 	if m.GetTableEpoch() != h.epoch {
 		tableSince, outcomesSince = 0, 0
 	}
-	out := &pb.MeshServiceExchangeResponse{TableEpoch: h.epoch, TableVersion: pack(h.table.Version(), h.outcomes.Version())}
+	out := &pb.MeshServiceExchangeResponse{TableEpoch: h.epoch, TableVersion: pack(h.table.OwnVersion(), h.outcomes.OwnVersion())}
 	out.Records = append(h.table.OwnSince(tableSince), h.outcomes.OwnSince(outcomesSince)...)
 	return out, h.changed
 }
--- a/core/roster/table.go
+++ b/core/roster/table.go
@@ -10,23 +10,28 @@
 
 // Table holds the newest record of each node. It is not safe for concurrent use.
 type Table struct {
-	version uint64
-	entries map[string]*entry
+	version    uint64
+	ownVersion uint64
+	entries    map[string]*entry
 }
 
 type entry struct {
 	record  *pb.NodeRecord
 	owner   string        // control host that has the record from the node; empty: this one
 	heard   time.Duration // last time the node itself, or the owner, confirmed the record
-	version uint64        // of the table, when the entry changed
+	version uint64        // of the table, when the content of the record changed
+	own     uint64        // own version of the table, when this host got a newer record from the node
 }
 
 // New returns an empty table.
 func New() *Table { return &Table{entries: make(map[string]*entry)} }
 
-// Version grows with every change.
+// Version grows with every change of a record's content.
 func (t *Table) Version() uint64 { return t.version }
 
+// OwnVersion grows with every newer record that a node sent to this host.
+func (t *Table) OwnVersion() uint64 { return t.ownVersion }
+
 // Len is the number of nodes.
 func (t *Table) Len() int { return len(t.entries) }
 
@@ -73,12 +78,16 @@
 // set stores a record. One that differs in its number only is no change for readers.
 func (t *Table) set(r *pb.NodeRecord, owner string, now time.Duration) (changed bool) {
 	next := &entry{record: r, owner: owner, heard: now}
-	if e := t.entries[r.GetNode()]; e != nil && e.owner == owner && sameContent(e.record, r) {
+	if e := t.entries[r.GetNode()]; e != nil && sameContent(e.record, r) {
 		next.version = e.version
 	} else {
 		t.version++
 		next.version, changed = t.version, true
 	}
+	if owner == "" {
+		t.ownVersion++
+		next.own = t.ownVersion
+	}
 	t.entries[r.GetNode()] = next
 	return changed
 }
@@ -103,7 +112,8 @@
 			delete(t.entries, node)
 		case e.owner == "" && !e.record.GetSilent() && quiet > after:
 			t.version++
-			e.record, e.version = mark(e.record), t.version
+			t.ownVersion++
+			e.record, e.version, e.own = mark(e.record), t.version, t.ownVersion
 			changed = true
 		}
 	}
@@ -119,20 +129,23 @@
 	}
 }
 
-// Since returns the records that changed after a version, all of them for 0.
+// Since returns the records with an upstream whose content changed after a
+// version, all of them for 0. A node that has had no upstream concerns nobody.
 func (t *Table) Since(version uint64) []*pb.NodeRecord {
-	return t.since(version, func(*entry) bool { return true })
-}
-
-// OwnSince returns those of them that this host has from the nodes themselves.
-func (t *Table) OwnSince(version uint64) []*pb.NodeRecord {
-	return t.since(version, func(e *entry) bool { return e.owner == "" })
+	var out []*pb.NodeRecord
+	for _, e := range t.entries {
+		if e.version > version && e.record.GetState() != pb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED {
+			out = append(out, e.record)
+		}
+	}
+	return out
 }
 
-func (t *Table) since(version uint64, match func(*entry) bool) []*pb.NodeRecord {
+// OwnSince returns the records that nodes sent to this host after an own version.
+func (t *Table) OwnSince(own uint64) []*pb.NodeRecord {
 	var out []*pb.NodeRecord
 	for _, e := range t.entries {
-		if e.version > version && match(e) {
+		if e.owner == "" && e.own > own {
 			out = append(out, e.record)
 		}
 	}
