httpproxy: give the suspect of a test a time after its clearing

A record's time is in milliseconds, rounded down, and the registry rightly ignores one that is not later than the clearing of the round before; in the same millisecond the suspect stayed cleared and ran with others. Load was ruled out as the cause: the state explains it, and the check was right about what it saw. Change: the test rounds the time up. The check is the same. Conclusion: a fault of the test's input.

--- a/adapters/httpproxy/poison_test.go
+++ b/adapters/httpproxy/poison_test.go
@@ -112,9 +112,10 @@
 	req.Header.SetRequestURI("/fares")
 	req.SetBodyString("suspect")
 	for range 5 {
+		// Rounded up: a record of the millisecond in which the last one was cleared is an older one.
 		n.gate.Merge([]*pb.SuspectRecord{{
 			Fingerprint: fingerprint("fares", &req), Service: "bookings", Crashes: 1,
-			State: pb.SuspectState_SUSPECT_STATE_SUSPECT, ChangedUnixMs: time.Now().UnixMilli(),
+			State: pb.SuspectState_SUSPECT_STATE_SUSPECT, ChangedUnixMs: time.Now().UnixMilli() + 1,
 		}})
 		var wg sync.WaitGroup
 		for i := range 12 {
