socket, lifecycle: one copy of what two HTTP layers and six packages had

Change: adapters/socket and lifecycle.Pause; their users call them. Measured: go test ./adapters/... and the packages concerned: ok.

--- a/adapters/httpproxy/call.go
+++ b/adapters/httpproxy/call.go
@@ -3,12 +3,12 @@
 import (
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/socket"
 	"github.com/rattanfield/rattanfield/core/retry"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -169,8 +169,5 @@
 // callerGone reports that the peer of a request has closed its connection.
 func callerGone(ctx *fasthttp.RequestCtx) func() bool {
 	conn := ctx.Conn()
-	return func() bool {
-		sc, ok := conn.(syscall.Conn)
-		return ok && peek(sc) == peekClosed
-	}
+	return func() bool { return socket.Peek(conn) == socket.Closed }
 }
--- a/adapters/httpproxy/pool.go
+++ b/adapters/httpproxy/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
 const (
@@ -58,7 +60,7 @@
 		if c == nil {
 			return p.dial(address, deadline)
 		}
-		if time.Since(c.idleSince) < poolIdleTimeout && isQuiet(c.conn) {
+		if time.Since(c.idleSince) < poolIdleTimeout && socket.Peek(c.conn) == socket.Quiet {
 			return c, nil
 		}
 		p.discard(address, c)
@@ -167,41 +169,3 @@
 	p.mu.Unlock()
 	p.closeIdle(func(string) bool { return false })
 }
-
-// isQuiet reports an open connection without unread data. Data on an idle
-// connection is a late or unsolicited response; the connection is out of step.
-func isQuiet(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	return ok && peek(sc) == peekQuiet
-}
-
-type peekResult uint8
-
-const (
-	peekClosed peekResult = iota
-	peekQuiet
-	peekData
-)
-
-// peek looks at the socket without reading from it and without waiting.
-func peek(sc syscall.Conn) peekResult {
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return peekClosed
-	}
-	result := peekClosed
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case n > 0:
-			result = peekData
-		case errors.Is(recvErr, syscall.EAGAIN) || errors.Is(recvErr, syscall.EINTR):
-			result = peekQuiet
-		}
-	})
-	if err != nil {
-		return peekClosed
-	}
-	return result
-}
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
 // Failure says how a request ended that got no response.
@@ -68,6 +70,9 @@
 	clientBuffer = 8 << 10
 )
 
+// keepAlive notices a peer that is gone while a response is awaited.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
+
 // Pool keeps connections per destination. It never sends a request twice.
 type Pool struct {
 	localIP net.IP
@@ -147,7 +152,7 @@
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
 		idle := time.Since(c.since)
-		if idle < c.limit && (!fresh || idle < freshIdle) && isQuiet(c.nc) {
+		if idle < c.limit && (!fresh || idle < freshIdle) && socket.Peek(c.nc) == socket.Quiet {
 			return c
 		}
 		_ = c.nc.Close()
@@ -195,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(nc)
+	_ = socket.SetUserTimeout(nc, userTimeout) // see there for what is lost without it
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
 // Limits of what a client may send, read for each request.
@@ -104,7 +106,7 @@
 const acceptPause = 20 * time.Millisecond
 
 func (s *Server) start(nc net.Conn) {
-	setUserTimeout(nc)
+	_ = socket.SetUserTimeout(nc, userTimeout) // see there for what is lost without it
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newConn(s, nc, ctx, cancel)
 	s.mu.Lock()
--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/plan"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -120,7 +121,7 @@
 	for ctx.Err() == nil {
 		a.choose()
 		if a.host == "" {
-			sleep(ctx, maxRetryPause)
+			lifecycle.Pause(ctx, maxRetryPause)
 			continue
 		}
 		response, err := a.poll(ctx)
@@ -263,7 +264,7 @@
 	a.lastSwitch = time.Now()
 	if hosts := len(a.addresses()); hosts > 0 && a.failures%hosts == 0 {
 		pause := min(retryPause<<min(a.failures/hosts, 4), maxRetryPause)
-		sleep(ctx, pause/2+rand.N(pause))
+		lifecycle.Pause(ctx, pause/2+rand.N(pause))
 	}
 }
 
@@ -277,7 +278,7 @@
 	}
 	hosts := len(a.addresses())
 	if a.view.Load().Plan != nil && a.unconfirmed%max(hosts, 1) == 0 {
-		sleep(ctx, maxRetryPause)
+		lifecycle.Pause(ctx, maxRetryPause)
 	}
 	if hosts > 1 {
 		a.hostIndex++
@@ -345,12 +346,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -15,6 +15,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/disk"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/raft"
 	"github.com/rattanfield/rattanfield/core/state"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -130,7 +131,7 @@
 		h.fullLogged = now
 		_ = h.logger.Log("event", "disk full", "directory", h.options.DataDir, "effect", "nothing is acknowledged here until there is space")
 	}
-	sleep(h.run, fullPause)
+	lifecycle.Pause(h.run, fullPause)
 	return context.Cause(h.run)
 }
 
@@ -188,7 +189,7 @@
 		if h.do(ctx, func() { leader = h.node.Status().Leader }) != nil || (leader != "" && leader != h.options.ID) {
 			return
 		}
-		sleep(ctx, h.options.HeartbeatInterval/10)
+		lifecycle.Pause(ctx, h.options.HeartbeatInterval/10)
 	}
 }
 
@@ -208,15 +209,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // SetNodeStatusReader sets where the operator service reads the nodes' status from.
 func (h *Host) SetNodeStatusReader(r ports.NodeStatusReader) { h.nodes.Store(&r) }
 
--- a/app/consensus/join.go
+++ b/app/consensus/join.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/raft"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -68,7 +69,7 @@
 // pruneLoop removes voters that have been replaced.
 func (h *Host) pruneLoop(ctx context.Context) error {
 	for {
-		sleep(ctx, pruneInterval)
+		lifecycle.Pause(ctx, pruneInterval)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/app/consensus/read.go
+++ b/app/consensus/read.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/raft"
 )
 
@@ -59,7 +60,7 @@
 		if err == nil {
 			return h.waitApplied(ctx, index)
 		}
-		sleep(ctx, readRetryPause)
+		lifecycle.Pause(ctx, readRetryPause)
 		if ctx.Err() != nil || h.stopped() {
 			return err
 		}
--- a/app/consensus/sender.go
+++ b/app/consensus/sender.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 	"github.com/rattanfield/rattanfield/ring"
@@ -112,7 +113,7 @@
 	client := rattanfieldv1connect.NewRaftServiceClient(s.host.client.HTTP(), rpc.URL(address))
 	_, err := client.SendRaft(ctx, connect.NewRequest(&pb.SendRaftRequest{Messages: messages}))
 	if err != nil {
-		sleep(s.ctx, s.host.options.HeartbeatInterval/10)
+		lifecycle.Pause(s.ctx, s.host.options.HeartbeatInterval/10)
 	}
 }
 
--- a/app/consensus/submit.go
+++ b/app/consensus/submit.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
@@ -46,7 +47,7 @@
 		default:
 			return r
 		}
-		sleep(ctx, submitRetryPause)
+		lifecycle.Pause(ctx, submitRetryPause)
 		if ctx.Err() != nil || h.stopped() {
 			if reached {
 				return h.unknown(c)
@@ -229,7 +230,7 @@
 			if _, now := h.Leader(); now != address {
 				return
 			}
-			sleep(ctx, submitRetryPause)
+			lifecycle.Pause(ctx, submitRetryPause)
 		}
 	}()
 	return ctx, cancel
--- a/app/demo/admin.go
+++ b/app/demo/admin.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/simupstream"
 )
 
@@ -52,7 +53,7 @@
 		case ctx.Err() == nil:
 			last = err.Error()
 		}
-		if !pause(ctx, 10*pollInterval) {
+		if !lifecycle.Pause(ctx, 10*pollInterval) {
 			return fmt.Errorf("%s is not ready: %s", address, last)
 		}
 	}
@@ -102,13 +103,3 @@
 	}
 	return r, json.Unmarshal(body, &r)
 }
-
-// pause reports false when the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/app/demo/convergence.go
+++ b/app/demo/convergence.go
@@ -10,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 )
 
 const (
@@ -71,7 +73,7 @@
 					took[i] = max(time.Since(accepted), 0)
 					return
 				}
-				if !pause(ctx, pollInterval) {
+				if !lifecycle.Pause(ctx, pollInterval) {
 					took[i] = -1
 					return
 				}
--- a/app/demo/faults.go
+++ b/app/demo/faults.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/loadgen"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -261,7 +262,7 @@
 	began := time.Now()
 	err := f.changeThrough(ctx, frozen)
 	took := time.Since(began)
-	pause(ctx, time.Until(began.Add(freezeTime)))
+	lifecycle.Pause(ctx, time.Until(began.Add(freezeTime)))
 	if resumed := p.cmd.Process.Signal(syscall.SIGCONT); resumed != nil || err != nil {
 		return fmt.Errorf("%v, %v", err, resumed)
 	}
@@ -361,7 +362,7 @@
 				}
 			}
 		}
-		if !pause(ctx, retryPause) {
+		if !lifecycle.Pause(ctx, retryPause) {
 			return fmt.Errorf("%s does not vote again: %s", c.id, last)
 		}
 	}
--- a/app/demo/faults_nodes.go
+++ b/app/demo/faults_nodes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
 
@@ -43,11 +44,11 @@
 		return err
 	}
 	f.report.row("herd of nodes ready again after", "%s (%d of %d nodes)", ms(time.Since(began)), len(herd), len(f.layout.nodes))
-	if !pause(ctx, ledgerRecovery) {
+	if !lifecycle.Pause(ctx, ledgerRecovery) {
 		return ctx.Err()
 	}
 	f.enter(phaseAfterHerd)
-	pause(ctx, afterHerdWatch)
+	lifecycle.Pause(ctx, afterHerdWatch)
 	return nil
 }
 
@@ -85,7 +86,7 @@
 		if err == nil && r >= f.revision {
 			break
 		}
-		if time.Since(began) > catchUpLimit || !pause(ctx, pollInterval) {
+		if time.Since(began) > catchUpLimit || !lifecycle.Pause(ctx, pollInterval) {
 			return fmt.Errorf("node %s is at revision %d of %d after %s", n.id, r, f.revision, time.Since(began))
 		}
 	}
@@ -163,7 +164,7 @@
 		if r, err := f.admin.revision(ctx, n.admin()); err == nil && r > 0 && (lowest == 0 || r < lowest) {
 			lowest = r
 		}
-		if !pause(ctx, pollInterval) {
+		if !lifecycle.Pause(ctx, pollInterval) {
 			break
 		}
 	}
@@ -187,7 +188,7 @@
 	var wait sync.WaitGroup
 	for _, n := range f.layout.nodes {
 		wait.Go(func() {
-			for pause(ctx, 2*pollInterval) {
+			for lifecycle.Pause(ctx, 2*pollInterval) {
 				if r, err := f.admin.revision(ctx, n.admin()); err == nil && r > 0 {
 					h.take(n.id, r)
 				}
--- a/app/demo/operator.go
+++ b/app/demo/operator.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
@@ -95,7 +96,7 @@
 		} else {
 			last = err.Error()
 		}
-		if !pause(ctx, retryPause) {
+		if !lifecycle.Pause(ctx, retryPause) {
 			return nil, fmt.Errorf("command %s: %s", c.GetCommandId(), last)
 		}
 	}
--- a/app/demo/scenario.go
+++ b/app/demo/scenario.go
@@ -10,6 +10,8 @@
 	"time"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 )
 
 const (
@@ -131,7 +133,7 @@
 	if err := d.idle.begin(ctx, d); err != nil {
 		return err
 	}
-	if !pause(ctx, trafficWindow) {
+	if !lifecycle.Pause(ctx, trafficWindow) {
 		return ctx.Err()
 	}
 	if err := d.idle.end(ctx, d); err != nil {
@@ -171,13 +173,13 @@
 }
 
 func (d *demo) disturb(ctx context.Context) error {
-	if !pause(ctx, beforeKill) {
+	if !lifecycle.Pause(ctx, beforeKill) {
 		return ctx.Err()
 	}
 	killed := d.leader(ctx)
 	d.running["control-"+killed.id].kill()
 	d.say("control host %s (leader) was killed", killed.id)
-	if !pause(ctx, beforeStop) {
+	if !lifecycle.Pause(ctx, beforeStop) {
 		return ctx.Err()
 	}
 	if err := d.stopNode(); err != nil {
@@ -226,13 +228,13 @@
 	}
 	_, after := d.versions.of(versionBad)
 	d.badLoad = after - before
-	if !pause(ctx, time.Until(time.UnixMilli(m.GetChangedUnixMs()).Add(rollbackLimit))) {
+	if !lifecycle.Pause(ctx, time.Until(time.UnixMilli(m.GetChangedUnixMs()).Add(rollbackLimit))) {
 		return ctx.Err()
 	}
 	if d.badCalls, err = d.executed(ctx, versionBad); err != nil {
 		return err
 	}
-	if !pause(ctx, afterRollback) {
+	if !lifecycle.Pause(ctx, afterRollback) {
 		return ctx.Err()
 	}
 	late, err := d.executed(ctx, versionBad)
@@ -267,7 +269,7 @@
 		case pb.MovePhase_MOVE_PHASE_DONE, pb.MovePhase_MOVE_PHASE_ROLLED_BACK, pb.MovePhase_MOVE_PHASE_STOPPED:
 			return last, nil
 		}
-		if !pause(ctx, movePoll) {
+		if !lifecycle.Pause(ctx, movePoll) {
 			if whole.Err() != nil {
 				return last, whole.Err()
 			}
--- a/app/hub/exchange.go
+++ b/app/hub/exchange.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
@@ -74,7 +75,7 @@
 			_ = h.logger.Log("event", "control host", "peer", address, "reachable", reachable, "err", err)
 		}
 		if err != nil {
-			pause(ctx, exchangeRetry/2+rand.N(exchangeRetry))
+			lifecycle.Pause(ctx, exchangeRetry/2+rand.N(exchangeRetry))
 			continue
 		}
 		epoch, version = r.GetTableEpoch(), r.GetTableVersion()
@@ -130,7 +131,7 @@
 				_ = j.Log("event", "joined the control group")
 			}
 			waiting = false
-			pause(ctx, 4*joinInterval)
+			lifecycle.Pause(ctx, 4*joinInterval)
 			continue
 		}
 		addresses := j.addresses()
@@ -141,7 +142,7 @@
 		for _, a := range addresses {
 			j.ask(ctx, a)
 		}
-		pause(ctx, joinInterval/2+rand.N(joinInterval))
+		lifecycle.Pause(ctx, joinInterval/2+rand.N(joinInterval))
 	}
 	return nil
 }
--- a/app/hub/serve.go
+++ b/app/hub/serve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/raft"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -49,15 +51,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // next change that a poll waits for.
 type next struct {
 	changed, decided <-chan struct{}
@@ -109,7 +102,7 @@
 		}
 		select {
 		case <-changed:
-			pause(ctx, settle)
+			lifecycle.Pause(ctx, settle)
 		case <-timer.C:
 			over = true
 		case <-ctx.Done():
@@ -146,7 +139,7 @@
 	if m.GetId() == "" || m.GetAddress() == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errNoMember)
 	}
-	if err := h.state.Admit(ctx, m); err != nil && err != raft.ErrNotLeader && err != raft.ErrMemberPending {
+	if err := h.state.Admit(ctx, m); err != nil && !errors.Is(err, raft.ErrNotLeader) && !errors.Is(err, raft.ErrMemberPending) {
 		_ = h.logger.Log("event", "join not possible now", "member", m.GetId(), "err", err)
 	}
 	_, leader := h.state.Leader()
--- a/app/lifecycle/lifecycle.go
+++ b/app/lifecycle/lifecycle.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -48,3 +49,15 @@
 	}
 	return nil
 }
+
+// Pause waits for a time; it reports false when the context ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/app/members/members.go
+++ b/app/members/members.go
@@ -1,7 +1,6 @@
 package members
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -327,18 +326,6 @@
 	}
 }
 
-// sleep waits with the context; it reports false when the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // jitter returns a random part of d.
 func (m *Members) jitter(d time.Duration) time.Duration {
 	m.mu.Lock()
--- a/app/members/probe.go
+++ b/app/members/probe.go
@@ -6,12 +6,14 @@
 	"sync/atomic"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 )
 
 // probeLoop probes one member of the failure domain per interval, and those
 // under suspicion each time.
 func (m *Members) probeLoop(ctx context.Context) {
-	for sleep(ctx, m.options.Timing.ProbeInterval/2+m.jitter(m.options.Timing.ProbeInterval)) {
+	for lifecycle.Pause(ctx, m.options.Timing.ProbeInterval/2+m.jitter(m.options.Timing.ProbeInterval)) {
 		m.probeOnce(ctx)
 		m.declare()
 	}
--- a/app/members/run.go
+++ b/app/members/run.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/membership"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -48,7 +49,7 @@
 }
 
 func (m *Members) expireLoop(ctx context.Context) {
-	for sleep(ctx, expireInterval) {
+	for lifecycle.Pause(ctx, expireInterval) {
 		m.mu.Lock()
 		m.table.Expire(m.now())
 		m.mu.Unlock()
@@ -78,7 +79,7 @@
 			leftHome = m.now()
 		}
 		current = (current + 1) % len(relays)
-		if !sleep(ctx, m.jitter(backoff)) {
+		if !lifecycle.Pause(ctx, m.jitter(backoff)) {
 			return
 		}
 		backoff = min(2*backoff, m.options.Timing.BackoffCap)
@@ -186,7 +187,7 @@
 // peerLoop exchanges with peers, seldom while a relay answers.
 func (m *Members) peerLoop(ctx context.Context) {
 	last := m.now()
-	for sleep(ctx, m.jitter(2*partitionInterval)) {
+	for lifecycle.Pause(ctx, m.jitter(2*partitionInterval)) {
 		m.mu.Lock()
 		ok := m.relayOK
 		m.mu.Unlock()
@@ -212,7 +213,7 @@
 	for ctx.Err() == nil {
 		changed := m.Changed()
 		if !exchange(ctx) {
-			if !sleep(ctx, m.jitter(backoff)) {
+			if !lifecycle.Pause(ctx, m.jitter(backoff)) {
 				return
 			}
 			backoff = min(2*backoff, m.options.Timing.BackoffCap)
@@ -223,7 +224,7 @@
 		select {
 		case <-changed:
 			timer.Stop()
-			sleep(ctx, m.options.Timing.Batch)
+			lifecycle.Pause(ctx, m.options.Timing.Batch)
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
--- a/app/members/serve.go
+++ b/app/members/serve.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/membership"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -38,7 +39,7 @@
 		select {
 		case <-changed:
 			timer.Stop()
-			if !sleep(ctx, min(wait, m.options.Timing.Batch)) {
+			if !lifecycle.Pause(ctx, min(wait, m.options.Timing.Batch)) {
 				return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 			}
 		case <-timer.C:
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -49,9 +49,8 @@
 	endAt   = 0.92
 	// confirmWait is how long a starting node waits for a control host with a quorum before
 	// it serves with what another one has.
-	confirmWait  = 3 * time.Second
-	gateIdle     = 60 * time.Second // above the idle limit of clients (see meshhttp)
-	closeTimeout = 300 * time.Millisecond
+	confirmWait = 3 * time.Second
+	gateIdle    = 60 * time.Second // above the idle limit of clients (see meshhttp)
 )
 
 // Process is a running node.
--- a/app/operator/watch.go
+++ b/app/operator/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/query"
 	"github.com/rattanfield/rattanfield/core/rollout"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -58,7 +59,7 @@
 				s.note("no control host answers; still trying")
 			}
 			interrupted = true
-			pause(ctx, watchPause)
+			lifecycle.Pause(ctx, watchPause)
 			continue
 		}
 		interrupted = false
@@ -72,20 +73,13 @@
 			return code, err
 		}
 		if request.HaveRevision == answer.GetFreshness().GetRevision() && time.Since(asked) < watchPause {
-			pause(ctx, watchPause)
+			lifecycle.Pause(ctx, watchPause)
 		}
 		request.HaveRevision = answer.GetFreshness().GetRevision()
 	}
 	return ExitOK, nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *Session) note(text string) {
 	if !s.JSON {
 		_, _ = fmt.Fprintln(s.Out, text)
