carry: keep a departure acknowledged before the node's start; split what grew

Cause: reading: a node that restarts beside a departing upstream gave it the whole time after its departure once more, and a stopping node published its upstream as serving again when an announcement changed. Change: an upstream that is first seen departing gets no request; a stopping node publishes nothing more. attach and gate are split by concern.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +12,6 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
-	"github.com/rattanfield/rattanfield/core/plan"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
@@ -156,57 +153,6 @@
 	}
 }
 
-// choose keeps the control hosts by preference and returns to the best one after a while.
-func (a *Attachment) choose() {
-	addresses := a.addresses()
-	if len(addresses) == 0 {
-		a.host = ""
-		return
-	}
-	if a.hostIndex > 0 && a.failures == 0 && time.Since(a.lastSwitch) > homeRetry {
-		a.hostIndex = 0
-	}
-	if next := addresses[a.hostIndex%len(addresses)]; next != a.host {
-		a.host, a.lastSwitch = next, time.Now()
-		a.bump()
-	}
-}
-
-// bump makes this node's record newer than the one that other control hosts have.
-func (a *Attachment) bump() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.self = proto.CloneOf(a.self)
-	a.self.Seq++
-}
-
-// addresses of control hosts: those of the same failure domain first, then of
-// the same region, each in an order of this node's own.
-func (a *Attachment) addresses() []string {
-	rank := func(m *pb.Member) int {
-		switch {
-		case m.GetFailureDomain() == a.options.FailureDomain:
-			return 0
-		case m.GetRegion() == a.options.Region:
-			return 1
-		default:
-			return 2
-		}
-	}
-	var out []string
-	hosts := slices.Clone(a.hosts)
-	slices.SortStableFunc(hosts, func(x, y *pb.Member) int { return rank(x) - rank(y) })
-	for _, m := range hosts {
-		out = append(out, m.GetAddress())
-	}
-	for _, s := range a.options.Seeds() {
-		if !slices.Contains(out, s) {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 func (a *Attachment) request() *pb.MeshServiceSyncRequest {
 	v := a.view.Load()
 	r := &pb.MeshServiceSyncRequest{
@@ -256,93 +202,3 @@
 		return nil, nil
 	}
 }
-
-func (a *Attachment) fail(ctx context.Context, err error) {
-	_ = a.logger.Log("event", "control host lost", "host", a.host, "err", err, "failures", a.failures+1)
-	a.failures++
-	a.hostIndex++
-	a.lastSwitch = time.Now()
-	if hosts := len(a.addresses()); hosts > 0 && a.failures%hosts == 0 {
-		pause := min(retryPause<<min(a.failures/hosts, 4), maxRetryPause)
-		lifecycle.Pause(ctx, pause/2+rand.N(pause))
-	}
-}
-
-// tryOther leaves a control host without a quorum, unless no other has one. A
-// node that has no plan yet stays for one more poll, because the host may be
-// about to learn it.
-func (a *Attachment) tryOther(ctx context.Context) {
-	a.unconfirmed++
-	if a.view.Load().Plan == nil && a.unconfirmed%2 == 1 {
-		return
-	}
-	hosts := len(a.addresses())
-	if a.view.Load().Plan != nil && a.unconfirmed%max(hosts, 1) == 0 {
-		lifecycle.Pause(ctx, maxRetryPause)
-	}
-	if hosts > 1 {
-		a.hostIndex++
-	}
-}
-
-func (a *Attachment) apply(r *pb.MeshServiceSyncResponse) {
-	now := time.Now()
-	old := a.view.Load()
-	next := *old
-	if r.GetConfirmed() {
-		next.Received = now
-	}
-	if len(r.GetControlHosts()) > 0 {
-		a.hosts = r.GetControlHosts()
-	}
-	if len(r.GetPlanPayload()) > 0 && (old.Plan == nil || r.GetPlanSerial() > old.Plan.Serial) {
-		p, err := plan.Decode(r.GetPlanPayload())
-		if err != nil {
-			_ = a.logger.Log("event", "plan not readable", "serial", r.GetPlanSerial(), "host", a.host, "err", err)
-			return
-		}
-		next.Plan = plan.NewTable(p, r.GetPlanSerial())
-		_ = a.logger.Log("event", "plan in force", "plan", p.GetNumber(), "serial", r.GetPlanSerial(), "host", a.host, "confirmed", r.GetConfirmed())
-	}
-	if r.GetStateIndex() >= old.State {
-		a.logRollouts(old, r)
-		next.State = r.GetStateIndex()
-		next.Rollouts = make(map[string]*pb.Rollout, len(r.GetRollouts()))
-		for _, o := range r.GetRollouts() {
-			next.Rollouts[o.GetService()] = o
-		}
-	}
-	if len(a.tables) > maxTables {
-		clear(a.tables)
-	}
-	a.tables[a.host] = position{epoch: r.GetTableEpoch(), version: r.GetTableVersion()}
-	if r.GetTableWhole() || len(r.GetRecords()) > 0 || len(a.records.absent) > 0 {
-		a.records.apply(r.GetTableWhole(), r.GetRecords(), now)
-		a.outrun(a.records.byNode[a.options.Node])
-		next.Endpoints, next.Nodes = a.records.endpoints(now)
-	}
-	a.view.Store(&next)
-	if a.options.OnChange != nil {
-		a.options.OnChange(&next)
-	}
-}
-
-// outrun makes the own record newer than one of an earlier process whose clock was ahead.
-func (a *Attachment) outrun(own *pb.NodeRecord) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if own.GetEpoch() > a.self.GetEpoch() {
-		a.self = proto.CloneOf(a.self)
-		a.self.Epoch = own.GetEpoch() + 1
-	}
-}
-
-func (a *Attachment) logRollouts(old *View, r *pb.MeshServiceSyncResponse) {
-	for _, o := range r.GetRollouts() {
-		b := old.Rollouts[o.GetService()]
-		if b.GetStep() != o.GetStep() || b.GetSerial() != o.GetSerial() {
-			_ = a.logger.Log("event", "rollout step in force", "service", o.GetService(), "version", o.GetTargetVersion(),
-				"phase", o.GetPhase(), "share_permille", o.GetSharePermille(), "reason", o.GetReason())
-		}
-	}
-}
--- a/app/carry/carry_test.go
+++ b/app/carry/carry_test.go
@@ -164,6 +164,30 @@
 	is.Equal(n.upstream.count(), before)
 }
 
+// Guards against a node that starts beside an upstream whose departure was
+// acknowledged before, and gives it the whole time once more.
+func TestStartBesideADepartingUpstream(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	n := newNode(t, m, "i1", succeed)
+	next := n.announcement("i2", 4, pb.UpstreamState_UPSTREAM_STATE_LEAVING)
+	next.BornUnixMs = 2
+	n.gate.Announce(next)
+	is.Equal(send(newTestEntry(m), "/write/1").Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(n.upstream.count(), 0)
+}
+
+// Guards against a stopping node that invites requests again because its upstream goes on announcing itself.
+func TestStoppingNodePublishesNoUpstream(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, newMesh(), "i1", succeed)
+	n.gate.Stop()
+	again := n.announcement("i1", 2, pb.UpstreamState_UPSTREAM_STATE_SERVING)
+	again.Slots = 5
+	n.gate.Announce(again)
+	is.Equal(n.published[len(n.published)-1].GetState(), pb.UpstreamState_UPSTREAM_STATE_LEAVING)
+}
+
 // Guards against a request that runs on another service, version or process than was chosen.
 func TestGateRejectsWhatIsNotMeantForItsUpstream(t *testing.T) {
 	is := is.New(t)
--- a/app/carry/gate.go
+++ b/app/carry/gate.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
@@ -63,74 +62,6 @@
 	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger}
 }
 
-// Announce takes what an upstream of this host says of itself.
-func (g *Gate) Announce(a *pb.Announcement) {
-	now := time.Now()
-	g.mu.Lock()
-	changed := g.known.Take(a)
-	current := g.known.Current()
-	if u := g.upstream; u != nil && isProcess(u.announced, a) {
-		u.lost, u.renewed = false, now
-	}
-	if changed {
-		g.adopt(now, current)
-	}
-	if u := g.upstream; u != nil && isProcess(u.announced, a) && u.cutAt.IsZero() && a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING {
-		u.cutAt = now.Add(g.drainTime()) // its announcement came late, its departure counts all the same
-	}
-	g.mu.Unlock()
-	if changed {
-		_ = g.logger.Log("event", "upstream", "instance", current.GetInstance(), "service", current.GetService(), "version", current.GetVersion(),
-			"state", current.GetState(), "seq", current.GetSeq(), "born", current.GetBornUnixMs())
-		g.options.Publish(current)
-	}
-}
-
-func (g *Gate) drainTime() time.Duration {
-	return time.Duration(float64(g.options.DrainBound) * drainShare)
-}
-
-func isProcess(a, b *pb.Announcement) bool {
-	return a.GetInstance() == b.GetInstance() && (a.GetBornUnixMs() == b.GetBornUnixMs() || b.GetBornUnixMs() == 0)
-}
-
-// adopt is called with the lock held.
-func (g *Gate) adopt(now time.Time, a *pb.Announcement) {
-	u := g.upstream
-	if u == nil || u.announced.GetInstance() != a.GetInstance() || u.announced.GetBornUnixMs() != a.GetBornUnixMs() {
-		if u != nil {
-			u.deliver(u.queue.Clear(), reasonMoved)
-		}
-		u = newUpstream(a, now)
-		g.upstream = u
-	}
-	u.announced = a
-	u.deliver(u.queue.SetSlots(now, int(a.GetSlots())), "")
-	if a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING && u.cutAt.IsZero() {
-		u.cutAt = now.Add(g.drainTime())
-		time.AfterFunc(g.drainTime(), func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			u.deliver(u.queue.Clear(), reasonLeaving)
-		})
-	}
-}
-
-// Stop makes the node tell others that its upstream is leaving.
-func (g *Gate) Stop() {
-	g.mu.Lock()
-	g.stopping = true
-	current := g.known.Current()
-	g.mu.Unlock()
-	if current != nil && current.GetState() == pb.UpstreamState_UPSTREAM_STATE_SERVING {
-		leaving := &pb.Announcement{
-			Instance: current.GetInstance(), Service: current.GetService(), Version: current.GetVersion(), Slots: current.GetSlots(),
-			State: pb.UpstreamState_UPSTREAM_STATE_LEAVING,
-		}
-		g.options.Publish(leaving)
-	}
-}
-
 // Outcomes of the local upstream in the running rollout of its service.
 func (g *Gate) Outcomes() []*pb.RouteOutcomes {
 	g.mu.Lock()
@@ -142,30 +73,6 @@
 	return g.outcomes.snapshot(g.mesh.View().Rollouts[u.announced.GetService()])
 }
 
-// job is a request as its entry describes it.
-type job struct {
-	id, service, version, route string
-	priority                    uint32
-	idempotent                  bool
-	deadline, goal              time.Time
-	budget                      time.Duration
-	received                    time.Time
-}
-
-func (g *Gate) parse(x *meshhttp.Exchange) (job, bool) {
-	h := &x.Request.Header
-	remaining, ok := milliseconds(h.Peek(hopRemainingMs))
-	goal, _ := milliseconds(h.Peek(hopGoalMs))
-	budget, _ := milliseconds(h.Peek(hopBudgetMs))
-	priority, err := strconv.ParseUint(string(h.Peek(hopPriority)), 10, 32)
-	j := job{
-		id: string(h.Peek(g.options.Headers.ID)), service: string(h.Peek(hopService)), version: string(h.Peek(hopVersion)),
-		route: string(h.Peek(hopRoute)), priority: uint32(priority), idempotent: len(h.Peek(hopIdempotent)) > 0,
-		deadline: x.Received.Add(remaining), goal: x.Received.Add(goal), budget: budget, received: x.Received,
-	}
-	return j, ok && err == nil && j.service != ""
-}
-
 // Handle decides whether the request runs, and runs it.
 func (g *Gate) Handle(ctx context.Context, x *meshhttp.Exchange) {
 	j, ok := g.parse(x)
@@ -211,9 +118,6 @@
 	return u, id, g.await(ctx, u, id, ch, j.deadline)
 }
 
-// luck of a request is the same at every gate; see admission.Request.
-func luck(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
-
 func (g *Gate) await(ctx context.Context, u *upstream, id uint64, ch chan string, deadline time.Time) string {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
