roster: remember the departure of a process that is not known

A node was killed at 23.35 s and started at 23.88; at 24.02 it acknowledged a departure that names the id alone; at 26.69 a late check-in of the same process, with its time of birth, passed for a new process, and requests reached it 2.8 s after the acknowledgement. Change: a departure without a time of birth, of an unknown process, counts for every process under that id that was born before it.

--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -82,18 +82,18 @@
 func TestLateAnnouncementsChangeNothing(t *testing.T) {
 	is := is.New(t)
 	var u Upstream
-	is.True(u.Take(announcement("i1", 10, 1, serving)))
-	is.True(u.Take(announcement("i1", 10, 3, away)))
-	is.True(!u.Take(announcement("i1", 10, 2, serving))) // older
-	is.True(!u.Take(announcement("i1", 10, 4, serving))) // a process that leaves does not come back
-	is.True(u.Take(announcement("i1", 20, 1, serving)))  // the same id, another process
-	is.True(!u.Take(announcement("i1", 10, 9, serving))) // of the process before
-	is.True(u.Take(announcement("i2", 30, 1, serving)))
-	is.True(!u.Take(announcement("i1", 20, 7, away)))
+	is.True(u.Take(announcement("i1", 10, 1, serving), 1000))
+	is.True(u.Take(announcement("i1", 10, 3, away), 1000))
+	is.True(!u.Take(announcement("i1", 10, 2, serving), 1000)) // older
+	is.True(!u.Take(announcement("i1", 10, 4, serving), 1000)) // a process that leaves does not come back
+	is.True(u.Take(announcement("i1", 20, 1, serving), 1000))  // the same id, another process
+	is.True(!u.Take(announcement("i1", 10, 9, serving), 1000)) // of the process before
+	is.True(u.Take(announcement("i2", 30, 1, serving), 1000))
+	is.True(!u.Take(announcement("i1", 20, 7, away), 1000))
 	is.Equal(u.Current().GetInstance(), "i2")
-	is.True(u.Take(&pb.Announcement{Instance: "i2", State: gone})) // says no more than its id
+	is.True(u.Take(&pb.Announcement{Instance: "i2", State: gone}, 1000)) // says no more than its id
 	is.Equal(u.Current().GetService(), "s")
-	is.True(!u.Take(announcement("i2", 30, 5, serving)))
+	is.True(!u.Take(announcement("i2", 30, 5, serving), 1000))
 }
 
 // Guards against a node that moves to another control host and is sent to every
@@ -114,3 +114,13 @@
 	is.Equal(len(table.Since(0)), 1)
 	is.Equal(len(table.OwnSince(0)), 2)
 }
+
+// Guards: a host that starts just before a departure does not take a late
+// check-in of the same process for a new one, but does take its successor's.
+func TestDepartureOfAnUnknownProcess(t *testing.T) {
+	is := is.New(t)
+	var u Upstream
+	is.True(u.Take(&pb.Announcement{Instance: "i", State: gone}, 5000))
+	is.True(!u.Take(announcement("i", 1000, 20, serving), 7000)) // late
+	is.True(u.Take(announcement("i", 8000, 1, serving), 9000))   // started again under its id
+}
--- a/core/roster/upstream.go
+++ b/core/roster/upstream.go
@@ -12,6 +12,9 @@
 type Upstream struct {
 	current *pb.Announcement
 	left    map[leftKey]bool // processes that have left; none of them serves again
+	// leftAt has departures of processes that were not known: by instance, the time of day in
+	// Unix milliseconds. A process under that id that was born before has left.
+	leftAt map[string]int64
 }
 
 type leftKey struct {
@@ -26,10 +29,15 @@
 func (u *Upstream) Current() *pb.Announcement { return u.current }
 
 // Take applies an announcement and reports whether it changed anything. An
-// announcement that is late is taken for what it is: it changes nothing.
-func (u *Upstream) Take(a *pb.Announcement) (changed bool) {
+// announcement that is late is taken for what it is: it changes nothing. The
+// time of day is in Unix milliseconds.
+func (u *Upstream) Take(a *pb.Announcement, nowUnixMs int64) (changed bool) {
 	if a.GetState() == pb.UpstreamState_UPSTREAM_STATE_GONE {
-		a = u.complete(a)
+		if a = u.complete(a); a.GetBornUnixMs() == 0 {
+			u.noteUnknown(a.GetInstance(), nowUnixMs)
+		}
+	} else if at, ok := u.leftAt[a.GetInstance()]; ok && a.GetBornUnixMs() <= at {
+		return false
 	}
 	key := leftKey{a.GetInstance(), a.GetBornUnixMs()}
 	if u.left[key] && a.GetState() != pb.UpstreamState_UPSTREAM_STATE_GONE {
@@ -98,6 +106,15 @@
 		a.GetSlots() == b.GetSlots() && (a.GetColdMs() > 0) == (b.GetColdMs() > 0)
 }
 
+// noteUnknown remembers the departure of a process that did not say when it was
+// born and that this host, perhaps because it has just started, does not know.
+func (u *Upstream) noteUnknown(instance string, nowUnixMs int64) {
+	if u.leftAt == nil || len(u.leftAt) >= maxLeft {
+		u.leftAt = make(map[string]int64)
+	}
+	u.leftAt[instance] = nowUnixMs
+}
+
 func (u *Upstream) noteLeft(k leftKey) {
 	if u.left == nil || len(u.left) >= maxLeft {
 		u.left = make(map[leftKey]bool)
