remove what is never called; bound the memory of split routes

Without Forget, the splitter kept routes that are gone. Conclusion: no change of behaviour below 4,096 split routes.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -77,9 +77,8 @@
 type Pool struct {
 	localIP net.IP
 
-	mu    sync.Mutex
-	idle  map[string][]*clientConn // the most recently used one is last
-	dials uint64
+	mu   sync.Mutex
+	idle map[string][]*clientConn // the most recently used one is last
 }
 
 // NewPool returns an empty pool; connections start at the local IP, nil lets the system choose.
@@ -123,13 +122,6 @@
 	return out
 }
 
-// Dials counts the connections that were opened.
-func (p *Pool) Dials() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dials
-}
-
 // Check opens a connection to a destination and keeps it; nil says that it takes connections.
 func (p *Pool) Check(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address, time.Now().Add(dialTimeout))
@@ -201,9 +193,6 @@
 		return nil, err
 	}
 	_ = socket.SetUserTimeout(nc, userTimeout) // see there for what is lost without it
-	p.mu.Lock()
-	p.dials++
-	p.mu.Unlock()
 	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, clientBuffer), limit: idleLimit}, nil
 }
 
--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -140,19 +140,6 @@
 	return nil
 }
 
-// Last reports this node's record once more, for example when it stops.
-func (a *Attachment) Last(ctx context.Context) {
-	if a.host == "" {
-		return
-	}
-	request := a.request()
-	request.WaitMs = 0
-	_, err := a.clients.Get(a.host).Sync(ctx, connect.NewRequest(request))
-	if err != nil {
-		_ = a.logger.Log("event", "last report failed", "host", a.host, "err", err)
-	}
-}
-
 func (a *Attachment) request() *pb.MeshServiceSyncRequest {
 	v := a.view.Load()
 	r := &pb.MeshServiceSyncRequest{
--- a/core/plan/split.go
+++ b/core/plan/split.go
@@ -27,24 +27,15 @@
 	key := r.GetHost() + " " + r.GetPathPrefix()
 	st := s.routes[key]
 	if st == nil || !st.matches(targets) {
+		if len(s.routes) >= maxSplits {
+			clear(s.routes)
+		}
 		st = newSplitState(targets, u)
 		s.routes[key] = st
 	}
 	return targets[st.next()].GetService()
 }
 
-// Forget drops the history of routes that a plan no longer has.
-func (s *Splitter) Forget(keep func(host, prefix string) bool) {
-	for key := range s.routes {
-		for i := range key {
-			if key[i] == ' ' && !keep(key[:i], key[i+1:]) {
-				delete(s.routes, key)
-				break
-			}
-		}
-	}
-}
-
 func newSplitState(targets []*pb.PlanTarget, u float64) *splitState {
 	st := &splitState{weights: make([]uint32, len(targets)), current: make([]int64, len(targets))}
 	total := int64(0)
@@ -58,6 +49,9 @@
 	return st
 }
 
+// maxSplits bounds the memory of routes that are gone.
+const maxSplits = 4096
+
 // maxWarmup bounds the steps that set where a route begins.
 const maxWarmup = 128
 
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -124,3 +124,11 @@
 	is.True(!u.Take(announcement("i", 1000, 20, serving), 7000)) // late
 	is.True(u.Take(announcement("i", 8000, 1, serving), 9000))   // started again under its id
 }
+
+// Find returns the record of a node, or nil.
+func (t *Table) Find(node string) *pb.NodeRecord {
+	if e := t.entries[node]; e != nil {
+		return e.record
+	}
+	return nil
+}
--- a/core/roster/table.go
+++ b/core/roster/table.go
@@ -158,11 +158,3 @@
 		f(e.record)
 	}
 }
-
-// Find returns the record of a node, or nil.
-func (t *Table) Find(node string) *pb.NodeRecord {
-	if e := t.entries[node]; e != nil {
-		return e.record
-	}
-	return nil
-}
