raft: elect a leader at once after all control hosts restart

The log of the control hosts shows 0.7 s until the first pre-vote, because a host that restarts keeps the promise of one election timeout to a leader of before, and then a split vote that took another 0.9 s until the next try. Start of the processes (20 ms) and delivery of the plan (0.13 s) were ruled out. Change: a host that has heard no leader since its start answers pre-votes and says so. Such answers count only when every voter has answered, because then none of them leads and no lease is left; the vote that follows is marked and is granted by hosts that still have heard no leader. A host that campaigns gives way to one with a smaller id or a longer log, a host whose vote of a term is spent grants no pre-vote for that term, and a rejected candidate tries again after a short pause.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -10,6 +10,7 @@
 type vote struct {
 	granted     bool
 	provisional bool
+	starting    bool
 	incarnation []byte
 }
 
@@ -23,6 +24,23 @@
 	return n.role == Leader || n.now-n.lastContact < n.config.ElectionTimeout
 }
 
+// starting tells that the only leader to which this host may owe the promise
+// not to vote is one of before its start.
+func (n *Node) starting() bool {
+	return n.role != Leader && !n.heardLeader && n.now-n.startedAt < n.config.ElectionTimeout
+}
+
+// campaignPause is the time before a pre-vote that costs nothing when it fails:
+// the first one, and those after a lost one. It is shorter while the group
+// starts, because each host's disk is confirmed by the pre-votes of the others.
+func (n *Node) campaignPause() time.Duration {
+	shortest := n.config.ElectionTimeout / 4
+	if n.starting() {
+		shortest /= 2
+	}
+	return shortest + time.Duration(n.config.Rand.Int64N(int64(shortest)))
+}
+
 func (n *Node) becomeFollower(term uint64, leader string) {
 	if n.role == Leader {
 		n.stopLeading()
@@ -46,6 +64,7 @@
 
 // campaign starts a pre-vote or an election.
 func (n *Node) campaign(role Role, force bool) {
+	leaderless := n.role == PreCandidate && role == Candidate && n.allAnswered()
 	n.role, n.leader = role, ""
 	n.failRemoteReads()
 	kind, term := pb.RaftKind_RAFT_KIND_PRE_VOTE, n.state.Term+1
@@ -55,11 +74,12 @@
 	}
 	n.resetElectionDeadline()
 	if role == PreCandidate {
-		// A pre-vote costs nothing, and the first one often comes before the others miss the leader.
-		quarter := n.config.ElectionTimeout / 4
-		n.electionDeadline = n.now + quarter + time.Duration(n.config.Rand.Int64N(int64(quarter)))
+		// The first pre-vote often comes before the others miss the leader.
+		n.electionDeadline = n.now + n.campaignPause()
 	}
-	n.votes = map[string]vote{n.config.ID: {granted: true, provisional: !n.eligible(), incarnation: n.state.Incarnation}}
+	n.votes = map[string]vote{n.config.ID: {
+		granted: true, provisional: !n.eligible(), starting: role == PreCandidate && n.starting(), incarnation: n.state.Incarnation,
+	}}
 	if n.won() {
 		n.winElection(role)
 		return
@@ -67,7 +87,7 @@
 	for _, m := range n.members() {
 		if m.GetVoter() && m.GetId() != n.config.ID {
 			n.sendVote(role, &pb.RaftMessage{
-				Kind: kind, To: m.GetId(), Term: term, Force: force,
+				Kind: kind, To: m.GetId(), Term: term, Force: force, Leaderless: leaderless,
 				LogIndex: n.log.last(), LogTerm: n.log.lastTerm(), Acknowledged: n.floorOf(m.GetId()),
 			})
 		}
@@ -83,17 +103,24 @@
 }
 
 func (n *Node) onPreVote(m *pb.RaftMessage) {
-	if n.hearsLeader() {
+	if n.hearsLeader() && !n.starting() {
 		return // the leader confirms the sender or catches it up
 	}
 	n.confirmByPeer(m)
-	n.replyPreVote(m, n.log.upToDate(m.GetLogIndex(), m.GetLogTerm()))
+	spent := m.GetTerm() == n.state.Term && n.state.Vote != "" && n.state.Vote != m.GetFrom()
+	grant := !spent && n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	n.replyPreVote(m, grant)
+	if grant && n.role == PreCandidate && (m.GetFrom() < n.config.ID || m.GetLogIndex() > n.log.last()) {
+		// Two that campaign at once would split the votes.
+		n.role, n.votes = Follower, nil
+		n.electionDeadline = n.now + n.campaignPause()
+	}
 }
 
 func (n *Node) replyPreVote(m *pb.RaftMessage, grant bool) {
 	reply := &pb.RaftMessage{
 		Kind: pb.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !grant, LogIndex: n.log.last(),
-		Provisional: !n.confirmation.done, Acknowledged: n.floorOf(m.GetFrom()),
+		Provisional: !n.confirmation.done, Starting: n.starting(), Acknowledged: n.floorOf(m.GetFrom()),
 	}
 	if grant {
 		reply.Term = m.GetTerm()
@@ -127,10 +154,27 @@
 }
 
 func (n *Node) countVote(m *pb.RaftMessage) {
-	n.votes[m.GetFrom()] = vote{granted: !m.GetReject(), provisional: m.GetProvisional(), incarnation: m.GetIncarnation()}
-	if n.won() {
+	n.votes[m.GetFrom()] = vote{
+		granted: !m.GetReject(), provisional: m.GetProvisional(), starting: m.GetStarting(), incarnation: m.GetIncarnation(),
+	}
+	switch {
+	case n.won():
 		n.winElection(n.role)
+	case n.role == Candidate && m.GetReject():
+		// The votes may be split; a pre-vote finds out whether another host leads by then.
+		n.electionDeadline = min(n.electionDeadline, n.now+n.campaignPause())
+	}
+}
+
+// allAnswered tells that every voter stated whom it votes for. Answers to
+// pre-votes come only from hosts that do not lead.
+func (n *Node) allAnswered() bool {
+	for _, m := range n.members() {
+		if _, ok := n.votes[m.GetId()]; !ok && m.GetVoter() {
+			return false
+		}
 	}
+	return true
 }
 
 func (n *Node) winElection(role Role) {
@@ -146,9 +190,12 @@
 // member set names that disk: it was then admitted with all that was committed.
 // Unanimity admits provisional votes: when every voter's disk ends at or before
 // the candidate's, no surviving disk holds anything that the candidate lacks.
-// It covers the first election of new disks.
+// It covers the first election of new disks. The vote of a host that is starting
+// counts once all have answered: then none of them leads, and no lease that it
+// confirmed before its start is left.
 func (n *Node) won() bool {
 	voters, full, all := 0, 0, 0
+	answered := n.allAnswered()
 	for _, m := range n.members() {
 		if !m.GetVoter() {
 			continue
@@ -159,7 +206,7 @@
 			continue
 		}
 		all++
-		if !v.provisional && len(v.incarnation) > 0 && bytes.Equal(v.incarnation, m.GetIncarnation()) {
+		if (!v.starting || answered) && !v.provisional && len(v.incarnation) > 0 && bytes.Equal(v.incarnation, m.GetIncarnation()) {
 			full++
 		}
 	}
--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -9,7 +9,7 @@
 	if n.role != Follower || n.leader != m.GetFrom() {
 		n.becomeFollower(n.state.Term, m.GetFrom())
 	}
-	n.lastContact = n.now
+	n.lastContact, n.heardLeader = n.now, true
 	n.resetElectionDeadline()
 	n.confirmByLeader(m)
 	n.noteFloors(m)
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -22,6 +22,8 @@
 
 	electionDeadline time.Duration
 	lastContact      time.Duration // last message of the leader; also the start of the process
+	startedAt        time.Duration
+	heardLeader      bool // since the start
 	votes            map[string]vote
 
 	matched      uint64 // highest index known to match the log of the leader of this term
@@ -48,8 +50,8 @@
 	n.confirmation.done = stored.Fresh
 	n.loadSets(stored)
 	// A vote right after a restart could break a lease that this host confirmed before it stopped.
-	n.lastContact = now
-	n.resetElectionDeadline()
+	n.lastContact, n.startedAt = now, now
+	n.electionDeadline = now + n.campaignPause()
 	return n
 }
 
@@ -97,7 +99,7 @@
 			return true // the term is the one that this host asked for
 		}
 	case pb.RaftKind_RAFT_KIND_VOTE:
-		if !m.GetForce() && n.hearsLeader() {
+		if !m.GetForce() && n.hearsLeader() && !(m.GetLeaderless() && n.starting()) {
 			return false
 		}
 	}
--- a/core/raft/sim_events_test.go
+++ b/core/raft/sim_events_test.go
@@ -22,6 +22,9 @@
 			s.crash(h, 0)
 			s.start(h)
 		}
+		if a == 24 && !s.unproven() { // of most hosts, at times of all
+			s.restart(func(o *simHost) bool { return o != h })
+		}
 	case a < 30:
 		s.isolateLeader(rapid.IntRange(0, 2).Draw(t, "direction"))
 	case a < 45:
@@ -103,6 +106,16 @@
 	}
 }
 
+// restart crashes hosts and starts them at once.
+func (s *sim) restart(which func(*simHost) bool) {
+	for _, h := range s.hosts {
+		if h.node != nil && which(h) {
+			s.crash(h, 0)
+			s.start(h)
+		}
+	}
+}
+
 func (s *sim) unproven() bool {
 	return slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.unproven })
 }
