placement: weigh lateness, failures and bytes in the worth of a request

Costs were waiting time: a node of which nothing was known counted 50 ms for its upstream, a known one its 240 ms, and the way to another failure domain 45 ms whatever the answer's size; one failure in ten thousand moved a node's requests away for seconds; the stated time of a slow upstream was never forgotten. Change: a cost is the share of the request's worth that is lost: expected lateness against the time left, failures counted against answers, predicted refusals, and the price of the bytes that the route usually takes. Averages over the service's nodes stand for what a node did not state lately; stated times age.

--- a/app/carry/entry.go
+++ b/app/carry/entry.go
@@ -61,6 +61,7 @@
 	metrics *Metrics
 
 	patience patience
+	sizes    sizes
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -75,7 +76,7 @@
 	return &Entry{
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
-		patience: patience{longest: make(map[string]time.Duration)}, budgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
+		patience: patience{longest: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, budgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
 	}
 }
 
--- a/app/carry/forward.go
+++ b/app/carry/forward.go
@@ -120,11 +120,20 @@
 	now := time.Now()
 	f.view = e.mesh.View() // what is known may have changed since the last attempt
 	list := candidates(f.view, f.service, f.version, e.options.Node, f.exclude, now)
+	left := f.goal.Sub(now)
+	if left <= 0 {
+		left = f.deadline.Sub(now)
+	}
+	ask := placement.Ask{
+		Tried: f.isTried, Random: e.random.Float64, Service: f.service, Left: left,
+		Kilobytes: e.sizes.kilobytes(f.route.GetName()), Priority: f.route.GetPriority(),
+		Wait: func(service time.Duration) time.Duration {
+			return admission.Request{Goal: f.goal, Deadline: f.deadline, Budget: time.Duration(f.route.GetGoalMs()) * time.Millisecond}.Allowed(now, service)
+		},
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	i, full := e.picker.Pick(now, list, placement.Ask{Tried: f.isTried, Random: e.random.Float64, Wait: func(service time.Duration) time.Duration {
-		return admission.Request{Goal: f.goal, Deadline: f.deadline, Budget: time.Duration(f.route.GetGoalMs()) * time.Millisecond}.Allowed(now, service)
-	}})
+	i, full := e.picker.Pick(now, list, ask)
 	if i < 0 {
 		if full {
 			f.last = reasonFull
@@ -180,7 +189,7 @@
 		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
 	}
 	e.mu.Lock()
-	e.picker.Done(time.Now(), gate, out)
+	e.picker.Done(time.Now(), gate, f.service, out)
 	e.mu.Unlock()
 	return a
 }
@@ -264,6 +273,7 @@
 	r := &f.x.Response
 	cleanResponse(r)
 	dropHopHeaders(&r.Header, r.Header.All())
+	f.entry.sizes.learn(f.route.GetName(), len(f.x.Request.Body())+len(r.Body()))
 	f.entry.metrics.observe("entry", f.route.GetName(), time.Since(f.x.Received))
 	if a.status >= fasthttp.StatusInternalServerError {
 		f.log("failure of the upstream", "upstream", a.status)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -107,15 +107,20 @@
 var refusalWeight = [...]float64{0.55, 0.8, 1}
 
 func (q *Queue) refuses(wait, allowed time.Duration, r Request) bool {
+	return wait > allowed || r.Luck < RefusedShare(wait, allowed, r.Priority)
+}
+
+// RefusedShare of the requests of a priority that would wait so long: 0 up to
+// softShare of the allowed wait, 1 above it.
+func RefusedShare(wait, allowed time.Duration, priority uint32) float64 {
 	soft := time.Duration(softShare * float64(allowed))
 	switch {
 	case wait > allowed:
-		return true
+		return 1
 	case wait <= soft:
-		return false
+		return 0
 	}
-	weight := refusalWeight[min(int(r.Priority), len(refusalWeight)-1)]
-	return r.Luck < weight*float64(wait-soft)/float64(allowed-soft)
+	return refusalWeight[min(int(priority), len(refusalWeight)-1)] * float64(wait-soft) / float64(allowed-soft)
 }
 
 // evictSlack keeps a queued request in its place that another one delays a little.
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -30,28 +30,47 @@
 	Latency     time.Duration
 }
 
-// Costs in terms of waiting time. Distance stands for the round trip and for
-// what bytes cost between failure domains and, three to four times as much,
-// between regions; waiting costs nothing while the answer comes in time.
+// Costs are shares of what a request of the least urgent class is worth.
 const (
-	ownCost    = 0
-	domainCost = 4 * time.Millisecond
-	regionCost = 45 * time.Millisecond
-	remoteCost = 180 * time.Millisecond
-	// failureCost at a failure rate of 1.
-	failureCost = 1500 * time.Millisecond
-	silentCost  = 800 * time.Millisecond
+	// lateCost is lost when an answer comes after the goal; the class sheets value a late answer at
+	// 0.3 of a timely one.
+	lateCost = 0.7
+	// lateSteepness of the share of late answers over the ratio of the mean time to the time left:
+	// the upper tail of the spread that the class sheets state (a log-normal of 0.8).
+	lateSteepness = 3
+	// regionKilobyte and remoteKilobyte are the prices of a kilobyte between failure domains and,
+	// beside it, between regions.
+	regionKilobyte = 0.025
+	remoteKilobyte = 0.09
+	// failureCost at a failure rate of 1: the request is lost or repeated.
+	failureCost = 1.2
+	silentCost  = 0.5
+	// refusedCost of a refusal: the request is asked for again elsewhere, or comes back late.
+	refusedCost = 0.5
+	// slowCost per second of expected time prefers the faster one of two nodes that are both in time.
+	slowCost = 0.1
+	// hopCost of another node on the way: its processor time.
+	hopCost = 0.01
 	// noise keeps nodes with the same view from choosing the same target.
-	noise = 6 * time.Millisecond
+	noise = 0.02
 )
 
+// classWorth of the priorities; the class sheets of both deployments agree on it.
+var classWorth = [...]float64{3, 2, 1}
+
 const (
-	failureWeight   = 0.12            // of one outcome in the failure rate
-	failureHalfLife = 3 * time.Second // of the failure rate without new outcomes, so that a node is tried again
+	// priorOutcomes without a failure are assumed of a node, so that one failure among few requests
+	// is not taken for a failing node.
+	priorOutcomes   = 4.0
+	failureHalfLife = 3 * time.Second // of counted outcomes, so that a node is tried again
 	loadHalfLife    = 400 * time.Millisecond
+	// serviceHalfLife of a stated time of a request: without new statements a node that was slow is
+	// tried again after a few of them.
+	serviceHalfLife = 2 * time.Second
 	firstDown       = 250 * time.Millisecond
 	maxDown         = 2 * time.Second
-	defaultService  = 50 * time.Millisecond
+	// averageWeight of one stated load in the averages over the nodes.
+	averageWeight = 0.05
 	// refusedHold avoids a node that has just refused a request for lack of room.
 	refusedHold = 40 * time.Millisecond
 	// statedValid is how long a stated load decides that a node is not even asked; after that one
@@ -73,8 +92,9 @@
 	load         admission.Load
 	loadAt       time.Time
 	atReport     int // outstanding when the load was stated
-	failures     float64
-	failuresAt   time.Time
+	outcomes     float64 // counted with failureHalfLife, at outcomesAt
+	failures     float64 // of them
+	outcomesAt   time.Time
 	downUntil    time.Time
 	downs        int
 	refusedUntil time.Time
@@ -83,10 +103,43 @@
 // Picker remembers how nodes answered. It is not safe for concurrent use.
 type Picker struct {
 	nodes map[string]*node
+	// Averages by service over what nodes stated; they stand for nodes that stated nothing lately.
+	averages map[string]*average
+}
+
+type average struct {
+	service float64 // seconds; 0: none was stated yet
+	busy    float64 // requests that run or wait, per slot
+}
+
+func (a *average) take(l admission.Load) {
+	busy := float64(l.Running+l.Queued) / float64(max(1, l.Slots))
+	a.busy += averageWeight * (busy - a.busy)
+	switch {
+	case l.Service <= 0:
+	case a.service == 0:
+		a.service = l.Service.Seconds()
+	default:
+		a.service += averageWeight * (l.Service.Seconds() - a.service)
+	}
 }
 
 // New returns a picker without memory.
-func New() *Picker { return &Picker{nodes: make(map[string]*node)} }
+func New() *Picker {
+	return &Picker{nodes: make(map[string]*node), averages: make(map[string]*average)}
+}
+
+func (p *Picker) average(service string) *average {
+	a := p.averages[service]
+	if a == nil {
+		if len(p.averages) >= maxNodes {
+			clear(p.averages)
+		}
+		a = &average{}
+		p.averages[service] = a
+	}
+	return a
+}
 
 func (p *Picker) node(gate string) *node {
 	n := p.nodes[gate]
@@ -102,7 +155,13 @@
 
 // Ask describes a request that needs a node.
 type Ask struct {
-	Tried func(gate string) bool
+	Tried   func(gate string) bool
+	Service string
+	// Left is the time until the answer should be there; where that has passed, until it must.
+	Left time.Duration
+	// Kilobytes that the request and its answer are expected to have together.
+	Kilobytes float64
+	Priority  uint32 // 0 is the most urgent
 	// Wait is how long the request may wait in a queue and still be answered in time, given
 	// the time that the upstream takes. A node that recently stated a longer queue would
 	// refuse it and is not asked.
@@ -114,7 +173,8 @@
 // Pick returns the index of the cheapest candidate, or -1. Full tells that
 // nodes were left out because their queues are too long.
 func (p *Picker) Pick(now time.Time, candidates []Candidate, a Ask) (best int, full bool) {
-	best, bestCost := -1, time.Duration(math.MaxInt64)
+	best, bestCost := -1, math.Inf(1)
+	avg := p.average(a.Service)
 	stay := p.servedInRegion(now, candidates, a) && a.Random() >= remoteExplore
 	for i, c := range candidates {
 		n := p.node(c.Gate)
@@ -125,11 +185,11 @@
 			full = true
 			continue
 		}
-		if n.wouldRefuse(now, c, a) {
+		if n.wouldRefuse(now, c, a, avg) {
 			full = true
 			continue
 		}
-		if cost := n.cost(now, c) + time.Duration(a.Random()*float64(noise)); cost < bestCost {
+		if cost := n.cost(now, c, a, avg) + a.Random()*noise; cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -158,11 +218,11 @@
 }
 
 // wouldRefuse predicts the decision of a gate from what it recently stated.
-func (n *node) wouldRefuse(now time.Time, c Candidate, a Ask) bool {
+func (n *node) wouldRefuse(now time.Time, c Candidate, a Ask, avg *average) bool {
 	if a.Wait == nil || now.Sub(n.loadAt) > statedValid {
 		return false
 	}
-	service, queue := n.wait(now, c)
+	service, queue := n.wait(now, c, avg)
 	queue -= now.Sub(n.loadAt) // what was stated has moved on
 	return queue+linkTime(c) > a.Wait(service)+refuseSlack
 }
@@ -175,45 +235,71 @@
 	return 0
 }
 
-func (n *node) cost(now time.Time, c Candidate) time.Duration {
-	cost := time.Duration(ownCost)
-	switch {
-	case c.Own:
-	case c.Link == ports.LinkDomain:
-		cost = domainCost
-	case c.Link == ports.LinkRegion:
-		cost = regionCost
-	default:
-		cost = remoteCost
+func (n *node) cost(now time.Time, c Candidate, a Ask, avg *average) float64 {
+	service, queue := n.wait(now, c, avg)
+	cost := lateCost*lateShare(service, a.Left-queue-linkTime(c)) + slowCost*(service+queue).Seconds()
+	cost += failureCost * n.failureRate(now)
+	if !c.Own {
+		cost += hopCost
 	}
 	if c.Silent {
 		cost += silentCost
 	}
+	cost += refusedCost * n.refusedShare(now, service, queue, c, a)
+	return cost + crossing(c)*a.Kilobytes/classWorth[min(int(a.Priority), len(classWorth)-1)]
+}
+
+// refusedShare predicts how likely the node refuses the request for lack of room.
+func (n *node) refusedShare(now time.Time, service, queue time.Duration, c Candidate, a Ask) float64 {
 	if now.Before(n.refusedUntil) {
-		cost += refusedHold
+		return 1
 	}
-	service, queue := n.wait(now, c)
-	return cost + service + queue + time.Duration(n.failureRate(now)*float64(failureCost))
+	if a.Wait == nil {
+		return 0
+	}
+	return admission.RefusedShare(queue+linkTime(c), a.Wait(service), a.Priority)
 }
 
-// wait is the expected time on the upstream and in its queue.
-func (n *node) wait(now time.Time, c Candidate) (service, queue time.Duration) {
+// crossing is the price of a kilobyte on the way to a node.
+func crossing(c Candidate) float64 {
+	switch {
+	case c.Own || c.Link == ports.LinkDomain:
+		return 0
+	case c.Link == ports.LinkRegion:
+		return regionKilobyte
+	}
+	return regionKilobyte + remoteKilobyte
+}
+
+// lateShare is the expected share of answers that take longer than the time that
+// is left, where they take the mean time on average.
+func lateShare(mean, left time.Duration) float64 {
+	if left <= 0 {
+		return 1
+	}
+	r := math.Pow(float64(mean)/float64(left), lateSteepness)
+	return r / (1 + r)
+}
+
+// wait is the expected time on the upstream and in its queue. What a node stated
+// gives way, as it ages, to the average of the service's nodes.
+func (n *node) wait(now time.Time, c Candidate, avg *average) (service, queue time.Duration) {
 	slots := max(1, c.Slots)
-	service = defaultService
 	if n.load.Slots > 0 {
 		slots = n.load.Slots
 	}
-	if n.load.Service > 0 {
-		service = n.load.Service
+	mean := avg.service
+	if stated := n.load.Service.Seconds(); stated > 0 {
+		mean += (stated - mean) * math.Exp2(-float64(now.Sub(n.loadAt))/float64(serviceHalfLife))
 	}
+	service = time.Duration(mean * float64(time.Second))
 	if c.Cold {
 		slots = max(1, slots/2)
 	}
 	age := math.Exp2(-float64(now.Sub(n.loadAt)) / float64(loadHalfLife))
-	stated := float64(n.load.Running+n.load.Queued)*age + float64(n.outstanding) - float64(n.atReport)*age
+	stated := float64(n.load.Running+n.load.Queued-n.atReport)*age + avg.busy*float64(slots)*(1-age) + float64(n.outstanding)
 	busy := max(stated, float64(n.outstanding))
-	// A request that finds a free slot still slows the others down a little.
-	ahead := max(0, busy+1-float64(slots)) + 0.25*busy/float64(slots)
+	ahead := max(0, busy+1-float64(slots))
 	return service, time.Duration(ahead / float64(slots) * float64(service))
 }
 
@@ -221,17 +307,31 @@
 	if n.failures == 0 {
 		return 0
 	}
-	return n.failures * math.Exp2(-float64(now.Sub(n.failuresAt))/float64(failureHalfLife))
+	fade := n.fade(now)
+	return n.failures * fade / (n.outcomes*fade + priorOutcomes)
+}
+
+func (n *node) fade(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(n.outcomesAt)) / float64(failureHalfLife))
+}
+
+func (n *node) count(now time.Time, failed bool) {
+	fade := n.fade(now)
+	n.outcomes, n.failures, n.outcomesAt = n.outcomes*fade+1, n.failures*fade, now
+	if failed {
+		n.failures++
+	}
 }
 
 // Sent counts a request on its way to a node.
 func (p *Picker) Sent(gate string) { p.node(gate).outstanding++ }
 
 // Done takes the outcome of a request that Sent counted.
-func (p *Picker) Done(now time.Time, gate string, o Outcome) {
+func (p *Picker) Done(now time.Time, gate, service string, o Outcome) {
 	n := p.node(gate)
 	n.outstanding = max(0, n.outstanding-1)
 	if o.Load != nil {
+		p.average(service).take(*o.Load)
 		n.load, n.loadAt, n.atReport = *o.Load, now, n.outstanding
 	}
 	switch {
@@ -241,11 +341,7 @@
 	case o.Refused && !o.Failed:
 		n.refusedUntil = now.Add(refusedHold)
 	default:
-		rate, failed := n.failureRate(now), 0.0
-		if o.Failed {
-			failed = 1
-		}
-		n.failures, n.failuresAt = rate+failureWeight*(failed-rate), now
+		n.count(now, o.Failed)
 	}
 	n.downs, n.downUntil = 0, time.Time{}
 }
