condition: nodes tell each other of a slow or failing upstream

Change: a gate compares the times of its upstream with what is usual there and counts its failures; when it becomes slow or fails, and when that ends, the node's record says so and all nodes weigh it. An upstream that does as usual causes no message; a condition is told at most every 0.2 s, taken back at most every second, and forgotten after 3 s without an outcome.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
+	"github.com/rattanfield/rattanfield/core/condition"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
@@ -104,9 +105,27 @@
 	next := proto.CloneOf(a.self)
 	next.Instance, next.Service, next.Version = u.GetInstance(), u.GetService(), u.GetVersion()
 	next.Slots, next.State, next.ColdMs = u.GetSlots(), u.GetState(), u.GetColdMs()
+	if next.GetInstance() != a.self.GetInstance() {
+		next.SlowMs, next.FailingPercent = 0, 0
+	}
 	next.Seq++
 	a.self = next
 	a.mu.Unlock()
+	a.reportNow()
+}
+
+// Report spreads how the upstream of this node does.
+func (a *Attachment) Report(c condition.Condition) {
+	a.mu.Lock()
+	a.self = proto.CloneOf(a.self)
+	a.self.SlowMs, a.self.FailingPercent = uint32(c.Slow.Milliseconds()), c.Failing
+	a.self.Seq++
+	a.mu.Unlock()
+	a.reportNow()
+}
+
+// reportNow ends the present poll, so that the next one carries the own record.
+func (a *Attachment) reportNow() {
 	select {
 	case a.kick <- struct{}{}:
 	default:
--- a/app/attach/view.go
+++ b/app/attach/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/plan"
 	"github.com/rattanfield/rattanfield/core/roster"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -30,9 +31,11 @@
 	Slots    int
 	Link     ports.Link
 	Leaving  bool
-	Silent   bool      // control hosts do not hear from the node
-	WarmAt   time.Time // end of the slow start
-	First    time.Time // when this node learned of it
+	Silent   bool // control hosts do not hear from the node
+	// Condition of the upstream as its node told it.
+	Condition condition.Condition
+	WarmAt    time.Time // end of the slow start
+	First     time.Time // when this node learned of it
 }
 
 // Age of the view; views of before the first confirmation count as infinitely old.
@@ -101,6 +104,7 @@
 			Gate: n.GetNode(), Instance: n.GetInstance(), Version: n.GetVersion(), Slots: int(n.GetSlots()),
 			Link: r.link(n), Leaving: n.GetState() == pb.UpstreamState_UPSTREAM_STATE_LEAVING, Silent: n.GetSilent(), First: now,
 		}
+		e.Condition = condition.Condition{Slow: time.Duration(n.GetSlowMs()) * time.Millisecond, Failing: n.GetFailingPercent()}
 		if l := r.learned[n.GetNode()+" "+n.GetInstance()]; l != nil {
 			e.First, e.WarmAt = l.First, l.WarmAt
 		}
--- a/app/carry/entry.go
+++ b/app/carry/entry.go
@@ -148,6 +148,7 @@
 		}
 		out = append(out, placement.Candidate{
 			Gate: e.Gate, Slots: e.Slots, Link: e.Link, Own: e.Gate == own, Silent: e.Silent, Cold: now.Before(e.WarmAt),
+			Condition: e.Condition,
 		})
 	}
 	return out
--- a/app/carry/gate.go
+++ b/app/carry/gate.go
@@ -13,6 +13,7 @@
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/attach"
 	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/roster"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -30,6 +31,8 @@
 	DrainBound time.Duration
 	// Publish spreads the upstream of this node.
 	Publish func(*pb.Announcement)
+	// Report spreads how that upstream does.
+	Report func(condition.Condition)
 	// LostAfter is the time without an announcement after which an upstream counts as gone.
 	LostAfter time.Duration
 }
@@ -177,15 +180,18 @@
 		notRun = len(x.Response.Header.Peek(g.options.Headers.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest
 	}
 	ran := o.Failure == meshhttp.Answered && !notRun
+	failed := !ran && o.Failure != meshhttp.NotSent && !notRun || status >= fasthttp.StatusInternalServerError
 	g.mu.Lock()
 	a := u.announced
+	if o.Failure != meshhttp.Cancelled && o.Failure != meshhttp.NotSent {
+		u.condition.Answered(time.Now(), latency, failed || notRun)
+	}
 	u.deliver(u.queue.Finish(time.Now(), id, latency, ran && status < fasthttp.StatusInternalServerError), "")
 	if o.Refused || status == fasthttp.StatusMisdirectedRequest {
 		u.lost = true
 		u.deliver(u.queue.Clear(), reasonNoUpstream)
 	}
 	g.mu.Unlock()
-	failed := !ran && o.Failure != meshhttp.NotSent && !notRun || status >= fasthttp.StatusInternalServerError
 	if ran || (failed && o.Failure != meshhttp.Cancelled) {
 		r := g.mesh.View().Rollouts[a.GetService()]
 		g.outcomes.add(r, a.GetInstance(), j.route, failed, latency)
--- a/app/carry/upstream.go
+++ b/app/carry/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/condition"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -15,6 +16,7 @@
 	cutAt     time.Time              // no request is sent from then on; zero: none
 	lost      bool                   // it takes no connections; the next announcement tells otherwise
 	renewed   time.Time              // last announcement
+	condition condition.Tracker
 }
 
 func newUpstream(a *pb.Announcement, now time.Time) *upstream {
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -109,7 +109,7 @@
 		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() },
 	}, client, logger)
 	gate = carry.NewGate(carry.GateOptions{
-		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: a.Publish,
+		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: a.Publish, Report: a.Report,
 	}, a, p.upstream, m, logger)
 	entry := carry.NewEntry(carry.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
@@ -199,6 +199,7 @@
 	}
 	duties.Go("attachment", p.attach.Run)
 	duties.Go("connections", p.entry.Run)
+	duties.Go("upstream condition", p.gate.Run)
 	_ = p.logger.Log("event", "started", "entry", o.EntryAddress, "gate", o.GateAddress, "peer", o.PeerAddress, "service", o.Service)
 	select {
 	case <-ctx.Done():
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -55,6 +55,9 @@
 	firstShare = 0.3
 	// firstMeasured requests make up the average at first, before averageWeight does.
 	firstMeasured = 20
+	// hangPrior requests that just began are assumed beside those that run, so that a single long
+	// one is not taken for an upstream that hangs.
+	hangPrior = 3
 	// maxQueued requests per slot wait, whatever the average says.
 	maxQueued = 3
 )
@@ -148,14 +151,17 @@
 	if q.measured == 0 {
 		service = time.Duration(firstShare * float64(budget))
 	}
-	if len(q.running) == 0 {
-		return service
-	}
+	return max(service, q.Hanging(now))
+}
+
+// Hanging is the time that the running requests have taken already, on average;
+// it tells of an upstream that ends none.
+func (q *Queue) Hanging(now time.Time) time.Duration {
 	elapsed := time.Duration(0)
 	for _, since := range q.running {
 		elapsed += now.Sub(since)
 	}
-	return max(service, elapsed/time.Duration(len(q.running)))
+	return elapsed / time.Duration(len(q.running)+hangPrior)
 }
 
 // Allowed is how long a request may wait for an upstream that takes so long and still be answered in time.
--- a/core/condition/tracker.go
+++ b/core/condition/tracker.go
@@ -20,6 +20,10 @@
 	slowStep = 1.6
 	// usualWeight of a request in the usual time: about the last hundred.
 	usualWeight = 0.01
+	// recentWeight of a request in the present time: about the last ten.
+	recentWeight = 0.1
+	// recentFirst requests make up the present time before anything is judged by it.
+	recentFirst = 8
 	// usualFirst requests make up the usual time before anything is judged by it.
 	usualFirst = 20
 	// failingFrom is the share in percent from which failures are told; single ones stay below.
@@ -40,7 +44,9 @@
 // Tracker of one upstream. It is not safe for concurrent use.
 type Tracker struct {
 	usual    float64 // seconds
-	measured int
+	measured int     // requests in usual
+	recent   float64 // seconds
+	lately   int     // requests in recent
 
 	outcomes, failures float64 // counted with halfLife
 	countedAt          time.Time
@@ -57,6 +63,8 @@
 		t.failures++
 		return
 	}
+	t.lately++
+	t.recent += max(recentWeight, 1/float64(t.lately)) * (latency.Seconds() - t.recent)
 	t.measured++
 	switch s := latency.Seconds(); {
 	case t.measured <= usualFirst:
@@ -70,13 +78,13 @@
 	return math.Exp2(-float64(now.Sub(t.countedAt)) / float64(halfLife))
 }
 
-// Next returns the condition to tell, given the time that a request takes on
-// the upstream now; false when it is the one that was told last.
-func (t *Tracker) Next(now time.Time, service time.Duration) (Condition, bool) {
-	c := Condition{Slow: t.slow(service), Failing: t.failing(now)}
-	if now.Sub(t.countedAt) > forgetAfter && !t.countedAt.IsZero() && service < time.Duration(slowFactor*t.usual*float64(time.Second)) {
-		c = Condition{}
+// Next returns the condition to tell, given the time that running requests have
+// taken already; false when it is the one that was told last.
+func (t *Tracker) Next(now time.Time, hanging time.Duration) (Condition, bool) {
+	if hanging == 0 && now.Sub(t.countedAt) > forgetAfter {
+		t.recent, t.lately, t.outcomes, t.failures = 0, 0, 0, 0
 	}
+	c := Condition{Slow: t.slow(hanging), Failing: t.failing(now)}
 	wait := betterAfter
 	if c.Slow > t.told.Slow || c.Failing > t.told.Failing {
 		wait = worseAfter
@@ -88,15 +96,18 @@
 	return c, true
 }
 
-func (t *Tracker) slow(service time.Duration) time.Duration {
-	s := service.Seconds()
+func (t *Tracker) slow(hanging time.Duration) time.Duration {
+	s := hanging.Seconds()
+	if t.lately >= recentFirst {
+		s = max(s, t.recent)
+	}
 	if t.measured < usualFirst || s < slowFactor*t.usual {
 		return 0
 	}
 	if told := t.told.Slow.Seconds(); told > 0 && s < told*slowStep && s > told/slowStep {
 		return t.told.Slow
 	}
-	return service.Round(time.Millisecond)
+	return time.Duration(s * float64(time.Second)).Round(time.Millisecond)
 }
 
 func (t *Tracker) failing(now time.Time) uint32 {
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/ports"
 )
 
@@ -19,6 +20,8 @@
 	Own    bool // the upstream on the host that asks
 	Silent bool // control hosts do not hear from the node
 	Cold   bool // the upstream is in its slow start
+	// Condition of the upstream as its node told it to all.
+	Condition condition.Condition
 }
 
 // Outcome of a request that was sent to a node.
@@ -91,7 +94,7 @@
 	outstanding  int
 	load         admission.Load
 	loadAt       time.Time
-	atReport     int // outstanding when the load was stated
+	atReport     int     // outstanding when the load was stated
 	outcomes     float64 // counted with failureHalfLife, at outcomesAt
 	failures     float64 // of them
 	outcomesAt   time.Time
@@ -238,7 +241,7 @@
 func (n *node) cost(now time.Time, c Candidate, a Ask, avg *average) float64 {
 	service, queue := n.wait(now, c, avg)
 	cost := lateCost*lateShare(service, a.Left-queue-linkTime(c)) + slowCost*(service+queue).Seconds()
-	cost += failureCost * n.failureRate(now)
+	cost += failureCost * max(n.failureRate(now), float64(c.Condition.Failing)/100)
 	if !c.Own {
 		cost += hopCost
 	}
@@ -292,7 +295,7 @@
 	if stated := n.load.Service.Seconds(); stated > 0 {
 		mean += (stated - mean) * math.Exp2(-float64(now.Sub(n.loadAt))/float64(serviceHalfLife))
 	}
-	service = time.Duration(mean * float64(time.Second))
+	service = max(time.Duration(mean*float64(time.Second)), c.Condition.Slow)
 	if c.Cold {
 		slots = max(1, slots/2)
 	}
