soak: disturb the connections of callers and upstreams

Cause: the soak had signals, lost disks and replaced upstreams only; the users ask for connections that are delayed, reset, cut one way or silenced from outside. Change: a loopback link stands between the callers and each node and between each node and its upstream; the schedule delays it, holds the way back, silences or resets its open connections. Links between the system's own processes are not disturbed: they dial the address that identifies the other process.

--- a/app/soak/schedule.go
+++ b/app/soak/schedule.go
@@ -19,9 +19,13 @@
 	KillControl Kind = "kill-control" // all control hosts are killed at once
 	Replace     Kind = "replace"      // the upstream is replaced by a new process under the same or another id
 	Leave       Kind = "leave"        // the upstream drains and a new one follows
+	SlowLink    Kind = "slow-link"    // connections are delayed for Length
+	HoldAnswers Kind = "hold-answers" // the way back is cut for Length
+	Silence     Kind = "silence"      // open connections pass nothing any more, for good
+	Reset       Kind = "reset"        // open connections are reset
 )
 
-var kinds = []Kind{Kill, Pause, Stop, Reload, Wipe, KillControl, Replace, Leave}
+var kinds = []Kind{Kill, Pause, Stop, Reload, Wipe, KillControl, Replace, Leave, SlowLink, HoldAnswers, Silence, Reset}
 
 // Event of a schedule.
 type Event struct {
@@ -30,13 +34,19 @@
 	Target int // index of a node, or of a control host for kinds that concern one
 	// Control tells that the target is a control host.
 	Control bool
+	// Callers tells that a fault of connections concerns those of callers to the node, not those
+	// of the node to its upstream.
+	Callers bool
 	Length  time.Duration
 }
 
 func (e Event) String() string {
 	side := "node"
-	if e.Control {
+	switch {
+	case e.Control:
 		side = "control"
+	case e.Callers:
+		side = "callers of node"
 	}
 	return fmt.Sprintf("%v %s %s %d for %v", e.At, e.Kind, side, e.Target, e.Length)
 }
@@ -51,6 +61,10 @@
 		e := Event{At: at, Kind: kinds[random.IntN(len(kinds))], Length: time.Duration(100+random.IntN(2500)) * time.Millisecond}
 		e.Control = e.Kind == Wipe || e.Kind == KillControl || (random.IntN(3) == 0 && (e.Kind == Kill || e.Kind == Pause || e.Kind == Stop || e.Kind == Reload))
 		e.Target = random.IntN(nodes)
+		switch e.Kind {
+		case SlowLink, HoldAnswers, Silence, Reset:
+			e.Callers = random.IntN(2) == 0
+		}
 		if e.Control {
 			if at < controlFree {
 				continue
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
 	"sync"
 	"syscall"
@@ -51,6 +52,7 @@
 	controls  []*process
 	nodes     []*process
 	upstreams []*upstream
+	entries   []*link // between callers and each node
 	checks    *checks
 	faults    sync.WaitGroup
 }
@@ -111,6 +113,11 @@
 			return err
 		}
 		r.nodes = append(r.nodes, p)
+		k, err := startLink(net.JoinHostPort(ip, "0"), standin.EntryAddress(ip))
+		if err != nil {
+			return err
+		}
+		r.entries = append(r.entries, k)
 		u, err := startUpstream(ip, h.FailureDomain, r.checks.run)
 		if err != nil {
 			return err
@@ -147,7 +154,7 @@
 // client keeps its connection for many requests, half of which may run once only.
 func (r *run) client(ctx context.Context, n int) {
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(n)))
-	c := &fasthttp.HostClient{Addr: standin.EntryAddress(r.nodes[n%len(r.nodes)].host.IP), MaxIdemponentCallAttempts: 1}
+	c := &fasthttp.HostClient{Addr: r.entries[n%len(r.nodes)].address(), MaxIdemponentCallAttempts: 1}
 	for i := 0; ctx.Err() == nil; i++ {
 		id, path := fmt.Sprintf("r-%d-%d", n, i), "/read/"
 		if random.IntN(2) == 0 {
@@ -268,10 +275,30 @@
 		r.upstreams[e.Target].next(e.Length > time.Second)
 	case Leave:
 		r.upstreams[e.Target].leave()
+	default:
+		r.disturb(e)
 	}
 	return nil
 }
 
+// disturb connections of callers to a node, or of the node to its upstream.
+func (r *run) disturb(e Event) {
+	k := r.upstreams[e.Target].link
+	if e.Callers {
+		k = r.entries[e.Target]
+	}
+	switch e.Kind {
+	case SlowLink:
+		k.slow(e.Length)
+	case HoldAnswers:
+		k.holdAnswers(e.Length)
+	case Silence:
+		k.silence()
+	case Reset:
+		k.reset()
+	}
+}
+
 func (r *run) close() {
 	for _, p := range append(append([]*process{}, r.nodes...), r.controls...) {
 		p.close()
@@ -279,6 +306,9 @@
 	for _, u := range r.upstreams {
 		u.close()
 	}
+	for _, k := range r.entries {
+		k.close()
+	}
 	if len(r.checks.problems()) == 0 {
 		_ = os.RemoveAll(r.options.Dir) // logs matter only when something broke
 	}
--- a/app/soak/upstream.go
+++ b/app/soak/upstream.go
@@ -33,15 +33,19 @@
 	draining bool
 	stop     chan struct{}
 	listener net.Listener
+	link     *link // at the address that the upstream states
 }
 
 func startUpstream(ip, domain string, record func(id string)) (*upstream, error) {
 	u := &upstream{ip: ip, domain: domain, record: record, stop: make(chan struct{})}
-	l, err := net.Listen("tcp", standin.AppAddress(ip))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, eris.Wrap(err, "upstream")
 	}
 	u.listener = l
+	if u.link, err = startLink(standin.AppAddress(ip), l.Addr().String()); err != nil {
+		return nil, err
+	}
 	u.next(false)
 	s := &fasthttp.Server{Handler: standin.Upstream(u.current, u.run), NoDefaultServerHeader: true}
 	go func() { _ = s.Serve(l) }()
@@ -105,5 +109,6 @@
 
 func (u *upstream) close() {
 	close(u.stop)
+	u.link.close()
 	_ = u.listener.Close()
 }
