attach, hub: send no table to nodes without a plan from afar

Change: a node without a plan asks for the table only at a control host of its own failure domain; a table is of no use before the plan.

--- a/app/attach/apply.go
+++ b/app/attach/apply.go
@@ -36,6 +36,18 @@
 			next.Rollouts[o.GetService()] = o
 		}
 	}
+	a.applyTable(r, &next, now)
+	a.view.Store(&next)
+	if a.options.OnChange != nil {
+		a.options.OnChange(&next)
+	}
+}
+
+// applyTable takes the records of a response that has some.
+func (a *Attachment) applyTable(r *pb.MeshServiceSyncResponse, next *View, now time.Time) {
+	if r.GetTableEpoch() == 0 {
+		return // none were asked for
+	}
 	if len(a.tables) > maxTables {
 		clear(a.tables)
 	}
@@ -45,10 +57,6 @@
 		a.outrun(a.records.byNode[a.options.Node])
 		next.Endpoints, next.Nodes = a.records.endpoints(now)
 	}
-	a.view.Store(&next)
-	if a.options.OnChange != nil {
-		a.options.OnChange(&next)
-	}
 }
 
 // outrun makes the own record newer than one of an earlier process whose clock was ahead.
--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -168,6 +168,7 @@
 		r.HavePlan = v.Plan.Serial
 	} else {
 		r.WaitMs = uint32(firstWait.Milliseconds())
+		r.NoTable = !a.atHome() // without a plan the table is of no use, and it would cross between failure domains
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/app/attach/hosts.go
+++ b/app/attach/hosts.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// atHome tells that the present control host is one of the own failure domain.
+func (a *Attachment) atHome() bool {
+	return slices.ContainsFunc(a.hosts, func(m *pb.Member) bool {
+		return m.GetAddress() == a.host && m.GetFailureDomain() == a.options.FailureDomain
+	})
+}
+
 // bump makes this node's record newer than the one that other control hosts have.
 func (a *Attachment) bump() {
 	a.mu.Lock()
--- a/app/hub/hub_test.go
+++ b/app/hub/hub_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
@@ -18,6 +19,7 @@
 	"github.com/rattanfield/rattanfield/app/hub"
 	"github.com/rattanfield/rattanfield/core/plan"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
 
 const testWait = 20 * time.Second
@@ -202,3 +204,28 @@
 		return v.Plan.Plan.GetNumber() == 8 && len(v.Endpoints["a"]) == 1 && v.Endpoints["a"][0].Leaving
 	})
 }
+
+// Guards against tables that cross between failure domains, once for each node
+// and control host, to nodes that have no plan yet and cannot use them.
+func TestNodeWithoutPlanGetsNoTableFromAfar(t *testing.T) {
+	is := is.New(t)
+	a := addresses(1)
+	control := startControl(t, a[0], t.TempDir(), "d0", a, a)
+	eventually(t, "a voter", func() bool { return voters(control.host) == 1 })
+	client := rpc.NewClient(rpc.Options{})
+	t.Cleanup(client.Close)
+	mesh := rattanfieldv1connect.NewMeshServiceClient(client.HTTP(), rpc.URL(a[0]))
+	sync := func(node string, noTable bool) *pb.MeshServiceSyncResponse {
+		r, err := mesh.Sync(context.Background(), connect.NewRequest(&pb.MeshServiceSyncRequest{
+			Self:    &pb.NodeRecord{Node: node, Epoch: 1, Seq: 1, State: pb.UpstreamState_UPSTREAM_STATE_SERVING},
+			NoTable: noTable,
+		}))
+		is.NoErr(err)
+		return r.Msg
+	}
+	sync("n1", true)
+	far := sync("n2", true)
+	is.Equal(len(far.GetRecords()), 0)
+	is.True(len(far.GetControlHosts()) > 0)
+	is.Equal(len(sync("n2", false).GetRecords()), 2)
+}
--- a/app/hub/serve.go
+++ b/app/hub/serve.go
@@ -75,19 +75,23 @@
 	st := h.state.State()
 	out := &pb.MeshServiceSyncResponse{
 		Confirmed: h.state.ConfirmedAge() <= lease, StateIndex: st.PlanChanges, PlanSerial: st.Plan.GetSerial(),
-		Rollouts: st.Rollouts, TableEpoch: h.epoch, ControlHosts: st.Members,
+		Rollouts: st.Rollouts, ControlHosts: st.Members,
 	}
 	if out.GetPlanSerial() > m.GetHavePlan() {
 		out.PlanPayload = st.Plan.GetPayload()
 	}
+	news := out.GetStateIndex() > m.GetHaveState()
+	if m.GetNoTable() {
+		n.changed = nil
+		return out, news, n
+	}
 	since := m.GetTableVersion()
 	if m.GetTableEpoch() != h.epoch {
 		since, out.TableWhole = 0, true
 	}
-	out.TableVersion = h.table.Version()
+	out.TableEpoch, out.TableVersion = h.epoch, h.table.Version()
 	out.Records = h.table.Since(since)
-	news := out.GetStateIndex() > m.GetHaveState() || out.GetTableWhole() || len(out.GetRecords()) > 0
-	return out, news, n
+	return out, news || out.GetTableWhole() || len(out.GetRecords()) > 0, n
 }
 
 // Exchange gives the records that this host has from the nodes themselves.
