--- a/app/carry/sizes.go
+++ b/app/carry/sizes.go
@@ -1,8 +1,6 @@
 package carry
 
-import (
-	"sync"
-)
+import "sync"
 
 // sizes learns how many bytes the requests of a route take with their answers.
 type sizes struct {
@@ -13,7 +11,7 @@
 const (
 	// sizeWeight of one request in the average of its route.
 	sizeWeight = 0.1
-	// headerBytes of a request and its answer between two nodes, roughly.
+	// headerBytes of a request and its answer between two nodes, with the headers of the hop.
 	headerBytes = 900
 )
 
