pace, attach: judge a good rollout by what is followed; go home with the first plan

Failures that come together raise the sum of likelihood ratios at once, although they are few in that second. Ruled out: conditions and placement (the share of requests follows the version). Cause (nodes): after a restart of all hosts a node without a plan asks one control host after the other and stayed for 10 s with the one that gave the plan, which is half the time in another region. Change: failures condemn a version only if they stand out in the second that is compared, once that has 60 answers; the first counts that a judge sees are its baseline. A node returns with its first plan to its own control host if that one answers.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -65,6 +65,7 @@
 	lastSwitch  time.Time
 	failures    int
 	unconfirmed int
+	homeAnswers bool // the control host of the own failure domain answered, if only without a quorum
 	records     records
 	tables      map[string]position // by control host, so that a return needs no whole table
 }
@@ -146,7 +147,11 @@
 			return nil
 		case response != nil:
 			a.failures = 0
+			hadPlan := a.view.Load().Plan != nil
 			a.apply(response)
+			if !hadPlan {
+				a.goHome()
+			}
 			if !response.GetConfirmed() {
 				a.tryOther(ctx)
 			} else {
--- a/app/attach/hosts.go
+++ b/app/attach/hosts.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// goHome returns with the first plan to the control host of the own failure
+// domain, if that one answers too: after a restart of all hosts a node asks each
+// until one has a quorum, and would fetch the table and each change from afar.
+func (a *Attachment) goHome() {
+	if a.atHome() {
+		a.homeAnswers = true
+		return
+	}
+	if a.homeAnswers && a.view.Load().Plan != nil {
+		a.hostIndex = 0
+	}
+}
+
 // atHome tells that the present control host is one of the own failure domain.
 func (a *Attachment) atHome() bool {
 	return slices.ContainsFunc(a.hosts, func(m *pb.Member) bool {
@@ -72,6 +85,9 @@
 
 func (a *Attachment) fail(ctx context.Context, err error) {
 	_ = a.logger.Log("event", "control host lost", "host", a.host, "err", err, "failures", a.failures+1)
+	if a.atHome() {
+		a.homeAnswers = false
+	}
 	a.failures++
 	a.hostIndex++
 	a.lastSwitch = time.Now()
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -118,8 +118,12 @@
 // condemn returns why the new version is bad, or "".
 func (j *Judge) condemn(in Input) string {
 	for name, now := range in.Routes {
-		step := difference(now, j.last[name])
+		last, known := j.last[name]
 		j.last[name] = now
+		if !known {
+			continue // of a time that this judge has not followed, in which the versions had different shares
+		}
+		step := difference(now, last)
 		if reason := j.failures(name, step, now); reason != "" {
 			return reason
 		}
@@ -162,7 +166,7 @@
 		}
 		span = plus(span, s)
 	}
-	if sum < failureBound || sameFault(span) {
+	if sum < failureBound || isClump(span.New, good) || sameFault(span) {
 		return ""
 	}
 	return fmt.Sprintf("route %s: %d of %d answers failed, %d of %d on the old version at that time",
@@ -186,6 +190,27 @@
 	muchLess = 0.35
 )
 
+const (
+	// clumpAnswers of the new version in the time of the comparison tell its failure rate; below
+	// that the sum alone decides, as in the first step.
+	clumpAnswers = 60
+	// clumpBound of the log likelihood ratio over that time: 1 in 150 by chance, after the sum.
+	clumpBound = 5.0
+)
+
+// isClump reports failures that came together, as when connections are reset,
+// and are few among all answers of that time.
+func isClump(c Counts, good float64) bool {
+	if c.Answered < clumpAnswers {
+		return false
+	}
+	n, p := float64(c.Answered), float64(c.Failed)/float64(c.Answered)
+	if p <= good {
+		return true
+	}
+	return n*(p*math.Log(p/good)+(1-p)*math.Log((1-p)/(1-good))) < clumpBound
+}
+
 // sameFault reports that both versions fail for the same reason, or may do so
 // as far as the answers of the old one tell.
 func sameFault(span Route) bool {
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -142,3 +142,57 @@
 		}
 	}
 }
+
+// Guards against a good version that is taken back because connections to its
+// upstreams were reset: failures that are reported together and are few among
+// the answers of that second.
+func TestResetsCondemnNoVersion(t *testing.T) {
+	is := is.New(t)
+	j := NewJudge()
+	route := Route{}
+	add := func(answered, failed, oldAnswered, oldFailed uint64) Decision {
+		route.New.Answered += answered
+		route.New.Failed += failed
+		route.New.Time += time.Duration(answered) * 60 * time.Millisecond
+		route.Old.Answered += oldAnswered
+		route.Old.Failed += oldFailed
+		route.Old.Time += time.Duration(oldAnswered) * 60 * time.Millisecond
+		return j.Decide(Input{Elapsed: 9 * time.Second, Duration: duration, Routes: map[string]Route{"r": route}, Ready: true})
+	}
+	for range 10 {
+		is.Equal(add(140, 1, 400, 2).Phase, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING)
+	}
+	for range 4 {
+		is.Equal(add(12, 8, 400, 2).Phase, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING) // other reports are late
+		for range 4 {
+			is.Equal(add(170, 2, 420, 2).Phase, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING)
+		}
+	}
+}
+
+// Guards against a new leader that compares the versions over the whole rollout:
+// the new version had most of its requests while connections were reset, the old
+// one before.
+func TestNewLeaderJudgesWhatItFollows(t *testing.T) {
+	is := is.New(t)
+	j := NewJudge()
+	route := Route{New: Counts{Answered: 1500, Failed: 115, Time: 90 * time.Second}, Old: Counts{Answered: 4000, Failed: 80, Time: 240 * time.Second}}
+	next := func(answered, failed uint64) Decision {
+		route.New.Answered += answered
+		route.New.Failed += failed
+		route.New.Time += time.Duration(answered) * 60 * time.Millisecond
+		route.Old.Answered += 40
+		route.Old.Time += 2400 * time.Millisecond
+		return j.Decide(Input{Elapsed: 11 * time.Second, Duration: duration, Routes: map[string]Route{"r": route}, Ready: true})
+	}
+	for range 4 {
+		is.Equal(next(100, 0).Phase, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING)
+	}
+	is.Equal(next(12, 8).Phase, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING)
+	for range 10 {
+		if next(100, 35).Phase == pb.RolloutPhase_ROLLOUT_PHASE_REVERTED {
+			return
+		}
+	}
+	t.Fatal("a version that fails after the change of the leader was not taken back")
+}
--- a/core/placement/average.go
+++ b/core/placement/average.go
@@ -34,4 +34,3 @@
 	}
 	return a
 }
-
--- a/core/placement/cost.go
+++ b/core/placement/cost.go
@@ -148,4 +148,3 @@
 	ahead := max(0, busy+1-float64(slots))
 	return service, time.Duration(ahead / float64(slots) * float64(service))
 }
-
