attach: stay away from a control host without a quorum

It left its control host, which was cut off, and went back at once each time, because the time of its last change of host was its start. Ruled out: polls that restart without end, the length of the lease. Change: leaving a host without a quorum counts as a change of host. TestHostWithoutQuorumIsLeft fails without it.

--- a/app/attach/hosts.go
+++ b/app/attach/hosts.go
@@ -111,5 +111,6 @@
 	}
 	if hosts > 1 {
 		a.hostIndex++
+		a.lastSwitch = time.Now()
 	}
 }
--- a/app/attach/hosts_test.go
+++ b/app/attach/hosts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
@@ -50,6 +51,19 @@
 	is.True(!a.request().GetNoTable())
 }
 
+// Guards against a node that goes back at once to a control host without a
+// quorum, because it has been there for long, and gets no plan meanwhile.
+func TestHostWithoutQuorumIsLeft(t *testing.T) {
+	is := is.New(t)
+	a := newAtHosts()
+	a.moveTo(0)
+	a.getPlan()
+	a.lastSwitch = time.Now().Add(-2 * homeRetry)
+	a.tryOther(context.Background())
+	a.choose()
+	is.Equal(a.host, "near")
+}
+
 // Guards against a node without endpoints that waits for its own control host
 // while another one would give them.
 func TestHostThatFailedIsNotHome(t *testing.T) {
