paces: log the evidence that a rollout is judged by

Cause: when a bad version went through, the logs showed its steps only: whether the judge had no counts, old counts or counts that it took for good could not be told apart. Change: one line a second for at most four routes, with the answers and failures of both versions in the last second, the evidence, and the age of the oldest count.

--- a/app/hub/hub.go
+++ b/app/hub/hub.go
@@ -152,18 +152,19 @@
 	}
 }
 
-// Outcomes calls f for what each node counted; f must not block.
-func (h *Hub) Outcomes(f func(*pb.NodeRecord)) {
+// Outcomes calls f for what each node counted, with the age of the count; f must not block.
+func (h *Hub) Outcomes(f func(r *pb.NodeRecord, age time.Duration)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.outcomes.All(f)
+	now := h.now()
+	h.outcomes.All(func(r *pb.NodeRecord, heard time.Duration) { f(r, now-heard) })
 }
 
 // Nodes calls f for the record of each node; f must not block.
 func (h *Hub) Nodes(f func(*pb.NodeRecord)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.table.All(f)
+	h.table.All(func(r *pb.NodeRecord, _ time.Duration) { f(r) })
 }
 
 // Announce passes an announcement of an upstream on to the node on its host.
--- a/app/paces/paces.go
+++ b/app/paces/paces.go
@@ -19,11 +19,15 @@
 	interval = 200 * time.Millisecond
 	// submitTimeout bounds one proposal; the next decision follows anyway.
 	submitTimeout = 2 * time.Second
+	// logInterval and loggedRoutes bound what is logged of the evidence.
+	logInterval  = time.Second
+	loggedRoutes = 4
 )
 
 // Counts gives what nodes counted and which upstreams there are.
 type Counts interface {
-	Outcomes(f func(*pb.NodeRecord))
+	// Outcomes gives also the time since this host got the counts.
+	Outcomes(f func(r *pb.NodeRecord, age time.Duration))
 	Nodes(f func(*pb.NodeRecord))
 }
 
@@ -43,8 +47,9 @@
 }
 
 type follow struct {
-	judge *pace.Judge
-	since time.Time // on the clock of this process
+	judge  *pace.Judge
+	since  time.Time // on the clock of this process
+	logged time.Time // when the evidence was logged last
 }
 
 // New returns a decider; Run starts it.
@@ -82,9 +87,13 @@
 		f = &follow{judge: pace.NewJudge(), since: time.Now().Add(-passed)}
 		d.judges[r.GetSerial()] = f
 	}
-	in := d.input(r)
+	in, oldest := d.input(r)
 	in.Elapsed = time.Since(f.since)
 	decision := f.judge.Decide(in)
+	if time.Since(f.logged) >= logInterval || decision.Phase != r.GetPhase() {
+		f.logged = time.Now()
+		d.logEvidence(r, f.judge, in.Elapsed, oldest)
+	}
 	share := max(decision.SharePermille, r.GetSharePermille()) // a new leader does not go back
 	if decision.Phase == pb.RolloutPhase_ROLLOUT_PHASE_REVERTED {
 		share = 0
@@ -110,14 +119,27 @@
 		"share_permille", share, "reason", decision.Reason, "outcome", result.GetOutcome())
 }
 
-// input sums what nodes counted in the rollout.
-func (d *Decider) input(r *pb.Rollout) pace.Input {
+// logEvidence tells what a decision rests on, and how old the oldest counts are.
+func (d *Decider) logEvidence(r *pb.Rollout, judge *pace.Judge, elapsed, oldest time.Duration) {
+	seen := judge.Seen()
+	for _, e := range seen[:min(len(seen), loggedRoutes)] {
+		_ = d.logger.Log("event", "rollout evidence", "service", r.GetService(), "version", r.GetTargetVersion(), "elapsed", elapsed.Round(time.Millisecond),
+			"share_permille", r.GetSharePermille(), "route", e.Route, "evidence", fmt.Sprintf("%.1f", e.Sum),
+			"new", e.Span.New.Answered, "new_failed", e.Span.New.Failed, "new_time", e.Recent.Round(time.Millisecond),
+			"old", e.Span.Old.Answered, "old_failed", e.Span.Old.Failed, "oldest_count", oldest.Round(time.Millisecond))
+	}
+}
+
+// input sums what nodes counted in the rollout, and returns the age of the oldest count.
+func (d *Decider) input(r *pb.Rollout) (pace.Input, time.Duration) {
+	oldest := time.Duration(0)
 	in := pace.Input{Duration: time.Duration(r.GetDurationMs()) * time.Millisecond, Routes: make(map[string]pace.Route)}
-	d.counts.Outcomes(func(n *pb.NodeRecord) {
+	d.counts.Outcomes(func(n *pb.NodeRecord, age time.Duration) {
 		for _, o := range n.GetOutcomes() {
 			if o.GetRollout() != r.GetSerial() {
 				continue
 			}
+			oldest = max(oldest, age)
 			route := in.Routes[o.GetRoute()]
 			sum := &route.Old
 			if n.GetVersion() == r.GetTargetVersion() {
@@ -133,5 +155,5 @@
 		in.Ready = in.Ready || (n.GetService() == r.GetService() && n.GetVersion() == r.GetTargetVersion() &&
 			n.GetState() == pb.UpstreamState_UPSTREAM_STATE_SERVING)
 	})
-	return in
+	return in, oldest
 }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -9,8 +9,10 @@
 package pace
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -134,6 +136,34 @@
 	return ""
 }
 
+// Evidence is what the judge compared on one route at its last decision.
+type Evidence struct {
+	Route string
+	Span  Route   // answers of the last second
+	Sum   float64 // log likelihood ratio of a bad version, as large as failureBound when it is condemned
+	// Recent is the mean response time of the last answers of the new version.
+	Recent time.Duration
+}
+
+// Seen returns the evidence of each route, the strongest first.
+func (j *Judge) Seen() []Evidence {
+	out := make([]Evidence, 0, len(j.span))
+	for name, steps := range j.span {
+		e := Evidence{Route: name, Sum: j.fail[name]}
+		for _, s := range steps {
+			e.Span = plus(e.Span, s)
+		}
+		if r := j.slow[name]; r.answers > 0 {
+			e.Recent = time.Duration(r.seconds / r.answers * float64(time.Second))
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(b.Sum, a.Sum), cmp.Compare(a.Route, b.Route))
+	})
+	return out
+}
+
 func difference(now, before Route) Route {
 	return Route{New: minus(now.New, before.New), Old: minus(now.Old, before.Old)}
 }
--- a/core/roster/table.go
+++ b/core/roster/table.go
@@ -152,9 +152,9 @@
 	return out
 }
 
-// All calls f for every record.
-func (t *Table) All(f func(*pb.NodeRecord)) {
+// All calls f for every record, with the time at which this host last heard of it.
+func (t *Table) All(f func(r *pb.NodeRecord, heard time.Duration)) {
 	for _, e := range t.entries {
-		f(e.record)
+		f(e.record, e.heard)
 	}
 }
