pace: three failing tests of bad versions that reach too many requests

Cause: shown by the evidence in the logs: steps that spend the bound before a fault begins; a comparison of ratios that cannot find a bad version beside an old one that fails too; shares of offered requests, not of those that run. The model of the tests can limit what a version runs.

--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 // model is a service under a rollout; requests arrive evenly and are spread by share.
 type model struct {
 	perSecond        float64
+	capacity         float64 // requests a second that each version runs; 0: all that it gets
 	oldRate, newRate func(t time.Duration, share uint32) float64
 	oldTime, newTime time.Duration
 }
@@ -43,15 +45,22 @@
 		for len(pending) > 0 && pending[0].at <= t {
 			share, pending = pending[0].share, pending[1:]
 		}
+		room := math.Inf(1)
+		if m.capacity > 0 {
+			room = m.capacity * tick.Seconds()
+		}
+		ranNew, ranOld := 0.0, 0.0
 		for range int(m.perSecond * tick.Seconds()) {
-			total++
-			if random.Float64() < float64(share)/1000 {
-				toNew++
+			switch isNew := random.Float64() < float64(share)/1000; {
+			case isNew && ranNew < room:
+				ranNew++
 				count(&route.New, random, m.newRate(t, share), m.newTime)
-			} else {
+			case !isNew && ranOld < room:
+				ranOld++
 				count(&route.Old, random, m.oldRate(t, share), m.oldTime)
 			}
 		}
+		total, toNew = total+ranNew+ranOld, toNew+ranNew
 		if phase != 0 {
 			continue
 		}
@@ -143,6 +152,70 @@
 	}
 }
 
+// Guards against a bad version that gets too many requests because its fault
+// begins late: whatever the steps before gave it counts too.
+func TestLateFaultKeepsTheExposureBound(t *testing.T) {
+	is := is.New(t)
+	for _, perSecond := range []float64{150, 300, 640} {
+		for part := 0.05; part <= 0.9; part += 0.05 {
+			from := time.Duration(part * float64(duration))
+			late := func(t time.Duration, _ uint32) float64 {
+				if t < from {
+					return 0.004
+				}
+				return 0.35
+			}
+			m := model{perSecond: perSecond, oldRate: always(0.004), newRate: late, oldTime: 60 * time.Millisecond, newTime: 60 * time.Millisecond}
+			for seed := range uint64(20) {
+				phase, at, exposed := m.run(seed)
+				if limit := 0.1 + 50/(perSecond*duration.Seconds()); phase != pb.RolloutPhase_ROLLOUT_PHASE_REVERTED || exposed > limit {
+					t.Errorf("fault from %v on, %v/s, seed %d: %v after %v, the new version got %.3f, at most %.3f is allowed", from, perSecond, seed, phase, at, exposed, limit)
+				}
+			}
+		}
+	}
+	is.True(!t.Failed()) // every late fault is found within the bound
+}
+
+// Guards against a bad version that is never taken back because the old version
+// fails too, here a fifth of its answers, as under overload.
+func TestFaultBesideAFailingOldVersion(t *testing.T) {
+	is := is.New(t)
+	for _, old := range []float64{0.1, 0.2, 0.4} {
+		for seed := range uint64(50) {
+			m := model{perSecond: 640, oldRate: always(old), newRate: always(1 - (1-old)*(1-0.33)), oldTime: 60 * time.Millisecond, newTime: 60 * time.Millisecond}
+			phase, at, exposed := m.run(seed)
+			if phase != pb.RolloutPhase_ROLLOUT_PHASE_REVERTED || at > 5*time.Second || exposed > 0.1 {
+				t.Errorf("old version fails %.1f, seed %d: %v after %v, the new version got %.3f", old, seed, phase, at, exposed)
+			}
+		}
+	}
+	is.True(!t.Failed()) // the excess over the old version is found
+}
+
+// Guards against shares of the offered requests that let a new version answer far
+// more than that share: under overload the old version answers only what it can.
+func TestExposureBoundHoldsUnderOverload(t *testing.T) {
+	is := is.New(t)
+	for part := 0.1; part <= 0.9; part += 0.2 {
+		from := time.Duration(part * float64(duration))
+		late := func(t time.Duration, _ uint32) float64 {
+			if t < from {
+				return 0.05
+			}
+			return 0.36
+		}
+		for seed := range uint64(20) {
+			m := model{perSecond: 3000, capacity: 750, oldRate: always(0.05), newRate: late, oldTime: 60 * time.Millisecond, newTime: 60 * time.Millisecond}
+			phase, at, exposed := m.run(seed)
+			if phase != pb.RolloutPhase_ROLLOUT_PHASE_REVERTED || exposed > 0.1 {
+				t.Errorf("fault from %v on, seed %d: %v after %v, the new version got %.3f of what ran", from, seed, phase, at, exposed)
+			}
+		}
+	}
+	is.True(!t.Failed()) // what runs on the new version stays within the bound
+}
+
 // Guards against a good version that is taken back because connections to its
 // upstreams were reset: failures that are reported together and are few among
 // the answers of that second.
