pace: watch a new version at a small share and raise it late

Cause: callers of a version that turns bad late had already been sent to it: the steps gave it 4, 12, 30 and 70% of the requests from the start, 0.17 of all of them by 68% of the time, where 0.1 are allowed, and it was declared complete at 80%. The steps assumed that a fault shows at the start or at the next step. Change: 4% for half of the time, 2% until 81% of it, then 10, 30 and 100% within a few decisions each, complete from 92% on. The sum of the shares up to there is 0.096 of the duration, so it does not matter when the fault begins. A share is not raised, and a version not complete, while there is evidence against it; what is not explained by 97% of the time is taken back. A new leader takes the raises one after the other too. Fewer harmed requests than 8 condemn no version, 20 do with less certainty.

--- a/app/paces/paces.go
+++ b/app/paces/paces.go
@@ -94,29 +94,25 @@
 		f.logged = time.Now()
 		d.logEvidence(r, f.judge, in.Elapsed, oldest)
 	}
-	share := max(decision.SharePermille, r.GetSharePermille()) // a new leader does not go back
-	if decision.Phase == pb.RolloutPhase_ROLLOUT_PHASE_REVERTED {
-		share = 0
-	}
-	if decision.Phase == r.GetPhase() && share == r.GetSharePermille() {
+	if decision.Phase == r.GetPhase() && decision.SharePermille == r.GetSharePermille() {
 		return
 	}
-	d.propose(ctx, r, decision, share)
+	d.propose(ctx, r, decision)
 }
 
-func (d *Decider) propose(ctx context.Context, r *pb.Rollout, decision pace.Decision, share uint32) {
+func (d *Decider) propose(ctx context.Context, r *pb.Rollout, decision pace.Decision) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	step := &pb.StepRollout{
 		Service: r.GetService(), Serial: r.GetSerial(), Step: r.GetStep() + 1,
-		Phase: decision.Phase, SharePermille: share, Reason: decision.Reason,
+		Phase: decision.Phase, SharePermille: decision.SharePermille, Reason: decision.Reason,
 	}
 	result := d.state.Submit(ctx, &pb.Command{
-		CommandId: fmt.Sprintf("rollout-%d-%d-%d-%d", r.GetSerial(), step.GetStep(), decision.Phase, share), Operator: "rattanfield",
+		CommandId: fmt.Sprintf("rollout-%d-%d-%d-%d", r.GetSerial(), step.GetStep(), decision.Phase, decision.SharePermille), Operator: "rattanfield",
 		Command: &pb.Command_StepRollout{StepRollout: step},
 	})
 	_ = d.logger.Log("event", "rollout step", "service", r.GetService(), "version", r.GetTargetVersion(), "phase", decision.Phase,
-		"share_permille", share, "reason", decision.Reason, "outcome", result.GetOutcome())
+		"share_permille", decision.SharePermille, "reason", decision.Reason, "outcome", result.GetOutcome())
 }
 
 // logEvidence tells what a decision rests on, and how old the oldest counts are.
@@ -133,7 +129,7 @@
 // input collects what nodes counted in the rollout, and returns the age of the oldest count.
 func (d *Decider) input(r *pb.Rollout) (pace.Input, time.Duration) {
 	oldest := time.Duration(0)
-	in := pace.Input{Duration: time.Duration(r.GetDurationMs()) * time.Millisecond}
+	in := pace.Input{Duration: time.Duration(r.GetDurationMs()) * time.Millisecond, SharePermille: r.GetSharePermille()}
 	d.counts.Outcomes(func(n *pb.NodeRecord, age time.Duration) {
 		upstream := fmt.Sprintf("%s %s %d", n.GetNode(), n.GetInstance(), n.GetEpoch())
 		for _, o := range n.GetOutcomes() {
--- a/core/pace/excess.go
+++ b/core/pace/excess.go
@@ -5,6 +5,11 @@
 // sample of the answers of both versions.
 type sample struct{ newFailed, newAnswered, oldFailed, oldAnswered float64 }
 
+// harmed requests failed and would not have on the old version.
+func (s sample) harmed() float64 {
+	return s.newFailed - s.newAnswered*s.oldFailed/max(1, s.oldAnswered)
+}
+
 // excessEvidence is the log likelihood ratio of the hypothesis that requests which
 // would succeed on the old version fail on the new one at more than a given rate,
 // against all rates up to it. The failure rate of the old version is unknown in
--- a/core/pace/failures.go
+++ b/core/pace/failures.go
@@ -3,14 +3,23 @@
 import "fmt"
 
 const (
-	// evidenceBound of the log likelihood ratio condemns a version: four standard deviations.
-	evidenceBound = 8.0
+	// evidenceBound of the log likelihood ratio condemns a version: 3.5 standard deviations
+	// beyond what is allowed to a good one.
+	evidenceBound = 6.0
+	// minHarmed requests that failed, and would not have on the old version, are needed to
+	// suspect the new one; harmedRequests are enough to condemn it with less certainty,
+	// harmedBound: 2.4 standard deviations.
+	minHarmed      = 8
+	harmedRequests = 20
+	harmedBound    = 3.0
 	// stepsPerSecond of the decisions.
 	stepsPerSecond = 5
 	// minHistory is what a comparison needs at least. Failures that are reported together, as
 	// when connections are reset, are few among the answers of a second.
 	minHistory  = stepsPerSecond
-	longHistory = 10 * stepsPerSecond
+	longHistory = 15 * stepsPerSecond
+	// reportSteps are the steps in which all nodes report.
+	reportSteps = 2
 	// minOldAnswers of the old version are compared with; a version that has all requests is
 	// compared with what the old one answered before.
 	minOldAnswers = 40
@@ -29,6 +38,7 @@
 }{
 	{minHistory, 0.1, 0.25},
 	{3 * stepsPerSecond, 0.1, 0.25},
+	{10 * stepsPerSecond, 0.05, 0.2},
 	{longHistory, 0.05, 0.2},
 }
 
@@ -42,9 +52,9 @@
 	}
 	for _, s := range spans {
 		c := r.compare(s.steps)
-		e := max(excessEvidence(c.errors(), s.errorExcess), excessEvidence(c.failures(), s.failureExcess))
+		e := max(evidenceOf(c.errors(), s.errorExcess), evidenceOf(c.failures(), s.failureExcess))
 		r.evidence = max(r.evidence, e)
-		if e >= evidenceBound {
+		if e >= evidenceBound || (e >= harmedBound && c.errors().harmed() >= harmedRequests) {
 			return fmt.Sprintf("route %s: %d of %d answers failed, %d of them with an error; %.1f%% and %.1f%% on the old version at that time",
 				name, c.new.Failed, c.new.Answered, c.new.Errors, 100*c.oldFailures, 100*c.oldErrors)
 		}
@@ -56,7 +66,7 @@
 type comparison struct {
 	new Counts
 	// oldFailures and oldErrors are the rates that the old version would have had, had it
-	// answered in each second as many of the requests of the span as the new one did.
+	// answered in each step as many of the requests of the span as the new one did.
 	oldFailures, oldErrors float64
 	// oldAnswers is the number of answers that would tell these rates as well.
 	oldAnswers float64
@@ -70,21 +80,28 @@
 	return sample{newFailed: float64(c.new.Errors), newAnswered: float64(c.new.Answered), oldFailed: c.oldErrors * c.oldAnswers, oldAnswered: c.oldAnswers}
 }
 
-// compare the versions second by second over the last steps.
+// evidenceOf a sample with enough failures to suspect the new version.
+func evidenceOf(s sample, excess float64) float64 {
+	if s.harmed() < minHarmed {
+		return 0
+	}
+	return excessEvidence(s, excess)
+}
+
+// compare the versions step by step over the last ones.
 func (r *route) compare(steps int) comparison {
 	out := comparison{}
 	variance := 0.0
-	for end := len(r.history); end > max(0, len(r.history)-steps); end -= stepsPerSecond {
-		second := r.second(end)
-		n := float64(second.New.Answered)
-		if n == 0 || second.Old.Answered == 0 {
+	for i := len(r.history) - 1; i >= max(0, len(r.history)-steps); i-- {
+		old := r.oldBefore(i)
+		n, m := float64(r.history[i].New.Answered), float64(old.Answered)
+		if n == 0 || m == 0 {
 			continue
 		}
-		old := float64(second.Old.Answered)
-		out.new = out.new.plus(second.New)
-		out.oldFailures += n * float64(second.Old.Failed) / old
-		out.oldErrors += n * float64(second.Old.Errors) / old
-		variance += n * n / old
+		out.new = out.new.plus(r.history[i].New)
+		out.oldFailures += n * float64(old.Failed) / m
+		out.oldErrors += n * float64(old.Errors) / m
+		variance += n * n / m
 	}
 	if n := float64(out.new.Answered); n > 0 {
 		out.oldFailures, out.oldErrors, out.oldAnswers = out.oldFailures/n, out.oldErrors/n, n*n/variance
@@ -92,19 +109,12 @@
 	return out
 }
 
-// second sums the steps of the second before one; if the old version answered few requests in
-// it, as when the new one has them all, what it answered before counts too.
-func (r *route) second(end int) Route {
-	sum := Route{}
-	for i := end - 1; i >= 0; i-- {
-		step := r.history[i]
-		if i < end-stepsPerSecond {
-			if sum.Old.Answered >= minOldAnswers {
-				break
-			}
-			step.New = Counts{}
-		}
-		sum = Route{New: sum.New.plus(step.New), Old: sum.Old.plus(step.Old)}
+// oldBefore is what the old version answered in the steps that a report may be late, up to one;
+// where it answered little, as when the new version has all requests, earlier steps count too.
+func (r *route) oldBefore(step int) Counts {
+	sum := Counts{}
+	for i := step; i >= 0 && (i > step-reportSteps || sum.Answered < minOldAnswers); i-- {
+		sum = sum.plus(r.history[i].Old)
 	}
 	return sum
 }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -53,6 +53,7 @@
 // Input of one decision.
 type Input struct {
 	Elapsed, Duration time.Duration
+	SharePermille     uint32 // in force
 	Answers           []Answers
 	// Ready tells that upstreams of the new version serve.
 	Ready bool
@@ -65,31 +66,15 @@
 	Reason        string
 }
 
-// stage of the plan: the share from a part of the duration on.
-type stage struct {
-	from  float64
-	share uint32
-}
-
-// The integral of the shares up to the fourth stage is 0.047 of the duration; the
-// 0.7 s until a fault there takes effect add 0.031 in a rollout of 16 s.
-// Until shortly before the end the old version keeps a part, against which the new
-// one is compared: a fault of the whole service condemns neither.
-var stages = []stage{{0, 40}, {0.34, 120}, {0.47, 300}, {0.53, 700}, {0.74, 1000}}
-
-const (
-	// completeAt leaves the requests on the old version a quarter of the duration to end.
-	completeAt = 0.80
-	fullShare  = 1000
-	// fromStart is the latest time at which a judge that sees a rollout first takes all
-	// answers as new to it. A later one has not followed the shares that led to them.
-	fromStart = time.Second
-)
+// fromStart is the latest time at which a judge that sees a rollout first takes all
+// answers as new to it. A later one has not followed the shares that led to them.
+const fromStart = time.Second
 
 // Judge follows one rollout. It is not safe for concurrent use.
 type Judge struct {
 	started bool // a decision was made
 	whole   bool // the rollout is followed from its start
+	place   position
 	last    map[source]Counts
 	routes  map[string]*route
 }
@@ -111,27 +96,48 @@
 
 // Decide looks at the counts and returns what holds from now on. It is called every 200 ms.
 func (j *Judge) Decide(in Input) Decision {
+	d := j.decide(in)
+	j.place.decide(in, d.SharePermille)
+	return d
+}
+
+func (j *Judge) decide(in Input) Decision {
 	if reason := j.condemn(in); reason != "" {
 		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_REVERTED, Reason: reason}
 	}
 	part := float64(in.Elapsed) / float64(max(in.Duration, 1))
-	if !in.Ready {
-		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: stages[0].share, Reason: "no upstream of the new version serves"}
+	running := func(share uint32, reason string) Decision {
+		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: share, Reason: reason}
 	}
-	if part >= completeAt {
+	switch suspect, evidence := j.suspect(); {
+	case !in.Ready:
+		return running(max(watch[0].share, in.SharePermille), "no upstream of the new version serves")
+	case suspect != "" && part >= lastCall:
+		return Decision{
+			Phase:  pb.RolloutPhase_ROLLOUT_PHASE_REVERTED,
+			Reason: fmt.Sprintf("route %s: failures not explained by the end of the time, evidence %.1f", suspect, evidence),
+		}
+	case suspect != "":
+		return running(in.SharePermille, fmt.Sprintf("route %s: more failures than on the old version, evidence %.1f", suspect, evidence))
+	case part >= completeAt && in.SharePermille == fullShare && j.place.held(in, fullTime):
 		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE, SharePermille: fullShare, Reason: "no fault was seen"}
 	}
-	share := uint32(0)
-	for _, s := range stages {
-		if part >= s.from {
-			share = s.share
+	return running(j.place.next(in, part), fmt.Sprintf("%.0f%% of the time has passed", 100*part))
+}
+
+// suspect returns the route with the most evidence of failures, if that is enough to wait for more.
+func (j *Judge) suspect() (name string, evidence float64) {
+	for n, r := range j.routes {
+		if r.evidence >= suspicion && r.evidence > evidence {
+			name, evidence = n, r.evidence
 		}
 	}
-	return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: share, Reason: fmt.Sprintf("%.0f%% of the time has passed", 100*part)}
+	return name, evidence
 }
 
 // condemn returns why the new version is bad, or "".
 func (j *Judge) condemn(in Input) string {
+	j.place.see(in, !j.started)
 	if !j.started {
 		j.started, j.whole = true, in.Elapsed <= fromStart
 	}
@@ -173,6 +179,14 @@
 	return steps
 }
 
+func (r *route) lastSecond() Route {
+	sum := Route{}
+	for _, step := range r.history[max(0, len(r.history)-stepsPerSecond):] {
+		sum = Route{New: sum.New.plus(step.New), Old: sum.Old.plus(step.Old)}
+	}
+	return sum
+}
+
 // Evidence is what the judge compared on one route at its last decision.
 type Evidence struct {
 	Route string
@@ -187,7 +201,7 @@
 func (j *Judge) Seen() []Evidence {
 	out := make([]Evidence, 0, len(j.routes))
 	for name, r := range j.routes {
-		out = append(out, Evidence{Route: name, Span: r.second(len(r.history)), Ratio: r.evidence, Recent: r.slow.mean()})
+		out = append(out, Evidence{Route: name, Span: r.lastSecond(), Ratio: r.evidence, Recent: r.slow.mean()})
 	}
 	slices.SortFunc(out, func(a, b Evidence) int {
 		return cmp.Or(cmp.Compare(b.Ratio, a.Ratio), cmp.Compare(b.Span.New.Answered, a.Span.New.Answered), cmp.Compare(a.Route, b.Route))
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -52,7 +52,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	j := NewJudge()
 	route := Route{}
-	share, total, toNew := uint32(0), 0.0, 0.0
+	share, decided, total, toNew := uint32(0), uint32(0), 0.0, 0.0
 	type change struct {
 		at    time.Duration
 		share uint32
@@ -84,7 +84,8 @@
 		if out.phase != 0 {
 			continue
 		}
-		d := j.Decide(Input{Elapsed: t, Duration: duration, Answers: answersOf(route), Ready: true})
+		d := j.Decide(Input{Elapsed: t, Duration: duration, SharePermille: decided, Answers: answersOf(route), Ready: true})
+		decided = d.SharePermille
 		if d.Phase != pb.RolloutPhase_ROLLOUT_PHASE_RUNNING {
 			out.phase, out.at = d.Phase, t
 		}
