pace: give the new version a share of what runs, not of what is offered

Cause: under overload the old version refuses most of its part of the requests and the new one does not, so callers reach the new version far more often than the share says: 138 of 858 requests that ran at a share of 4%, 364 of 976 at 12%. The bound counts what runs. Change: while the version is watched, the judge measures what it runs as a multiple of its share, and divides the shares by that, also those of the raises. Below 1.5 times nothing changes; a step follows only a clear difference.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -42,6 +42,8 @@
 	New, Old Counts
 }
 
+func (r Route) plus(o Route) Route { return Route{New: r.New.plus(o.New), Old: r.Old.plus(o.Old)} }
+
 // Answers are what one upstream answered on one route since the rollout began.
 type Answers struct {
 	Upstream string // with the start of the process that counts
@@ -59,6 +61,9 @@
 	Ready bool
 }
 
+// part of the duration that has passed.
+func (in Input) part() float64 { return float64(in.Elapsed) / float64(max(in.Duration, 1)) }
+
 // Decision of one moment.
 type Decision struct {
 	Phase         pb.RolloutPhase
@@ -75,6 +80,7 @@
 	started bool // a decision was made
 	whole   bool // the rollout is followed from its start
 	place   position
+	crowd   crowd
 	last    map[source]Counts
 	routes  map[string]*route
 }
@@ -105,7 +111,7 @@
 	if reason := j.condemn(in); reason != "" {
 		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_REVERTED, Reason: reason}
 	}
-	part := float64(in.Elapsed) / float64(max(in.Duration, 1))
+	part := in.part()
 	running := func(share uint32, reason string) Decision {
 		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: share, Reason: reason}
 	}
@@ -122,7 +128,7 @@
 	case part >= completeAt && in.SharePermille == fullShare && j.place.held(in, fullTime):
 		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE, SharePermille: fullShare, Reason: "no fault was seen"}
 	}
-	return running(j.place.next(in, part), fmt.Sprintf("%.0f%% of the time has passed", 100*part))
+	return running(j.place.next(in, part, j.crowd.crowding()), fmt.Sprintf("%.0f%% of the time has passed", 100*part))
 }
 
 // suspect returns the route with the most evidence of failures, if that is enough to wait for more.
@@ -142,9 +148,16 @@
 		j.started, j.whole = true, in.Elapsed <= fromStart
 	}
 	steps := j.take(in.Answers)
+	all := Route{}
+	for _, step := range steps {
+		all = all.plus(step)
+	}
+	if in.part() < raises[0].from {
+		j.crowd.add(all, in.SharePermille)
+	}
 	for name, r := range j.routes {
 		step := steps[name]
-		r.total = Route{New: r.total.New.plus(step.New), Old: r.total.Old.plus(step.Old)}
+		r.total = r.total.plus(step)
 		if reason := r.failures(name, step); reason != "" {
 			return reason
 		}
@@ -182,7 +195,7 @@
 func (r *route) lastSecond() Route {
 	sum := Route{}
 	for _, step := range r.history[max(0, len(r.history)-stepsPerSecond):] {
-		sum = Route{New: sum.New.plus(step.New), Old: sum.Old.plus(step.Old)}
+		sum = sum.plus(step)
 	}
 	return sum
 }
--- a/core/pace/stages.go
+++ b/core/pace/stages.go
@@ -66,21 +66,25 @@
 	return in.Elapsed-p.since >= time.Duration(part*float64(in.Duration))
 }
 
-// next share. The raises come one after the other, each seen for some time, and are not undone
-// by a leader whose clock is behind.
-func (p *position) next(in Input, part float64) uint32 {
-	if p.share < raises[0].share && part < raises[0].from {
-		return watchShare(part)
+// next share of the requests. The raises come one after the other, each seen for some time, and
+// are not undone by a leader whose clock is behind.
+func (p *position) next(in Input, part, crowding float64) uint32 {
+	if part < raises[0].from && p.share <= watch[0].share {
+		wanted := scaled(watchShare(part), crowding)
+		if ratio := float64(p.share) / float64(wanted); crowding > 1 && ratio > 1/keepRatio && ratio < keepRatio {
+			return p.share
+		}
+		return wanted
 	}
 	for _, s := range raises {
-		if s.share > p.share {
+		if share := scaled(s.share, crowding); share > p.share {
 			if part >= s.from && p.held(in, stageTime) {
-				return s.share
+				return share
 			}
 			break
 		}
 	}
-	return max(p.share, watchShare(part))
+	return max(p.share, scaled(watchShare(part), crowding))
 }
 
 func watchShare(part float64) uint32 {
@@ -92,3 +96,40 @@
 	}
 	return share
 }
+
+// scaled share of the requests that are offered, so that the new version runs that of a stage.
+func scaled(share uint32, crowding float64) uint32 {
+	if share == fullShare {
+		return share
+	}
+	return max(1, uint32(float64(share)/crowding))
+}
+
+const (
+	// minCrowding is more than chance.
+	minCrowding = 1.5
+	// keepRatio of the present and the wanted share needs no step.
+	keepRatio = 1.4
+	// crowdSteps are the last steps that tell the crowding, and crowdAnswers what they need.
+	crowdSteps   = 12
+	crowdAnswers = 10
+)
+
+// crowd measures how much more than its share the new version runs. Under overload
+// the old version refuses most of its part of the requests, and the new one does not.
+type crowd struct{ ran, expected float64 }
+
+// add a step in which the new version is watched: with more, it refuses requests too.
+func (c *crowd) add(step Route, sharePermille uint32) {
+	keep := 1 - 1.0/crowdSteps
+	c.ran = c.ran*keep + float64(step.New.Answered)
+	c.expected = c.expected*keep + float64(step.New.Answered+step.Old.Answered)*float64(sharePermille)/fullShare
+}
+
+// crowding is what the new version runs, as a multiple of its share; 1 if it is not known.
+func (c *crowd) crowding() float64 {
+	if c.expected < crowdAnswers || c.ran < minCrowding*c.expected {
+		return 1
+	}
+	return c.ran / c.expected
+}
