attach: give a poll that replaces an unanswered one no new time limit

Cause: a node served an old plan and answered 404 for new routes, because it waited for a frozen control host. Change: the limit counts from the oldest poll that the host did not answer, and a later poll asks to be held only for the rest of that time, so that reports make no healthy host look lost either.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -63,6 +63,7 @@
 	host        string // current control host
 	hostIndex   int
 	lastSwitch  time.Time
+	asked       time.Time // oldest poll that the present host has not answered; zero: none
 	failures    int
 	unconfirmed int
 	homeAnswers bool // the control host of the own failure domain answered, if only without a quorum
@@ -164,6 +165,16 @@
 	return nil
 }
 
+// limits of a poll that begins now: how long the host may hold it, and when it is
+// lost if it has not answered. A poll that takes the place of one that the host did
+// not answer gets no more time than that one had.
+func (a *Attachment) limits(now time.Time, wait time.Duration) (hold time.Duration, lost time.Time) {
+	if a.asked.IsZero() {
+		a.asked = now
+	}
+	return max(0, wait-now.Sub(a.asked)), a.asked.Add(wait + pollTimeout)
+}
+
 func (a *Attachment) request() *pb.MeshServiceSyncRequest {
 	v := a.view.Load()
 	r := &pb.MeshServiceSyncRequest{
@@ -192,7 +203,9 @@
 // poll ends early, with neither answer nor error, when the own record changes.
 func (a *Attachment) poll(ctx context.Context) (*pb.MeshServiceSyncResponse, error) {
 	request := a.request()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetWaitMs())*time.Millisecond+pollTimeout)
+	hold, lost := a.limits(time.Now(), time.Duration(request.GetWaitMs())*time.Millisecond)
+	request.WaitMs = uint32(hold.Milliseconds())
+	ctx, cancel := context.WithDeadline(ctx, lost)
 	defer cancel()
 	type result struct {
 		response *connect.Response[pb.MeshServiceSyncResponse]
@@ -206,6 +219,7 @@
 	}()
 	select {
 	case r := <-done:
+		a.asked = time.Time{}
 		if r.err != nil {
 			return nil, r.err
 		}
--- a/app/attach/hosts.go
+++ b/app/attach/hosts.go
@@ -23,7 +23,7 @@
 		a.hostIndex = 0
 	}
 	if next := addresses[a.hostIndex%len(addresses)]; next != a.host {
-		a.host, a.lastSwitch = next, time.Now()
+		a.host, a.lastSwitch, a.asked = next, time.Now(), time.Time{}
 		a.bump()
 	}
 }
--- a/app/attach/hosts_test.go
+++ b/app/attach/hosts_test.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
+	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/plan"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
 
 func newAtHosts() *Attachment {
@@ -80,3 +85,83 @@
 	is.Equal(a.host, "far")
 	is.True(!a.request().GetNoTable())
 }
+
+// Guards against a node that stays with a control host that is frozen, on an old
+// plan, because each report of its upstream begins a new poll with its full time.
+func TestReportsDoNotKeepASilentHost(t *testing.T) {
+	silent, next := listen(t), listen(t)
+	server := rpc.NewServer(rpc.NewHandler(rattanfieldv1connect.NewMeshServiceHandler(stuck{})))
+	go func() { _ = server.Serve(silent) }()
+	t.Cleanup(func() { _ = server.Close() })
+	a := New(Options{Node: "n", Seeds: func() []string { return []string{silent.Addr().String(), next.Addr().String()} }}, rpc.NewClient(rpc.Options{}), log.NewNopLogger())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	go func() {
+		_ = a.Run(ctx)
+		ended <- struct{}{}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			a.Report(condition.Condition{})
+			lifecycle.Pause(ctx, pollTimeout/4)
+		}
+		ended <- struct{}{}
+	}()
+	defer func() {
+		cancel()
+		<-ended
+		<-ended
+	}()
+	turned := make(chan struct{})
+	go func() {
+		if c, err := next.Accept(); err == nil {
+			defer c.Close()
+			close(turned)
+			<-ctx.Done()
+		}
+	}()
+	select {
+	case <-turned:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the node still waits for the silent host")
+	}
+}
+
+// Guards against a healthy control host that counts as lost because reports of the
+// node take the place of each poll before it is answered.
+func TestPollAfterReportsIsAnsweredInTime(t *testing.T) {
+	is := is.New(t)
+	a := newAtHosts()
+	start := time.Now()
+	hold, lost := a.limits(start, pollWait)
+	is.Equal(hold, pollWait)
+	is.Equal(lost, start.Add(pollWait+pollTimeout))
+	hold, again := a.limits(start.Add(pollWait*9/10), pollWait)
+	is.Equal(hold, pollWait/10) // answered well before it counts as lost
+	is.Equal(again, lost)
+	hold, again = a.limits(start.Add(2*pollWait), pollWait)
+	is.Equal(hold, time.Duration(0))
+	is.Equal(again, lost)
+	a.moveTo(2)
+	_, again = a.limits(start.Add(2*pollWait), pollWait)
+	is.Equal(again, start.Add(3*pollWait+pollTimeout)) // another host has its own time
+}
+
+// stuck is a control host that answers no poll.
+type stuck struct {
+	rattanfieldv1connect.UnimplementedMeshServiceHandler
+}
+
+func (stuck) Sync(ctx context.Context, _ *connect.Request[pb.MeshServiceSyncRequest]) (*connect.Response[pb.MeshServiceSyncResponse], error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
