meshhttp, body: bound responses that never end

Heads were bounded by the buffer of the connection, except for interim responses, which were skipped without a limit: the request was held until its deadline. Bodies were read up to 64 MiB each, and a stated length or chunk size was allocated before its bytes came; several at once take more than a node has, and the process is ended. Change: at most 8 interim responses. Large bodies share an eighth of the node's memory while they are read, one of them at most half of that; memory is taken for bytes that have come. The first 64 KiB of a body are not counted, so ordinary responses always find room. The connection is closed, and the request ends as one whose answer was lost.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -63,10 +65,9 @@
 	// freshIdle is how long a connection may have been idle for a request that cannot be repeated.
 	freshIdle = 2 * time.Second
 	// asyncBody is the size from which a request is written beside reading its response.
-	asyncBody = 32 << 10
-	// maxResponse bounds the memory of one response.
-	maxResponse  = 64 << 20
+	asyncBody    = 32 << 10
 	maxStale     = 2 // late responses to earlier requests that are skipped
+	maxInterim   = 8 // interim responses before the final one
 	clientBuffer = 8 << 10
 )
 
@@ -76,14 +77,15 @@
 // Pool keeps connections per destination. It never sends a request twice.
 type Pool struct {
 	localIP net.IP
+	memory  *body.Memory
 
 	mu   sync.Mutex
 	idle map[string][]*clientConn // the most recently used one is last
 }
 
 // NewPool returns an empty pool; connections start at the local IP, nil lets the system choose.
-func NewPool(localIP net.IP) *Pool {
-	return &Pool{localIP: localIP, idle: make(map[string][]*clientConn)}
+func NewPool(localIP net.IP, m *body.Memory) *Pool {
+	return &Pool{localIP: localIP, memory: m, idle: make(map[string][]*clientConn)}
 }
 
 type clientConn struct {
@@ -113,7 +115,9 @@
 	}
 	out := Outcome{Reused: c.used}
 	var keep bool
-	keep, out.Failure, out.Err = c.roundTrip(ctx, call)
+	l := p.memory.Lease()
+	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
+	l.Release()
 	if keep {
 		p.put(address, c)
 	} else {
@@ -196,7 +200,7 @@
 	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, clientBuffer), limit: idleLimit}, nil
 }
 
-func (c *clientConn) roundTrip(ctx context.Context, call *Call) (keep bool, f Failure, err error) {
+func (c *clientConn) roundTrip(ctx context.Context, call *Call, l *body.Lease) (keep bool, f Failure, err error) {
 	if err := c.nc.SetDeadline(call.Deadline); err != nil {
 		return false, NotSent, err
 	}
@@ -208,7 +212,7 @@
 	} else {
 		go func() { writeDone <- c.send(call) }()
 	}
-	keep, err = c.receive(call)
+	keep, err = c.receive(call, l)
 	if !stop() && err != nil {
 		return false, Cancelled, context.Cause(ctx)
 	}
@@ -240,8 +244,9 @@
 }
 
 var (
-	errStale = errors.New("a response to another request came first")
-	errParse = errors.New("the response is not valid HTTP")
+	errStale   = errors.New("a response to another request came first")
+	errParse   = errors.New("the response is not valid HTTP")
+	errInterim = fmt.Errorf("%w: more than %d interim responses", errParse, maxInterim)
 )
 
 func (c *clientConn) failureOf(err error) Failure {
@@ -258,10 +263,10 @@
 }
 
 // receive reads the response; keep is true when the connection may carry another request.
-func (c *clientConn) receive(call *Call) (keep bool, err error) {
+func (c *clientConn) receive(call *Call, l *body.Lease) (keep bool, err error) {
 	keep = true
 	for range maxStale + 1 {
-		if err := c.readResponse(call); err != nil {
+		if err := c.readResponse(call, l); err != nil {
 			return false, err
 		}
 		if call.IDHeader != "" {
@@ -276,41 +281,44 @@
 	return false, errStale
 }
 
-func (c *clientConn) readResponse(call *Call) error {
+func (c *clientConn) readResponse(call *Call, l *body.Lease) error {
 	r := call.Response
-	for {
-		r.Reset()
-		r.SkipBody = call.Request.Header.IsHead()
-		if _, err := c.br.Peek(1); err != nil {
-			return err
-		}
-		if err := r.Header.Read(c.br); err != nil {
-			return c.parseError(err)
-		}
-		if n := r.StatusCode(); n >= 200 || n == fasthttp.StatusSwitchingProtocols {
-			break
-		}
+	if err := c.readHeader(r); err != nil {
+		return err
 	}
+	r.SkipBody = call.Request.Header.IsHead()
 	status := r.StatusCode()
 	if r.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return nil
 	}
 	unframed := r.Header.ContentLength() < -1
-	chunked := r.Header.ContentLength() == -1
-	if err := r.ReadBody(c.br, maxResponse); err != nil {
+	l.Release() // of a response that was skipped
+	if err := body.Read(c.br, r, l); err != nil {
 		return c.parseError(err)
 	}
-	if chunked {
-		if err := r.Header.ReadTrailer(c.br); err != nil {
-			return c.parseError(err)
-		}
-	}
 	if unframed {
 		r.SetConnectionClose()
 	}
 	return nil
 }
 
+// readHeader reads the header of a final response; the buffer of the connection bounds its size.
+func (c *clientConn) readHeader(r *fasthttp.Response) error {
+	for range maxInterim + 1 {
+		r.Reset()
+		if _, err := c.br.Peek(1); err != nil {
+			return err
+		}
+		if err := r.Header.Read(c.br); err != nil {
+			return c.parseError(err)
+		}
+		if n := r.StatusCode(); n >= fasthttp.StatusOK || n == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	return errInterim
+}
+
 // parseError keeps errors of the connection apart from those of its content.
 func (c *clientConn) parseError(err error) error {
 	var op *net.OpError
--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -218,10 +218,11 @@
 		"nothing":           {"", Lost},
 		"no HTTP":           {"\x00\x01garbage\r\n\r\n", Unread},
 		"chunks cut":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", Unread},
+		"chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\nX-After: 1\r\n\r\n", Answered},
 		"no length":         {"HTTP/1.1 200 OK\r\n\r\nbody", Answered},
 		"another request's": {answer("0", "other"), Lost},
 	} {
-		o, resp := call(t, NewPool(nil), backend(t, c.raw), "1")
+		o, resp := call(t, newTestPool(), backend(t, c.raw), "1")
 		if (o.Failure == Answered) != (c.want == Answered) || o.Failure == NotSent {
 			t.Fatalf("%s: %v (%v), want %v", name, o.Failure, o.Err, c.want)
 		}
@@ -234,7 +235,7 @@
 // Guards against an extra answer of an earlier request that is taken for the next one's.
 func TestExtraAnswerIsSkipped(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(nil)
+	p := newTestPool()
 	address := backend(t, answer("1", "one"), answer("1", "extra")+answer("2", "two"))
 	o, resp := call(t, p, address, "1")
 	is.Equal(o.Failure, Answered)
@@ -254,10 +255,10 @@
 	is.NoErr(err)
 	address := l.Addr().String()
 	_ = l.Close()
-	o, _ := call(t, NewPool(nil), address, "1")
+	o, _ := call(t, newTestPool(), address, "1")
 	is.Equal(o.Failure, NotSent)
 	is.True(o.Refused)
-	o, _ = call(t, NewPool(nil), backend(t, ""), "1")
+	o, _ = call(t, newTestPool(), backend(t, ""), "1")
 	is.Equal(o.Failure, Lost)
 }
 
@@ -284,7 +285,7 @@
 	req.Header.SetHost("h")
 	req.Header.SetRequestURI("/")
 	req.SetBodyString(strings.Repeat("x", 32<<20))
-	p := NewPool(nil)
+	p := newTestPool()
 	var resp fasthttp.Response
 	o := p.Do(context.Background(), l.Addr().String(), &Call{Request: &req, Response: &resp, Deadline: time.Now().Add(testWait)})
 	is.Equal(o.Failure, Answered)
@@ -298,7 +299,7 @@
 	is := is.New(t)
 	const farewell = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Read: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	s, address := serve(t, func(_ context.Context, x *Exchange) { x.Response.Header.Set(idHeader, "1") }, farewell)
-	p := NewPool(nil)
+	p := newTestPool()
 	o, _ := call(t, p, address, "1")
 	is.Equal(o.Failure, Answered)
 	// Taken from the pool before the close, as a request that is on its way.
@@ -310,7 +311,7 @@
 	req.Header.SetHost("h")
 	req.Header.SetRequestURI("/")
 	var resp fasthttp.Response
-	_, f, _ := c.roundTrip(context.Background(), &Call{Request: &req, Response: &resp, Deadline: time.Now().Add(testWait)})
+	_, f, _ := c.roundTrip(context.Background(), &Call{Request: &req, Response: &resp, Deadline: time.Now().Add(testWait)}, p.memory.Lease())
 	is.Equal(f, Answered)
 	is.Equal(string(resp.Header.Peek("X-Not-Read")), "1")
 }
@@ -336,7 +337,7 @@
 // Guards against a connection that is used beyond the idle time that its server states.
 func TestKeepAliveIsHonoured(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(nil)
+	p := newTestPool()
 	raw := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5, max=100\r\nContent-Length: 0\r\n\r\n"
 	address := backend(t, raw, raw)
 	o, _ := call(t, p, address, "1")
--- a/app/carry/carry_test.go
+++ b/app/carry/carry_test.go
@@ -1,7 +1,9 @@
 package carry
 
 import (
+	"io"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +62,40 @@
 	is.Equal(len(x.Response.Header.Peek(fasthttp.HeaderRetryAfter)), 0)
 }
 
+// Guards against an upstream that sends bytes without end and keeps its callers
+// until their deadline: one that can be repeated is answered by another upstream.
+func TestAnswerWithoutEndIsALostAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, start := range []string{"HTTP/1.1 200 OK\r\nX-Long: ", "HTTP/1.1 200 OK\r\n\r\n"} {
+		m := newMesh()
+		l := listen(t)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					_, err := io.WriteString(c, start)
+					for block := strings.Repeat("x", 16<<10); err == nil; {
+						_, err = io.WriteString(c, block)
+					}
+				}()
+			}
+		}()
+		bad := newNode(t, m, "i1", succeed)
+		bad.upstream.address = l.Addr().String()
+		bad.gate.Announce(bad.announcement("i1", 2, pb.UpstreamState_UPSTREAM_STATE_SERVING))
+		e := newTestEntry(m)
+		is.Equal(send(e, "/write/1").Response.StatusCode(), fasthttp.StatusBadGateway)
+		newNode(t, m, "i2", succeed)
+		x := send(e, "/read/1")
+		is.Equal(x.Response.StatusCode(), fasthttp.StatusOK)
+		is.Equal(string(x.Response.Body()), "ok")
+	}
+}
+
 // Guards: an idempotent request whose answer is lost goes to another upstream, at most as often as its route allows.
 func TestIdempotentIsRepeatedElsewhere(t *testing.T) {
 	is := is.New(t)
--- a/app/carry/harness_test.go
+++ b/app/carry/harness_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/attach"
 	"github.com/rattanfield/rattanfield/core/plan"
@@ -136,7 +137,7 @@
 	n.gate = NewGate(GateOptions{
 		Headers: testHeaders, DrainBound: testDrain, LostAfter: testLost,
 		Publish: func(a *pb.Announcement) { n.published = append(n.published, a) },
-	}, m, meshhttp.NewPool(nil), NewMetrics(metrics.NewSet()), log.NewNopLogger())
+	}, m, newTestPool(), NewMetrics(metrics.NewSet()), log.NewNopLogger())
 	l := listen(t)
 	n.address = l.Addr().String()
 	serveOn(l, n.gate.Handle)
@@ -165,11 +166,15 @@
 	return &mesh{view: attach.View{Plan: plan.NewTable(p, 1), Endpoints: make(map[string][]*attach.Endpoint), Nodes: 1, Received: time.Now()}}
 }
 
+func newTestPool() *meshhttp.Pool { return meshhttp.NewPool(nil, body.NewMemory(testMemory)) }
+
+const testMemory = 16 << 20
+
 func newTestEntry(m *mesh) *Entry {
-	gate := NewGate(GateOptions{Headers: testHeaders, Publish: func(*pb.Announcement) {}}, m, meshhttp.NewPool(nil), NewMetrics(metrics.NewSet()), log.NewNopLogger())
+	gate := NewGate(GateOptions{Headers: testHeaders, Publish: func(*pb.Announcement) {}}, m, newTestPool(), NewMetrics(metrics.NewSet()), log.NewNopLogger())
 	return NewEntry(EntryOptions{
 		Headers: testHeaders, Service: "caller", Node: "127.0.0.1:1", RepeatPercent: 20, RepeatExtra: 10, RepeatWindow: 10 * time.Second,
-	}, m, gate, meshhttp.NewPool(nil), NewMetrics(metrics.NewSet()), log.NewNopLogger())
+	}, m, gate, newTestPool(), NewMetrics(metrics.NewSet()), log.NewNopLogger())
 }
 
 func send(e *Entry, path string) *meshhttp.Exchange {
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -3,6 +3,7 @@
 package meshnode
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/app/attach"
@@ -36,6 +38,7 @@
 	RepeatPercent                                          float64
 	RepeatExtra                                            int
 	RepeatWindow                                           time.Duration
+	Memory                                                 int // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the order to stop to the end of the process.
 	StopBound time.Duration
 	// Extra listeners with their handlers, for example of the platform.
@@ -50,7 +53,12 @@
 	// confirmWait is how long a starting node waits for a control host with a quorum before
 	// it serves with what another one has.
 	confirmWait = 3 * time.Second
-	gateIdle    = 60 * time.Second // above the idle limit of clients (see meshhttp)
+	// defaultMemory is that of a node of the design target.
+	defaultMemory = 128 << 20
+	// bodyPart of the memory is for large bodies of responses while they are read. Buffers that
+	// grow, and are collected later, take a multiple of it.
+	bodyPart = 8
+	gateIdle = 60 * time.Second // above the idle limit of clients (see meshhttp)
 )
 
 // Process is a running node.
@@ -92,7 +100,8 @@
 
 func newPools(o Options) pools {
 	ip := lifecycle.HostIP(o.PeerAddress)
-	return pools{gates: meshhttp.NewPool(ip), upstream: meshhttp.NewPool(ip)}
+	m := body.NewMemory(cmp.Or(o.Memory, defaultMemory) / bodyPart)
+	return pools{gates: meshhttp.NewPool(ip, m), upstream: meshhttp.NewPool(ip, m)}
 }
 
 type parts struct {
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -105,6 +105,7 @@
 		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
 		DrainBound: s.DrainBound, LostAfter: lostHeartbeats * s.Heartbeat, StopBound: s.StopBound,
 		RepeatPercent: 100 * s.RepeatRatio, RepeatExtra: s.RepeatExtra, RepeatWindow: s.RepeatWindow,
+		Memory: s.MemoryMB << 20,
 		Extra: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
 				s.ReadyAddress: platform.ReadyHandler(p), s.ControlAddress: platform.CheckInHandler(p),
