httpproxy: bound responses that never end

Change: at most 8 interim responses; bodies are read by adapters/body into 16 MiB for a pool, 8 MiB for a response, which is what a request may have. Measured: TestResponsesWithoutEndAreErrors: interim responses fail without their limit; six forms pass.

--- a/adapters/httpproxy/exchange.go
+++ b/adapters/httpproxy/exchange.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/body"
 )
 
 // exchangeError is a request that got no valid response.
@@ -32,6 +35,7 @@
 	errTooManyCon = errors.New("all connections are in use")
 	errClosing    = errors.New("destination closes the connection")
 	errCancelled  = errors.New("caller has gone")
+	errInterim    = fmt.Errorf("more than %d interim responses", maxInterim)
 )
 
 // cancelPollInterval is how often a wait for a response looks whether its
@@ -46,7 +50,6 @@
 	// id must be echoed by the response; a response of an upstream may leave it out.
 	id         string
 	idOptional bool
-	maxBody    int
 	cancelled  func() bool // nil: never
 }
 
@@ -113,7 +116,10 @@
 	if err := x.response.Header.Read(c.br); err != nil {
 		return false, c.lost(err, ReasonUpstreamLost)
 	}
-	for n := x.response.StatusCode(); n >= 100 && n < 200; n = x.response.StatusCode() {
+	for interim := 0; isInterim(x.response.StatusCode()); interim++ {
+		if interim == maxInterim {
+			return false, c.lost(errInterim, ReasonUpstreamLost)
+		}
 		if err := x.response.Header.Read(c.br); err != nil {
 			return false, c.lost(err, ReasonUpstreamLost)
 		}
@@ -134,6 +140,10 @@
 	return reusable, nil
 }
 
+func isInterim(status int) bool {
+	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK
+}
+
 func (c *clientConn) readBody(x *exchange) *exchangeError {
 	length := x.response.Header.ContentLength()
 	status := x.response.StatusCode()
@@ -144,14 +154,13 @@
 		// Without a length, a lost connection looks like the end of the response.
 		return &exchangeError{reason: ReasonTruncated, sent: true, lost: true, err: errNoLength}
 	}
-	err := x.response.ReadBody(c.br, x.maxBody)
-	if err == nil && length == -1 {
-		err = x.response.Header.ReadTrailer(c.br)
-	}
+	lease := c.memory.Lease()
+	defer lease.Release()
+	err := body.Read(c.br, x.response, lease)
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, body.ErrTooLarge):
 		return &exchangeError{reason: ReasonResponseTooLarge, sent: true, err: err}
 	default:
 		return c.lost(err, ReasonTruncated)
@@ -185,6 +194,7 @@
 // clientConn is one connection to a destination; it carries one request at a time.
 type clientConn struct {
 	conn      net.Conn
+	memory    *body.Memory
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	written   int
@@ -193,8 +203,8 @@
 
 const connBufferBytes = 4 << 10
 
-func newClientConn(conn net.Conn) *clientConn {
-	c := &clientConn{conn: conn}
+func newClientConn(conn net.Conn, m *body.Memory) *clientConn {
+	c := &clientConn{conn: conn, memory: m}
 	c.br = bufio.NewReaderSize(conn, maxHeaderBytes)
 	c.bw = bufio.NewWriterSize(c, connBufferBytes)
 	return c
--- a/adapters/httpproxy/forward.go
+++ b/adapters/httpproxy/forward.go
@@ -173,7 +173,7 @@
 	id := f.stamp(out, start)
 	failure := f.entry.pool.do(f.pick.Address, &exchange{
 		request: out, response: &f.ctx.Response, deadline: f.call.deadline,
-		id: id, maxBody: maxResponseBytes, cancelled: callerGone(f.ctx),
+		id: id, cancelled: callerGone(f.ctx),
 	})
 	a := &attempt{latency: time.Since(start), failure: failure}
 	if failure != nil {
--- a/adapters/httpproxy/gaterun.go
+++ b/adapters/httpproxy/gaterun.go
@@ -15,8 +15,6 @@
 const (
 	// maxStoredBytes of a response are kept with its idempotency key.
 	maxStoredBytes = 64 << 10
-	// maxResponseBytes bounds the memory of one call.
-	maxResponseBytes = 32 << 20
 	// crashRecheck lets the listener of a dying process close after its connections.
 	crashRecheck = 3 * time.Millisecond
 	crashDial    = 100 * time.Millisecond
@@ -110,7 +108,7 @@
 	out.Header.Del(HeaderSuspect)
 	x := &exchange{
 		request: out, response: &ctx.Response, deadline: c.deadline,
-		id: c.id, idOptional: true, maxBody: maxResponseBytes, cancelled: callerGone(ctx),
+		id: c.id, idOptional: true, cancelled: callerGone(ctx),
 	}
 	if claimed && start.Before(c.deadline) {
 		x.deadline, x.cancelled = c.limit, nil
--- a/adapters/httpproxy/harness_test.go
+++ b/adapters/httpproxy/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/core/config"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/ports"
@@ -204,6 +205,8 @@
 	}
 }
 
+func testMemory() *body.Memory { return body.NewMemory(responseMemory) }
+
 // rawUpstream gives the test each accepted connection.
 func (n *node) rawUpstream(serve func(c net.Conn)) net.Listener {
 	l := listen(n.mesh.t)
@@ -252,8 +255,7 @@
 		return reply{err: err}
 	}
 	defer func() { _ = c.Close() }()
-	cc := newClientConn(c)
-	_, failure := cc.roundTrip(&exchange{request: req, response: resp, deadline: time.Now().Add(5 * time.Second), id: "any"})
+	_, failure := newClientConn(c, testMemory()).roundTrip(&exchange{request: req, response: resp, deadline: time.Now().Add(5 * time.Second), id: "any"})
 	if failure != nil {
 		return reply{err: failure}
 	}
--- a/adapters/httpproxy/headers.go
+++ b/adapters/httpproxy/headers.go
@@ -42,4 +42,7 @@
 	maxLabelLength  = 64 // tenant, class, version
 	maxKeyLength    = 256
 	maxBodyBytes    = 8 << 20 // when the service states no smaller limit
+	maxInterim      = 8       // responses before the final one
+	// responseMemory is what large responses of a pool take together while they are read; one may have half of it.
+	responseMemory = 2 * maxBodyBytes
 )
--- a/adapters/httpproxy/integrity_test.go
+++ b/adapters/httpproxy/integrity_test.go
@@ -77,6 +77,46 @@
 	}
 }
 
+// Guards against bytes without end that are read until the deadline of the call, or
+// into memory until the process has none.
+func TestResponsesWithoutEndAreErrors(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	chunk := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
+	for name, c := range map[string]struct {
+		first, again string
+		reason       Reason
+	}{
+		"header line":       {ok + "X-Long: ", "x", ReasonUpstreamLost},
+		"header lines":      {ok, "X-More: 1\r\n", ReasonUpstreamLost},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n", ReasonUpstreamLost},
+		"chunks":            {ok + "Transfer-Encoding: chunked\r\n\r\n", chunk, ReasonResponseTooLarge},
+		"trailers":          {ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X-More: 1\r\n", ReasonTruncated},
+		"length":            {ok + "Content-Length: 9000000000\r\n\r\n", "x", ReasonResponseTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newMesh(t, nil).node("a")
+			closed := make(chan struct{}, 1)
+			n.rawUpstream(func(conn net.Conn) {
+				if _, read := readRequest(bufio.NewReader(conn)); !read {
+					return
+				}
+				_, err := fmt.Fprint(conn, c.first)
+				for block := strings.Repeat(c.again, 1+(16<<10)/len(c.again)); err == nil; {
+					_, err = fmt.Fprint(conn, block)
+				}
+				closed <- struct{}{}
+			})
+			r := send(n.entryAddress, "POST", "/fares", name, nil)
+			is.NoErr(r.err)
+			is.Equal(r.status, fasthttp.StatusBadGateway)
+			is.Equal(r.reason, c.reason)
+			is.Equal(r.ran, RanUnknown)
+			<-closed
+		})
+	}
+}
+
 // A late response must not become the response of the next call on that connection.
 func TestLateResponseIsDiscarded(t *testing.T) {
 	is := is.New(t)
--- a/adapters/httpproxy/pool.go
+++ b/adapters/httpproxy/pool.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -21,6 +22,7 @@
 type pool struct {
 	localIP net.IP
 	max     int // connections per destination
+	memory  *body.Memory
 
 	mu     sync.Mutex
 	closed bool
@@ -33,7 +35,7 @@
 }
 
 func newPool(localIP net.IP, maxPerHost int) *pool {
-	return &pool{localIP: localIP, max: maxPerHost, hosts: make(map[string]*hostConns)}
+	return &pool{localIP: localIP, max: maxPerHost, memory: body.NewMemory(responseMemory), hosts: make(map[string]*hostConns)}
 }
 
 // do sends the request once over an idle or a new connection.
@@ -103,7 +105,7 @@
 		}
 		return nil, failure
 	}
-	return newClientConn(conn), nil
+	return newClientConn(conn, p.memory), nil
 }
 
 func (p *pool) release(address string, c *clientConn) {
