state, carry, paces: a version that was taken back gets nothing from the next rollout

Cause: when a rollout of a service begins after another one was taken back, nodes spread the requests that are not for the new version over all other versions, also the one taken back, whose upstreams serve for some seconds more. Its failures also stood for the old version in the comparison. It hides where nodes have noticed that the upstreams of v2 fail and avoid them. Change: a rollout carries the versions that earlier rollouts of the service did not complete; they get no requests and are not compared with. Measured: app/carry TestWithdrawnVersionGetsNothing, core/state TestUnfinishedVersionsStayWithdrawn and app/paces TestWithdrawnVersionIsNoOldVersion; the first fails without its guard.

--- a/app/carry/carry_test.go
+++ b/app/carry/carry_test.go
@@ -277,8 +277,7 @@
 	)
 	gates := func(u float64) string {
 		out := ""
-		version, exclude := versionOf(v, "a", u)
-		for _, c := range candidates(v, "a", version, "", exclude, time.Now()) {
+		for _, c := range candidates(v, "a", versionsOf(v, "a", u), "", time.Now()) {
 			out += c.Gate
 		}
 		return out
@@ -293,3 +292,24 @@
 	r.Phase = pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE
 	is.Equal(gates(0.9), "3")
 }
+
+// Guards against a bad version that gets the requests of the old one again when
+// the next rollout of its service begins, while its upstreams still serve.
+func TestWithdrawnVersionGetsNothing(t *testing.T) {
+	is := is.New(t)
+	v := view(
+		&attach.Endpoint{Gate: "1", Version: "v1"}, &attach.Endpoint{Gate: "2", Version: "v2"}, &attach.Endpoint{Gate: "3", Version: "v3"},
+	)
+	r := &pb.Rollout{Service: "a", TargetVersion: "v3", Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, SharePermille: 40, Withdrawn: []string{"v2"}}
+	v.Rollouts["a"] = r
+	gates := func(u float64) (out []string) {
+		for _, c := range candidates(v, "a", versionsOf(v, "a", u), "", time.Now()) {
+			out = append(out, c.Gate)
+		}
+		return out
+	}
+	is.Equal(gates(0.039), []string{"3"})
+	is.Equal(gates(0.041), []string{"1"})
+	r.Phase = pb.RolloutPhase_ROLLOUT_PHASE_REVERTED
+	is.Equal(gates(0), []string{"1"})
+}
--- a/app/carry/entry.go
+++ b/app/carry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -138,12 +139,22 @@
 	e.metrics.count("entry", "unreadable")
 }
 
-// candidates of a service in one version; "" stands for any.
-func candidates(v *attach.View, service, version, own string, exclude bool, now time.Time) []placement.Candidate {
+// versions that a request may run on.
+type versions struct {
+	only string // "": any
+	not  []string
+}
+
+func (s versions) allow(version string) bool {
+	return (s.only == "" || s.only == version) && !slices.Contains(s.not, version)
+}
+
+// candidates of a service in the given versions.
+func candidates(v *attach.View, service string, in versions, own string, now time.Time) []placement.Candidate {
 	list := v.Endpoints[service]
 	out := make([]placement.Candidate, 0, len(list))
 	for _, e := range list {
-		if e.Leaving || (version != "" && (e.Version == version) == exclude) {
+		if e.Leaving || !in.allow(e.Version) {
 			continue
 		}
 		out = append(out, placement.Candidate{
@@ -154,20 +165,19 @@
 	return out
 }
 
-// versionOf decides which versions of a service a request may run on: only the
-// given one, or all but it. Without a rollout the version that most upstreams
-// have is the one in service; others wait for their rollout.
-func versionOf(v *attach.View, service string, u float64) (version string, exclude bool) {
+// versionsOf a service that a request may run on. Without a rollout the version that
+// most upstreams have is the one in service; others wait for their rollout. Versions
+// that were withdrawn get nothing from a later rollout either.
+func versionsOf(v *attach.View, service string, u float64) versions {
 	r := v.Rollouts[service]
-	switch r.GetPhase() {
-	case pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE:
-		return r.GetTargetVersion(), false
-	case pb.RolloutPhase_ROLLOUT_PHASE_REVERTED:
-		return r.GetTargetVersion(), true
-	case pb.RolloutPhase_ROLLOUT_PHASE_RUNNING:
-		return r.GetTargetVersion(), u*1000 >= float64(r.GetSharePermille())
+	switch phase := r.GetPhase(); {
+	case phase == pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE,
+		phase == pb.RolloutPhase_ROLLOUT_PHASE_RUNNING && u*1000 < float64(r.GetSharePermille()):
+		return versions{only: r.GetTargetVersion()}
+	case phase == pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, phase == pb.RolloutPhase_ROLLOUT_PHASE_REVERTED:
+		return versions{not: append([]string{r.GetTargetVersion()}, r.GetWithdrawn()...)}
 	}
-	return mainVersion(v.Endpoints[service]), false
+	return versions{only: mainVersion(v.Endpoints[service])}
 }
 
 func mainVersion(list []*attach.Endpoint) string {
--- a/app/carry/forward.go
+++ b/app/carry/forward.go
@@ -23,8 +23,7 @@
 
 	route    *pb.PlanRoute
 	service  string
-	version  string
-	exclude  bool // any version but that one
+	versions versions
 	deadline time.Time
 	goal     time.Time
 	waited   time.Duration // in earlier attempts of the client
@@ -61,7 +60,7 @@
 	f.goal = f.x.Received.Add(time.Duration(f.route.GetGoalMs())*time.Millisecond - f.waited)
 	e.mu.Lock()
 	f.service = e.splitter.Pick(f.route, e.random.Float64())
-	f.version, f.exclude = versionOf(f.view, f.service, e.random.Float64())
+	f.versions = versionsOf(f.view, f.service, e.random.Float64())
 	e.mu.Unlock()
 	e.called(f.service)
 	f.out = fasthttp.AcquireRequest()
@@ -119,7 +118,7 @@
 	e := f.entry
 	now := time.Now()
 	f.view = e.mesh.View() // what is known may have changed since the last attempt
-	list := candidates(f.view, f.service, f.version, e.options.Node, f.exclude, now)
+	list := candidates(f.view, f.service, f.versions, e.options.Node, now)
 	left := f.goal.Sub(now)
 	if left <= 0 {
 		left = f.deadline.Sub(now)
--- a/app/paces/paces.go
+++ b/app/paces/paces.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -131,6 +132,9 @@
 	oldest := time.Duration(0)
 	in := pace.Input{Duration: time.Duration(r.GetDurationMs()) * time.Millisecond, SharePermille: r.GetSharePermille()}
 	d.counts.Outcomes(func(n *pb.NodeRecord, age time.Duration) {
+		if slices.Contains(r.GetWithdrawn(), n.GetVersion()) {
+			return // its last requests say nothing of the old version
+		}
 		upstream := fmt.Sprintf("%s %s %d", n.GetNode(), n.GetInstance(), n.GetEpoch())
 		for _, o := range n.GetOutcomes() {
 			if o.GetRollout() != r.GetSerial() {
--- /dev/null
+++ b/app/paces/paces_test.go
@@ -0,0 +1,45 @@
+package paces
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// records of nodes, as a control host has them.
+type records []*pb.NodeRecord
+
+func (r records) Outcomes(f func(*pb.NodeRecord, time.Duration)) {
+	for i, n := range r {
+		f(n, time.Duration(i)*time.Second)
+	}
+}
+
+func (r records) Nodes(f func(*pb.NodeRecord)) {
+	for _, n := range r {
+		f(n)
+	}
+}
+
+// Guards against a new version that is compared with one that was taken back, whose
+// failures would hide its own.
+func TestWithdrawnVersionIsNoOldVersion(t *testing.T) {
+	is := is.New(t)
+	record := func(version string, failed uint64) *pb.NodeRecord {
+		return &pb.NodeRecord{
+			Node: version, Service: "a", Version: version, State: pb.UpstreamState_UPSTREAM_STATE_SERVING,
+			Outcomes: []*pb.RouteOutcomes{{Route: "r", Rollout: 7, Answered: 10, Failed: failed, Errors: failed}},
+		}
+	}
+	d := New(nil, records{record("v1", 0), record("v2", 9), record("v3", 3)}, log.NewNopLogger())
+	in, oldest := d.input(&pb.Rollout{Service: "a", TargetVersion: "v3", Serial: 7, Withdrawn: []string{"v2"}})
+	is.Equal(oldest, 2*time.Second)
+	is.True(in.Ready)
+	is.Equal(len(in.Answers), 2)
+	is.True(!in.Answers[0].New && in.Answers[0].Counts.Errors == 0)
+	is.True(in.Answers[1].New && in.Answers[1].Counts.Errors == 3)
+}
--- a/core/state/plan.go
+++ b/core/state/plan.go
@@ -56,19 +56,35 @@
 	if s.GetService() == "" || s.GetTargetVersion() == "" || s.GetDurationMs() == 0 {
 		return invalid(problem("rollout", "service, target version and duration must be set"))
 	}
-	if r := m.plans.rollouts[s.GetService()]; r != nil && r.GetTargetVersion() == s.GetTargetVersion() {
+	before := m.plans.rollouts[s.GetService()]
+	if before != nil && before.GetTargetVersion() == s.GetTargetVersion() {
 		return m.accepted()
 	}
 	m.plans.serial++
 	m.plans.rollouts[s.GetService()] = &pb.Rollout{
 		Service: s.GetService(), TargetVersion: s.GetTargetVersion(), DurationMs: s.GetDurationMs(),
 		StartedUnixMs: m.clock, Phase: pb.RolloutPhase_ROLLOUT_PHASE_RUNNING, Reason: "started", Serial: m.plans.serial,
+		Withdrawn: withdrawn(before, s.GetTargetVersion()),
 	}
 	m.plans.changes++
 	m.record(c, false, fmt.Sprintf("start rollout of %s to %s", s.GetService(), s.GetTargetVersion()), "")
 	return m.accepted()
 }
 
+// maxWithdrawn bounds the versions of a service that are remembered; their upstreams end soon.
+const maxWithdrawn = 16
+
+// withdrawn versions of a service when the rollout of another one begins: those that
+// no rollout has completed. The upstreams of the last one may still serve.
+func withdrawn(before *pb.Rollout, next string) []string {
+	out := slices.Clone(before.GetWithdrawn())
+	if before != nil && before.GetPhase() != pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE {
+		out = append(out, before.GetTargetVersion())
+	}
+	out = slices.DeleteFunc(out, func(v string) bool { return v == next })
+	return out[max(0, len(out)-maxWithdrawn):]
+}
+
 // stepRollout applies a decision of the leader on top of the step that it was made on.
 func (m *Machine) stepRollout(c *pb.Command, s *pb.StepRollout) *pb.CommandResult {
 	r := m.plans.rollouts[s.GetService()]
--- a/core/state/plan_test.go
+++ b/core/state/plan_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"strconv"
 	"fmt"
 	"testing"
 
@@ -102,3 +103,30 @@
 	is.Equal(m.applyCommand(rolloutCommand("7", "a", "v3")).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
 	is.Equal(m.plans.rollouts["a"].GetSerial(), uint64(2))
 }
+
+// Guards against a version that was taken back, or replaced before it was complete,
+// and is taken for the old version in the next rollout of its service.
+func TestUnfinishedVersionsStayWithdrawn(t *testing.T) {
+	is := is.New(t)
+	m := New(nil)
+	orders := 0
+	start := func(version string) *pb.Rollout {
+		orders++
+		is.Equal(m.applyCommand(rolloutCommand(strconv.Itoa(orders), "a", version)).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+		return m.plans.rollouts["a"]
+	}
+	end := func(phase pb.RolloutPhase) {
+		r := m.plans.rollouts["a"]
+		is.Equal(m.applyCommand(&pb.Command{CommandId: "end " + r.GetTargetVersion(), Command: &pb.Command_StepRollout{StepRollout: &pb.StepRollout{
+			Service: "a", Serial: r.GetSerial(), Step: r.GetStep() + 1, Phase: phase,
+		}}}).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	}
+	is.Equal(len(start("v2").GetWithdrawn()), 0)
+	end(pb.RolloutPhase_ROLLOUT_PHASE_REVERTED)
+	is.Equal(start("v3").GetWithdrawn(), []string{"v2"})
+	is.Equal(start("v4").GetWithdrawn(), []string{"v2", "v3"}) // v3 was still running
+	end(pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE)
+	is.Equal(start("v5").GetWithdrawn(), []string{"v2", "v3"}) // v4 is in service
+	end(pb.RolloutPhase_ROLLOUT_PHASE_REVERTED)
+	is.Equal(start("v3").GetWithdrawn(), []string{"v2", "v5"}) // ordered again
+}
