follower, attach: share the limit of polls that replace each other

Cause: the same as at the control host: a node of the product's own path ends the poll at its relay when its interests change and begins one with its full time, so changes that come often keep it at a frozen relay, on an old configuration. Change: lifecycle.Patience holds the limit of unanswered polls, for the attachment and the follower.

--- a/app/attach/attach.go
+++ b/app/attach/attach.go
@@ -63,7 +63,7 @@
 	host        string // current control host
 	hostIndex   int
 	lastSwitch  time.Time
-	asked       time.Time // oldest poll that the present host has not answered; zero: none
+	patience    lifecycle.Patience // with the present host
 	failures    int
 	unconfirmed int
 	homeAnswers bool // the control host of the own failure domain answered, if only without a quorum
@@ -165,16 +165,6 @@
 	return nil
 }
 
-// limits of a poll that begins now: how long the host may hold it, and when it is
-// lost if it has not answered. A poll that takes the place of one that the host did
-// not answer gets no more time than that one had.
-func (a *Attachment) limits(now time.Time, wait time.Duration) (hold time.Duration, lost time.Time) {
-	if a.asked.IsZero() {
-		a.asked = now
-	}
-	return max(0, wait-now.Sub(a.asked)), a.asked.Add(wait + pollTimeout)
-}
-
 func (a *Attachment) request() *pb.MeshServiceSyncRequest {
 	v := a.view.Load()
 	r := &pb.MeshServiceSyncRequest{
@@ -203,7 +193,7 @@
 // poll ends early, with neither answer nor error, when the own record changes.
 func (a *Attachment) poll(ctx context.Context) (*pb.MeshServiceSyncResponse, error) {
 	request := a.request()
-	hold, lost := a.limits(time.Now(), time.Duration(request.GetWaitMs())*time.Millisecond)
+	hold, lost := a.patience.Limits(time.Now(), time.Duration(request.GetWaitMs())*time.Millisecond, pollTimeout)
 	request.WaitMs = uint32(hold.Milliseconds())
 	ctx, cancel := context.WithDeadline(ctx, lost)
 	defer cancel()
@@ -219,7 +209,7 @@
 	}()
 	select {
 	case r := <-done:
-		a.asked = time.Time{}
+		a.patience.Answered()
 		if r.err != nil {
 			return nil, r.err
 		}
--- a/app/attach/hosts.go
+++ b/app/attach/hosts.go
@@ -23,7 +23,8 @@
 		a.hostIndex = 0
 	}
 	if next := addresses[a.hostIndex%len(addresses)]; next != a.host {
-		a.host, a.lastSwitch, a.asked = next, time.Now(), time.Time{}
+		a.host, a.lastSwitch = next, time.Now()
+		a.patience.Answered()
 		a.bump()
 	}
 }
--- a/app/attach/hosts_test.go
+++ b/app/attach/hosts_test.go
@@ -127,26 +127,6 @@
 	}
 }
 
-// Guards against a healthy control host that counts as lost because reports of the
-// node take the place of each poll before it is answered.
-func TestPollAfterReportsIsAnsweredInTime(t *testing.T) {
-	is := is.New(t)
-	a := newAtHosts()
-	start := time.Now()
-	hold, lost := a.limits(start, pollWait)
-	is.Equal(hold, pollWait)
-	is.Equal(lost, start.Add(pollWait+pollTimeout))
-	hold, again := a.limits(start.Add(pollWait*9/10), pollWait)
-	is.Equal(hold, pollWait/10) // answered well before it counts as lost
-	is.Equal(again, lost)
-	hold, again = a.limits(start.Add(2*pollWait), pollWait)
-	is.Equal(hold, time.Duration(0))
-	is.Equal(again, lost)
-	a.moveTo(2)
-	_, again = a.limits(start.Add(2*pollWait), pollWait)
-	is.Equal(again, start.Add(3*pollWait+pollTimeout)) // another host has its own time
-}
-
 // stuck is a control host that answers no poll.
 type stuck struct {
 	rattanfieldv1connect.UnimplementedMeshServiceHandler
--- a/app/follower/follow.go
+++ b/app/follower/follow.go
@@ -54,7 +54,14 @@
 	if f.confirmDue() {
 		request.Confirmed, request.WaitMs = true, 0
 	}
-	response, err := f.poll(ctx, f.relays[f.current.Load()].Address, request)
+	hold, lost := f.patience.Limits(time.Now(), time.Duration(request.GetWaitMs())*time.Millisecond, f.options.Timeout)
+	request.WaitMs = uint32(hold.Milliseconds())
+	poll, cancel := context.WithDeadline(ctx, lost)
+	defer cancel()
+	response, err := f.poll(poll, f.relays[f.current.Load()].Address, request)
+	if !errors.Is(err, errInterests) {
+		f.patience.Answered()
+	}
 	switch {
 	case ctx.Err() != nil || errors.Is(err, errInterests):
 	case err != nil:
--- a/app/follower/follower.go
+++ b/app/follower/follower.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/config"
 	"github.com/rattanfield/rattanfield/core/floor"
 	"github.com/rattanfield/rattanfield/core/membership"
@@ -108,6 +109,7 @@
 	fallback     int  // most preferred relay that answered without a quorum in this round; -1: none
 	settledUntil time.Time
 	wantSnapshot bool
+	patience     lifecycle.Patience // with the current relay
 	triedConfirm time.Time
 }
 
--- a/app/follower/follower_test.go
+++ b/app/follower/follower_test.go
@@ -267,3 +267,48 @@
 		is.True(!response.GetConfirmed())
 	}
 }
+
+// Guards against a node that stays with a relay that is frozen, because each change
+// of its interests begins a new poll with its full time.
+func TestChangedInterestsDoNotKeepASilentRelay(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	one := configuration(1)
+	frozen := make(chan struct{})
+	first := serve(t, &fake{answer: func(n int, _ *pb.SyncRequest) *pb.SyncResponse {
+		if n == 1 {
+			return snapshot(one)
+		}
+		<-frozen
+		return nil
+	}})
+	defer close(frozen)
+	asked := make(chan struct{})
+	var once sync.Once
+	second := serve(t, &fake{answer: func(_ int, r *pb.SyncRequest) *pb.SyncResponse {
+		if r.GetHaveRevision() == 1 {
+			once.Do(func() { close(asked) })
+		}
+		return nil
+	}})
+	client := rpc.NewClient(rpc.Options{})
+	f := New(Options{
+		NodeID: "n", FailureDomain: "x", Interests: &pb.Interests{Services: []string{"a"}},
+		Relays:   []Relay{{ID: "1", Address: first.address, FailureDomain: "x"}, {ID: "2", Address: second.address, FailureDomain: "y"}},
+		PollWait: timeout, Timeout: timeout, BackoffCap: 20 * time.Millisecond,
+	}, Dependencies{Client: client})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = f.Run(ctx) })
+	group.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			f.SetInterests(&pb.Interests{Services: []string{"a", fmt.Sprint(n)}})
+			time.Sleep(timeout / 4)
+		}
+	})
+	defer func() { cancel(); group.Wait(); client.Close() }()
+	select {
+	case <-asked:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the node still waits for the silent relay")
+	}
+}
