--- a/core/state/plan_test.go
+++ b/core/state/plan_test.go
@@ -1,8 +1,8 @@
 package state
 
 import (
-	"strconv"
 	"fmt"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
