app/lifecycle: wait for a listening address that is still in use

Cause: a host that restarts while another process still holds a copy of its listening socket could not listen and ended. In the tests of app/consensus the copy is held between fork and exec of the processes of TestKilledProcesses; a daemon that is replaced before its predecessor has ended meets the same.

--- a/app/consensus/cluster_test.go
+++ b/app/consensus/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/ports"
 )
@@ -117,7 +118,7 @@
 
 func (c *cluster) start(id string) *testHost {
 	c.t.Helper()
-	l, err := net.Listen("tcp", c.address(id))
+	l, err := lifecycle.Listen(c.address(id))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/app/consensus/process_test.go
+++ b/app/consensus/process_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/core/state"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -43,7 +43,7 @@
 	if err := json.Unmarshal([]byte(encoded), &o); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", memberOf(o.Members, o.ID).GetAddress())
+	l, err := lifecycle.Listen(memberOf(o.Members, o.ID).GetAddress())
 	if err != nil {
 		return err
 	}
--- a/app/control/process.go
+++ b/app/control/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/go-kit/log"
@@ -40,11 +39,11 @@
 
 // run serves until the context ends or a server or task fails, then stops.
 func (p *process) run(ctx context.Context) error {
-	peer, err := net.Listen("tcp", p.settings.Addresses.Peer)
+	peer, err := lifecycle.Listen(p.settings.Addresses.Peer)
 	if err != nil {
 		return eris.Wrap(err, "peer listener")
 	}
-	admin, err := net.Listen("tcp", p.settings.Addresses.Admin)
+	admin, err := lifecycle.Listen(p.settings.Addresses.Admin)
 	if err != nil {
 		_ = peer.Close()
 		return eris.Wrap(err, "admin listener")
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -126,7 +126,7 @@
 	tasks := lifecycle.NewGroup(context.WithoutCancel(ctx))
 	peer := rpc.NewServer(append(p.Host.Handlers(), p.Server.Handlers()...)...)
 	listen := func(address string, serve func(net.Listener) error) error {
-		l, err := net.Listen("tcp", address)
+		l, err := lifecycle.Listen(address)
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", address)
 		}
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -210,7 +210,7 @@
 		serveFuncs = append(serveFuncs, serveHTTP(handler))
 	}
 	for i, address := range addresses {
-		l, err := net.Listen("tcp", address)
+		l, err := lifecycle.Listen(address)
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", address)
 		}
--- a/app/node/process.go
+++ b/app/node/process.go
@@ -116,7 +116,7 @@
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	out := make([]net.Listener, 0, len(addresses))
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", a)
+		l, err := lifecycle.Listen(a)
 		if err != nil {
 			for _, open := range out {
 				_ = open.Close()
