adapters/meshhttp: answer requests that arrived unread, skip copies without an id

Three ways to it were found by reading and shown by tests: a read whose deadline has passed returns no bytes, so a request that was in the socket when the server drained or when the idle timeout passed was dropped; a drain interrupted the read of a request whose body was still arriving. Separately, a second copy of a response without an id was taken for the next response. Change: before a connection is closed as idle, the socket is checked for bytes; a drain interrupts only a wait between requests; a connection whose server echoes ids skips a response of the upstream without one. Measured: TestDrainAnswersUnreadRequest, TestIdleTimeoutAnswersUnreadRequest, TestDrainWaitsForRequestBeingRead and four of five cases of TestCopyWithoutIDIsSkipped fail before the change and pass after it.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -46,6 +46,9 @@
 	// IDHeader names a response header that must equal ID if the response has it; ""
 	// disables the check.
 	IDHeader, ID string
+	// IDRequired skips a response without IDHeader on a connection on which an earlier response had
+	// it: it may be a second response to an earlier request.
+	IDRequired bool
 	// RecentlyUsedOnly allows only connections that were idle for less than 2 s to be reused. A
 	// connection that was idle for longer is more likely to be reset by its server, and a request
 	// that must not run twice cannot be repeated then.
@@ -100,6 +103,7 @@
 	idleSince time.Time     // when it became idle
 	maxIdle   time.Duration // maximum idle time
 	used      bool
+	echoesID  bool // a response had the id of its request
 	written   int
 }
 
@@ -279,11 +283,9 @@
 		if err := c.readResponse(call, l); err != nil {
 			return false, err
 		}
-		if call.IDHeader != "" {
-			if id := call.Response.Header.Peek(call.IDHeader); len(id) > 0 && string(id) != call.ID {
-				keep = false
-				continue
-			}
+		if !c.answers(call) {
+			keep = false
+			continue
 		}
 		c.updateIdleLimit(call.Response)
 		return keep && c.br.Buffered() == 0 && !call.Response.ConnectionClose(), nil
@@ -291,6 +293,19 @@
 	return false, errStaleResponse
 }
 
+// answers reports whether the response that was read belongs to the request of the call.
+func (c *clientConn) answers(call *Call) bool {
+	if call.IDHeader == "" {
+		return true
+	}
+	id := call.Response.Header.Peek(call.IDHeader)
+	if len(id) == 0 {
+		return !call.IDRequired || !c.echoesID
+	}
+	c.echoesID = c.echoesID || string(id) == call.ID
+	return string(id) == call.ID
+}
+
 func (c *clientConn) readResponse(call *Call, l *body.Lease) error {
 	r := call.Response
 	if err := c.readHeader(r); err != nil {
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
 // conn is one client connection. One goroutine reads requests and one writes
@@ -26,6 +28,7 @@
 	mu          sync.Mutex
 	outstanding int  // requests read but not yet answered
 	closing     bool // no further requests are read
+	reading     bool // a request is being read
 }
 
 func newConn(s *Server, nc net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
@@ -81,6 +84,8 @@
 		return nil
 	}
 	x := &Exchange{Received: time.Now(), Remote: c.nc.RemoteAddr(), done: make(chan struct{})}
+	c.setReading(true)
+	defer c.setReading(false)
 	_ = c.nc.SetReadDeadline(x.Received.Add(limits.HeaderTimeout))
 	if err := x.Request.Header.Read(c.br); err != nil {
 		return c.respondReadError(x, err)
@@ -105,6 +110,12 @@
 	return x
 }
 
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 // beginRequest counts a request that was read as outstanding. It returns false once the
 // connection is closing; the client then learns from the close that the request was not handled.
 func (c *conn) beginRequest() bool {
@@ -123,11 +134,11 @@
 	for {
 		_ = c.nc.SetReadDeadline(time.Now().Add(idle))
 		c.mu.Lock()
-		if c.closing || (c.server.draining.Load() && c.outstanding == 0 && c.br.Buffered() == 0) {
-			c.mu.Unlock()
+		closing, busy := c.closing, c.outstanding > 0
+		c.mu.Unlock()
+		if closing || (c.server.draining.Load() && !busy && !c.requestArrived()) {
 			return c.closeIdle()
 		}
-		c.mu.Unlock()
 		_, err := c.br.Peek(1)
 		if err == nil {
 			return true
@@ -137,14 +148,27 @@
 			return false
 		}
 		c.mu.Lock()
-		busy := c.outstanding > 0 && !c.closing
+		busy = c.outstanding > 0 && !c.closing
 		c.mu.Unlock()
-		if !busy {
+		switch {
+		case busy:
+		case c.requestArrived():
+			idle = arrivedReadTimeout
+		default:
 			return c.closeIdle()
 		}
 	}
 }
 
+// arrivedReadTimeout is the timeout of the read of bytes that have arrived.
+const arrivedReadTimeout = time.Second
+
+// requestArrived reports whether bytes of a request have arrived and are not read yet. A read
+// whose deadline has passed does not return them.
+func (c *conn) requestArrived() bool {
+	return c.br.Buffered() > 0 || socket.Peek(c.nc) == socket.Readable
+}
+
 // closeIdle sends the ClosingResponse on an idle connection and closes its write side. It always returns false.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
@@ -161,11 +185,11 @@
 	return false
 }
 
-// interruptIdleRead interrupts the read for the next request if no request is outstanding.
+// interruptIdleRead interrupts the wait for the next request if none is outstanding or being read.
 func (c *conn) interruptIdleRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding == 0 {
+	if c.outstanding == 0 && !c.reading {
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
 const testWait = 10 * time.Second
@@ -352,3 +354,110 @@
 	c.idleSince = time.Now().Add(-c.maxIdle)
 	is.Equal(p.getIdle(address, false), nil)
 }
+
+// unreadRequest returns a server connection on which a request has arrived that was not read yet.
+func unreadRequest(t *testing.T, s *Server) (*conn, *bufio.Reader) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	client, reader := dial(t, l.Addr().String())
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for socket.Peek(nc) != socket.Readable {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := newConn(s, nc, ctx, cancel)
+	s.conns[c] = struct{}{}
+	return c, reader
+}
+
+// Guards against a request that is cut off without an answer because it is still in the socket when
+// the server drains, such as a request on a connection that was accepted just before.
+func TestDrainAnswersUnreadRequest(t *testing.T) {
+	is := is.New(t)
+	s, _ := serve(t, func(_ context.Context, x *Exchange) { x.Response.SetBodyString("done") }, "")
+	c, reader := unreadRequest(t, s)
+	s.Drain()
+	go c.run()
+	got, resp := readBody(t, reader)
+	is.Equal(got, "done")
+	is.True(resp.ConnectionClose())
+}
+
+// Guards against a request that is cut off without an answer because it arrives when the idle
+// timeout has passed but the process, short of processor time, has not yet closed the connection.
+func TestIdleTimeoutAnswersUnreadRequest(t *testing.T) {
+	is := is.New(t)
+	s, _ := serve(t, func(_ context.Context, x *Exchange) { x.Response.SetBodyString("done") }, "")
+	s.options.Limits = func() Limits {
+		l := DefaultLimits
+		l.IdleTimeout = -time.Second // passed before the first read
+		return l
+	}
+	c, reader := unreadRequest(t, s)
+	go c.run()
+	got, _ := readBody(t, reader)
+	is.Equal(got, "done")
+}
+
+// Guards against a second copy of an earlier response that has no id and is taken for the
+// response to the next request on the connection.
+func TestCopyWithoutIDIsSkipped(t *testing.T) {
+	for name, extra := range map[string]string{
+		"one":         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy",
+		"two":         strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy", 2),
+		"interim":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy",
+		"no content":  "HTTP/1.1 204 No Content\r\n\r\n",
+		"one with id": rawResponse("1", "copy"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPool()
+			address := backend(t, rawResponse("1", "one"), extra+rawResponse("2", "two"))
+			for i, want := range []string{"one", "two"} {
+				var req fasthttp.Request
+				req.Header.SetHost("h")
+				req.Header.SetRequestURI("/")
+				var resp fasthttp.Response
+				o := p.Do(context.Background(), address, &Call{
+					Request: &req, Response: &resp, Deadline: time.Now().Add(testWait), IDHeader: idHeader, ID: fmt.Sprint(i + 1), IDRequired: true,
+				})
+				is.Equal(o.Failure, Answered)
+				is.Equal(string(resp.Body()), want)
+			}
+		})
+	}
+}
+
+// Guards against a request that is rejected because the server drains while its body arrives.
+func TestDrainWaitsForRequestBeingRead(t *testing.T) {
+	is := is.New(t)
+	s, address := serve(t, func(_ context.Context, x *Exchange) { x.Response.SetBody(x.Request.Body()) }, "")
+	client, reader := dial(t, address)
+	_, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf")
+	is.NoErr(err)
+	for reading := false; !reading; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		for c := range s.conns {
+			c.mu.Lock()
+			reading = c.reading
+			c.mu.Unlock()
+		}
+		s.mu.Unlock()
+	}
+	s.Drain()
+	_, err = io.WriteString(client, "half")
+	is.NoErr(err)
+	got, resp := readBody(t, reader)
+	is.Equal(resp.StatusCode(), fasthttp.StatusOK)
+	is.Equal(got, "halfhalf")
+	is.True(resp.ConnectionClose())
+}
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -171,7 +171,7 @@
 	out.Header.Set(g.options.Headers.ExpectInstance, a.GetInstance())
 	o := g.pool.Do(ctx, a.GetAddress(), &meshhttp.Call{
 		Request: out, Response: &x.Response, Deadline: req.deadline.Add(answerSlack),
-		IDHeader: g.options.Headers.ID, ID: req.id, RecentlyUsedOnly: !req.idempotent,
+		IDHeader: g.options.Headers.ID, ID: req.id, IDRequired: req.id != "", RecentlyUsedOnly: !req.idempotent,
 	})
 	g.finish(x, req, u, id, o, time.Since(now))
 }
