app/proxy: stop sending what an overloaded service rejects

Logs of all processes: requests of 1.2 KB and more went to three gates each, four of five were rejected; gates answered at once (after=0s) but entries heard of it 0.4 to 0.5 s later, on nodes whose links carry 3.9 Mbit/s and whose processors were idle (0.025 of 0.16 cores). 2,224 of 3,383 requests that ended with 504 left no line at any gate. Processor time is ruled out; waiting in a gate's queue is ruled out for these. Change: core/throttle limits what an entry sends of a route to 1.4 times what was accepted, and says no at once otherwise; reroutes after a rejection for capacity have a budget of 30% of the requests; a gate rejects a queued request a little before its deadline, so that the entry hears that it did not run.

--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rattanfield/rattanfield/core/placement"
 	"github.com/rattanfield/rattanfield/core/plan"
 	"github.com/rattanfield/rattanfield/core/retry"
+	"github.com/rattanfield/rattanfield/core/throttle"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -44,9 +45,14 @@
 	// maxReroutes is the maximum number of times that a request is rerouted, outside the retry
 	// budget, from a gate that did not run it or was unreachable.
 	maxReroutes = 2
+	// searchPercent is the share of requests, in percent, that may be rerouted because a gate
+	// rejected them for lack of capacity, and searchBurst the number that may accumulate. When
+	// the whole service is overloaded, asking further gates only adds load.
+	searchPercent = 30
+	searchBurst   = 10
 	// minRemaining is the least remaining time in which another attempt is worthwhile.
 	minRemaining = 15 * time.Millisecond
-	// retryAfter is the mean Retry-After of a response to a client whose request found no capacity.
+	// retryAfter is the least mean Retry-After of a response to a client whose request found no capacity.
 	// In this time a queue of the length that gates allow becomes noticeably shorter.
 	retryAfter       = 120 * time.Millisecond
 	retryAfterNoPlan = 300 * time.Millisecond
@@ -72,8 +78,14 @@
 	splitter     *plan.Splitter
 	retryBudgets map[string]*retry.Budget
 	extra        map[string]*retry.Window // retries beyond the budget, by service
+	throttles    map[throttleKey]*throttle.Throttle
+	searches     map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
 }
 
+// throttleKey identifies the requests that are throttled together: those of one route to one
+// service and, during a rollout, to one version.
+type throttleKey struct{ route, service, version string }
+
 // NewEntry returns an entry. Requests that run on this host are passed to the gate
 // without a connection.
 func NewEntry(o EntryOptions, mesh Mesh, gate *Gate, pool *meshhttp.Pool, m *Metrics, logger log.Logger) *Entry {
@@ -81,6 +93,7 @@
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
 		clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, retryBudgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
+		throttles: make(map[throttleKey]*throttle.Throttle), searches: make(map[string]*retry.Budget),
 	}
 }
 
@@ -222,6 +235,55 @@
 	b.CountCall()
 }
 
+// throttle returns the throttle of a kind of requests. Beyond maxRoutes, everything known is
+// discarded. The caller must hold e.mu.
+func (e *Entry) throttle(key throttleKey) *throttle.Throttle {
+	t := e.throttles[key]
+	if t == nil {
+		if len(e.throttles) >= maxRoutes {
+			clear(e.throttles)
+		}
+		t = &throttle.Throttle{}
+		e.throttles[key] = t
+	}
+	return t
+}
+
+// search returns the budget of reroutes after rejections for lack of capacity. The caller must
+// hold e.mu.
+func (e *Entry) search(service string) *retry.Budget {
+	b := e.searches[service]
+	if b == nil {
+		b = retry.NewBudgetWithBurst(searchPercent, searchBurst)
+		e.searches[service] = b
+	}
+	return b
+}
+
+// offer counts a request and reports whether its service is expected to accept it.
+func (e *Entry) offer(key throttleKey) bool {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.search(key.service).CountCall()
+	return e.throttle(key).Offer(now, e.random.Float64())
+}
+
+// countOutcome counts the outcome of a request that was offered and sent.
+func (e *Entry) countOutcome(key throttleKey, accepted bool) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.throttle(key).Done(now, accepted)
+}
+
+// takeSearch reports whether a request that a gate rejected for lack of capacity may ask another.
+func (e *Entry) takeSearch(service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.search(service).TakeSaved()
+}
+
 // takeRetry uses one retry from this node's part of the budget and reports
 // whether there was one.
 func (e *Entry) takeRetry(service string, now time.Time) bool {
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -86,8 +86,30 @@
 	}
 }
 
-// forward tries one gate after the other until the request is answered or must not be tried again.
+// forward sends the request to gates, unless its service is known to be overloaded.
 func (f *forwarding) forward(ctx context.Context) {
+	key := throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only}
+	if !f.entry.offer(key) {
+		f.lastReason = reasonOverload
+		f.giveUp()
+		return
+	}
+	answered := f.tryGates(ctx)
+	f.entry.countOutcome(key, answered || !lacksCapacity(f.lastReason))
+}
+
+// lacksCapacity reports whether a request was not answered for lack of capacity.
+func lacksCapacity(reason string) bool {
+	switch reason {
+	case reasonBusy, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline:
+		return true
+	}
+	return false
+}
+
+// tryGates tries one gate after the other until the request is answered or must not be tried
+// again. It reports whether an upstream answered.
+func (f *forwarding) tryGates(ctx context.Context) bool {
 	for {
 		gate, version, ok := f.pick()
 		if !ok {
@@ -95,21 +117,21 @@
 				f.lastReason = reasonNoEndpoint
 			}
 			f.giveUp()
-			return
+			return false
 		}
 		a := f.sendAttempt(ctx, gate, version)
 		if a.ran == ranYes && !f.worthRetrying(a) {
 			f.passResponse(a)
-			return
+			return true
 		}
 		f.lastReason = a.reason
 		if ctx.Err() != nil || !f.shouldRetry(a) {
 			if a.ran == ranYes {
 				f.passResponse(a)
-				return
+				return true
 			}
 			f.giveUp()
-			return
+			return false
 		}
 		f.tried = append(f.tried, gate)
 	}
@@ -253,7 +275,8 @@
 	}
 	if a.ran == ranNo && a.reason != reasonUpstreamNotRun {
 		f.reroutes++
-		return f.reroutes <= maxReroutes
+		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted
+		return f.reroutes <= maxReroutes && (!noCapacity || f.entry.takeSearch(f.service))
 	}
 	if a.ran != ranNo && !f.route.GetIdempotent() {
 		return false
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -41,6 +41,13 @@
 // covers requests that are on their way to the upstream.
 const drainShare = 0.6
 
+const (
+	// returnShare and maxReturn bound the time before its deadline at which a queued request is
+	// rejected, so that the caller still hears that it did not run.
+	returnShare = 0.125
+	maxReturn   = 50 * time.Millisecond
+)
+
 // answerSlack is how long after the deadline the gate still waits for a response that is on its way.
 const answerSlack = 40 * time.Millisecond
 
@@ -120,13 +127,14 @@
 	ch := make(chan string, 1)
 	u.waiting[id] = ch
 	g.mu.Unlock()
-	return u, id, g.await(ctx, u, id, ch, req.deadline)
+	wayBack := min(maxReturn, time.Duration(returnShare*float64(req.deadline.Sub(now))))
+	return u, id, g.await(ctx, u, id, ch, req.deadline.Add(-wayBack))
 }
 
-// await waits until a queued request starts. It returns "" or the reason why the
-// request does not run.
-func (g *Gate) await(ctx context.Context, u *upstream, id uint64, ch chan string, deadline time.Time) string {
-	timer := time.NewTimer(time.Until(deadline))
+// await waits until a queued request starts, at most until the given time. It returns "" or the
+// reason why the request does not run.
+func (g *Gate) await(ctx context.Context, u *upstream, id uint64, ch chan string, until time.Time) string {
+	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	reason := reasonDeadline
 	select {
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -49,8 +49,9 @@
 	reasonNoRoute        = "no-route"
 	reasonBadRequest     = "bad-request"
 	reasonNoEndpoint     = "no-endpoint"
-	reasonBusy           = "busy" // the queue of the gate is too long
-	reasonFull           = "full" // all known gates reported a queue that is too long
+	reasonBusy           = "busy"     // the queue of the gate is too long
+	reasonFull           = "full"     // all known gates reported a queue that is too long
+	reasonOverload       = "overload" // gates rejected most requests of the route recently; this one was not sent
 	reasonEvicted        = "evicted"
 	reasonLeaving        = "leaving"
 	reasonNoUpstream     = "no-upstream"
--- a/app/proxy/outcomes.go
+++ b/app/proxy/outcomes.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rattanfield/rattanfield/core/rollout"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -34,6 +36,11 @@
 	}
 	c.Answered++
 	c.TimeMs += uint64(latency.Milliseconds())
+	bucket := rollout.TimeBucket(latency)
+	for len(c.Times) <= bucket {
+		c.Times = append(c.Times, 0)
+	}
+	c.Times[bucket]++
 	if failed {
 		c.Failed++
 	}
@@ -54,6 +61,7 @@
 	for _, c := range o.routes {
 		out = append(out, &pb.RouteOutcomes{
 			Route: c.Route, Rollout: c.Rollout, Answered: c.Answered, Failed: c.Failed, TimeMs: c.TimeMs, Errors: c.Errors,
+			Times: slices.Clone(c.Times),
 		})
 	}
 	return out
--- a/app/rollouts/decider.go
+++ b/app/rollouts/decider.go
@@ -133,6 +133,7 @@
 		_ = d.logger.Log("event", "rollout evidence", "service", r.GetService(), "version", r.GetTargetVersion(), "elapsed", elapsed.Round(time.Millisecond),
 			"share_permille", r.GetSharePermille(), "route", e.Route, "evidence", fmt.Sprintf("%.1f", e.Ratio),
 			"new", e.LastSecond.New.Requests, "new_failed", e.LastSecond.New.Failed, "new_errors", e.LastSecond.New.ErrorAnswers, "new_time", e.NewMeanTime.Round(time.Millisecond),
+			"slow_above", e.SlowAbove.Round(time.Millisecond), "new_slow", fmt.Sprintf("%.3f", e.NewSlow), "old_slow", fmt.Sprintf("%.3f", e.OldSlow),
 			"old", e.LastSecond.Old.Requests, "old_failed", e.LastSecond.Old.Failed, "old_errors", e.LastSecond.Old.ErrorAnswers, "oldest_count", oldest.Round(time.Millisecond))
 	}
 }
@@ -156,6 +157,7 @@
 				Upstream: upstream, Route: o.GetRoute(), New: n.GetVersion() == r.GetTargetVersion(),
 				Counts: rollout.Counts{
 					Requests: o.GetAnswered(), Failed: o.GetFailed(), ErrorAnswers: o.GetErrors(), Time: time.Duration(o.GetTimeMs()) * time.Millisecond,
+					Times: rollout.HistogramOf(o.GetTimes()),
 				},
 			})
 		}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -26,10 +26,14 @@
 	Failed       uint64        // of Requests: error answers, timeouts and lost connections
 	ErrorAnswers uint64        // of Failed: errors that the upstream itself answered, except gateway timeouts
 	Time         time.Duration // sum of the response times
+	Times        Histogram     // of the response times
 }
 
 func (c Counts) plus(o Counts) Counts {
-	return Counts{Requests: c.Requests + o.Requests, Failed: c.Failed + o.Failed, ErrorAnswers: c.ErrorAnswers + o.ErrorAnswers, Time: c.Time + o.Time}
+	return Counts{
+		Requests: c.Requests + o.Requests, Failed: c.Failed + o.Failed, ErrorAnswers: c.ErrorAnswers + o.ErrorAnswers, Time: c.Time + o.Time,
+		Times: c.Times.plus(o.Times),
+	}
 }
 
 // addedSince returns what was added since the earlier counts o. If a counter is lower than
@@ -38,7 +42,10 @@
 	if c.Requests < o.Requests || c.Failed < o.Failed || c.ErrorAnswers < o.ErrorAnswers || c.Time < o.Time {
 		return c
 	}
-	return Counts{Requests: c.Requests - o.Requests, Failed: c.Failed - o.Failed, ErrorAnswers: c.ErrorAnswers - o.ErrorAnswers, Time: c.Time - o.Time}
+	return Counts{
+		Requests: c.Requests - o.Requests, Failed: c.Failed - o.Failed, ErrorAnswers: c.ErrorAnswers - o.ErrorAnswers, Time: c.Time - o.Time,
+		Times: c.Times.minus(o.Times),
+	}
 }
 
 // Route holds the counts of one route for the new version and for the others, with which it
@@ -94,10 +101,9 @@
 
 // route is the state of the judge for one route.
 type route struct {
-	total    Route        // counts of all intervals that the judge has observed
-	history  []Route      // counts of the last maxHistory intervals, oldest first
-	evidence float64      // log likelihood ratio at the last decision
-	newTimes decayingMean // response time of the new version
+	history  []Route // counts of the last maxHistory intervals, oldest first
+	evidence float64 // log likelihood ratio at the last decision
+	times    responseTimes
 }
 
 // NewJudge returns a judge for one rollout. The bound is the exposure bound: the fraction of
@@ -128,22 +134,24 @@
 	case worstRoute != "" && fraction >= holdDeadline:
 		return Decision{
 			Phase:  pb.RolloutPhase_ROLLOUT_PHASE_REVERTED,
-			Reason: fmt.Sprintf("route %s: failures not explained by the end of the time, evidence %.1f", worstRoute, evidence),
+			Reason: fmt.Sprintf("route %s: failures or slow answers not explained by the end of the time, evidence %.1f", worstRoute, evidence),
 		}
 	case worstRoute != "":
-		return running(in.SharePermille, fmt.Sprintf("route %s: more failures than on the old version, evidence %.1f", worstRoute, evidence))
+		return running(in.SharePermille, fmt.Sprintf("route %s: more failures or slow answers than on the old version, evidence %.1f", worstRoute, evidence))
 	case fraction >= completeAt && in.SharePermille == fullShare && j.progress.heldFor(in, j.progress.minFullFraction):
 		return Decision{Phase: pb.RolloutPhase_ROLLOUT_PHASE_COMPLETE, SharePermille: fullShare, Reason: "no fault was seen"}
 	}
 	return running(j.progress.nextShare(in, fraction, j.loadSkew.skew()), fmt.Sprintf("%.0f%% of the time has passed", 100*fraction))
 }
 
-// worstRoute returns the route with the strongest evidence of failures and that evidence, or
-// "" if no route reaches holdEvidence. While there is one, the share is not raised.
+// worstRoute returns the route with the strongest evidence against the new version and that
+// evidence, or "" if no route has enough to hold the share. While there is one, the share is
+// not raised.
 func (j *Judge) worstRoute() (name string, evidence float64) {
 	for n, r := range j.routes {
-		if r.evidence >= holdEvidence && r.evidence > evidence {
-			name, evidence = n, r.evidence
+		strongest := max(r.evidence, r.times.evidence)
+		if (r.evidence >= holdEvidence || r.times.evidence >= holdSlowEvidence) && strongest > evidence {
+			name, evidence = n, strongest
 		}
 	}
 	return name, evidence
@@ -171,11 +179,10 @@
 func (j *Judge) revertReason(in Input, increments map[string]Route) string {
 	for name, r := range j.routes {
 		increment := increments[name]
-		r.total = r.total.plus(increment)
 		if reason := r.failures(name, increment); reason != "" {
 			return reason
 		}
-		if reason := r.slowness(name, increment, in.Elapsed); reason != "" {
+		if reason := r.times.slowness(name, in.Elapsed); reason != "" {
 			return reason
 		}
 	}
@@ -195,13 +202,14 @@
 		if !known && !j.followedFromStart {
 			continue
 		}
-		increment := increments[a.Route]
+		increment, added := increments[a.Route], a.Counts.addedSince(before)
 		if a.New {
-			increment.New = increment.New.plus(a.Counts.addedSince(before))
+			increment.New = increment.New.plus(added)
 		} else {
-			increment.Old = increment.Old.plus(a.Counts.addedSince(before))
+			increment.Old = increment.Old.plus(added)
 		}
 		increments[a.Route] = increment
+		j.routes[a.Route].times.add(a.Upstream, a.New, added)
 	}
 	return increments
 }
@@ -223,15 +231,23 @@
 	// version is reverted from revertEvidence on, or from revertEvidenceMany on with
 	// manyExcessErrors.
 	Ratio float64
-	// NewMeanTime is the mean response time of the latest requests to the new version.
+	// NewMeanTime is the mean response time of the new version in the last second.
 	NewMeanTime time.Duration
+	// SlowAbove is the response time above which an answer counts as slow; 0: not known yet. NewSlow
+	// and OldSlow are the shares of such answers on the typical upstreams of both versions.
+	SlowAbove        time.Duration
+	NewSlow, OldSlow float64
 }
 
 // EvidenceByRoute returns the evidence of each route, strongest first.
 func (j *Judge) EvidenceByRoute() []Evidence {
 	out := make([]Evidence, 0, len(j.routes))
 	for name, r := range j.routes {
-		out = append(out, Evidence{Route: name, LastSecond: r.lastSecond(), Ratio: r.evidence, NewMeanTime: r.newTimes.mean()})
+		second := r.lastSecond()
+		out = append(out, Evidence{
+			Route: name, LastSecond: second, Ratio: r.evidence, NewMeanTime: second.New.meanTime(),
+			SlowAbove: r.times.bound, NewSlow: r.times.compared.newRate(), OldSlow: r.times.compared.oldRate(),
+		})
 	}
 	slices.SortFunc(out, func(a, b Evidence) int {
 		return cmp.Or(cmp.Compare(b.Ratio, a.Ratio), cmp.Compare(b.LastSecond.New.Requests, a.LastSecond.New.Requests), cmp.Compare(a.Route, b.Route))
--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -103,7 +103,9 @@
 		c.Failed++
 		c.ErrorAnswers++
 	}
-	c.Time += time.Duration(random.ExpFloat64() * float64(latency))
+	spent := time.Duration(random.ExpFloat64() * float64(latency))
+	c.Time += spent
+	c.Times[TimeBucket(spent)]++
 }
 
 // Guards against a rollout of a good version that does not complete in time, at low and high
--- a/core/rollout/slow_test.go
+++ b/core/rollout/slow_test.go
@@ -39,7 +39,9 @@
 			a.Counts.Requests++
 			const spread = 0.8 // sigma of the log-normal response time
 			usual := math.Exp(spread*random.NormFloat64() - spread*spread/2)
-			a.Counts.Time += time.Duration(usual * f.latency(random, t, isNew, i%f.upstreams) * float64(100*time.Millisecond))
+			latency := time.Duration(usual * f.latency(random, t, isNew, i%f.upstreams) * float64(100*time.Millisecond))
+			a.Counts.Time += latency
+			a.Counts.Times[TimeBucket(latency)]++
 		}
 		d := j.Decide(Input{Elapsed: t, Duration: duration, SharePermille: share, UpstreamCounts: counts, Ready: true})
 		if d.Phase != pb.RolloutPhase_ROLLOUT_PHASE_RUNNING {
@@ -79,6 +81,29 @@
 	is.True(!t.Failed()) // every version is reverted within the bound
 }
 
+// Guards against a bad version that is not reverted because slow upstreams of the old version, as
+// under overload, hide that its answers are slow.
+func TestSlowVersionIsRevertedBesideSlowOldUpstreams(t *testing.T) {
+	is := is.New(t)
+	for _, perSecond := range []float64{200, 600, 1800} {
+		for seed := range uint64(50) {
+			phase, at, exposed := fleet{perSecond: perSecond, upstreams: 8, latency: func(random *rand.Rand, at time.Duration, new bool, upstream int) float64 {
+				switch {
+				case new && random.Float64() < 0.35:
+					return 8 * coldStart(at, new)
+				case !new && upstream < 3:
+					return 4
+				}
+				return coldStart(at, new)
+			}}.run(seed)
+			if phase != pb.RolloutPhase_ROLLOUT_PHASE_REVERTED || exposed > 0.1+50/(perSecond*duration.Seconds()) {
+				t.Errorf("%v/s, seed %d: %v after %v, the new version got %.3f", perSecond, seed, phase, at, exposed)
+			}
+		}
+	}
+	is.True(!t.Failed()) // every version is reverted within the bound
+}
+
 // Guards against a good version that is reverted because up to a quarter of its
 // upstreams are slow, or because they start slowly.
 func TestSlowUpstreamsCondemnNoVersion(t *testing.T) {
--- /dev/null
+++ b/core/throttle/overload_test.go
@@ -0,0 +1,239 @@
+package throttle
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/placement"
+	"github.com/rattanfield/rattanfield/core/retry"
+	"github.com/rattanfield/rattanfield/ports"
+)
+
+// event is something that happens at a time of the simulation.
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const (
+	simGates, simEntries = 18, 40
+	simSlots             = 6
+	simService           = 100 * time.Millisecond // mean time of a request on an upstream
+	simGoal              = 500 * time.Millisecond
+	simDeadline          = 1500 * time.Millisecond
+	simRetries           = 2 // of a client, after a rejection
+	simRetryAfter        = 120 * time.Millisecond
+	// simTransfer is the time of a request of 1800 bytes on the link of a gate with 3.9 Mbit/s.
+	simTransfer = 3700 * time.Microsecond
+	simLength   = 12 * time.Second
+	simReroutes = 2
+)
+
+// simGate is a gate with its upstream and its link, on which requests queue.
+type simGate struct {
+	queue    *admission.Queue
+	waiting  map[uint64]*simRequest
+	linkFree time.Time
+}
+
+// simRequest is one attempt of a client.
+type simRequest struct {
+	id       uint64
+	entry    *simEntry
+	goal     time.Time
+	deadline time.Time
+	retries  int
+	tried    map[string]bool
+	reroutes int
+	gate     int
+}
+
+// simEntry is an entry with what it knows.
+type simEntry struct {
+	picker   *placement.Picker
+	throttle Throttle
+	search   *retry.Budget
+}
+
+// overload simulates clients that send a multiple of what the upstreams of a service can run and
+// return after rejections, entries and gates with the decisions of this repository, and links of
+// limited bandwidth.
+type overload struct {
+	throttled bool
+	random    *rand.Rand
+	now       time.Time
+	events    events
+	gates     []*simGate
+	targets   []placement.Candidate
+	nextID    uint64
+
+	requests, served, late, rejections, expired int
+}
+
+func (o *overload) after(d time.Duration, run func()) {
+	heap.Push(&o.events, event{o.now.Add(d), run})
+}
+
+func (o *overload) run(factor float64) {
+	o.random, o.now = rand.New(rand.NewPCG(7, 7)), start
+	for i := range simGates {
+		o.gates = append(o.gates, &simGate{queue: admission.New(simSlots), waiting: make(map[uint64]*simRequest)})
+		o.targets = append(o.targets, placement.Candidate{Gate: string(rune('a' + i)), Slots: simSlots, Link: ports.LinkDomain})
+	}
+	perSecond := factor * simGates * simSlots / simService.Seconds()
+	for range simEntries {
+		e := &simEntry{picker: placement.New(), search: retry.NewBudgetWithBurst(30, 10)}
+		var arrive func()
+		arrive = func() {
+			o.requests++
+			o.attempt(e, o.now.Add(simGoal), o.now.Add(simDeadline), simRetries)
+			o.after(time.Duration(o.random.ExpFloat64()/(perSecond/simEntries)*float64(time.Second)), arrive)
+		}
+		o.after(time.Duration(o.random.Float64()*float64(50*time.Millisecond)), arrive)
+	}
+	for len(o.events) > 0 && o.now.Sub(start) < simLength {
+		next := heap.Pop(&o.events).(event)
+		o.now = next.at
+		next.run()
+	}
+}
+
+func (o *overload) attempt(e *simEntry, goal, deadline time.Time, retries int) {
+	o.nextID++
+	r := &simRequest{id: o.nextID, entry: e, goal: goal, deadline: deadline, retries: retries, tried: make(map[string]bool)}
+	e.search.CountCall()
+	if o.throttled && !e.throttle.Offer(o.now, o.random.Float64()) {
+		o.refuse(r)
+		return
+	}
+	o.send(r)
+}
+
+// refuse tells the client that the request did not run; it may return.
+func (o *overload) refuse(r *simRequest) {
+	if pause := time.Duration((0.5 + o.random.Float64()) * float64(simRetryAfter)); r.retries > 0 && o.now.Add(pause).Before(r.deadline) {
+		o.after(pause, func() { o.attempt(r.entry, r.goal, r.deadline, r.retries-1) })
+	}
+}
+
+func (o *overload) send(r *simRequest) {
+	maxWait := func(service time.Duration) time.Duration {
+		return admission.Request{Goal: r.goal, Deadline: r.deadline, GoalDuration: simGoal}.MaxWait(o.now, service)
+	}
+	left := r.goal.Sub(o.now)
+	if left <= 0 {
+		left = r.deadline.Sub(o.now)
+	}
+	i, _ := r.entry.picker.Pick(o.now, o.targets, placement.PickRequest{
+		Tried: func(gate string) bool { return r.tried[gate] }, Service: "s", TimeLeft: left, Kilobytes: 6, MaxQueueWait: maxWait, Random: o.random.Float64,
+	})
+	if i < 0 {
+		r.entry.throttle.Done(o.now, false)
+		o.refuse(r)
+		return
+	}
+	r.gate, r.tried[o.targets[i].Gate] = i, true
+	r.entry.picker.Sent(o.targets[i].Gate)
+	g := o.gates[i]
+	if g.linkFree.Before(o.now) {
+		g.linkFree = o.now
+	}
+	g.linkFree = g.linkFree.Add(simTransfer)
+	o.after(g.linkFree.Sub(o.now), func() { o.arrive(g, r) })
+}
+
+func (o *overload) arrive(g *simGate, r *simRequest) {
+	decision, evicted := g.queue.Offer(o.now, admission.Request{
+		ID: r.id, Goal: r.goal, Deadline: r.deadline, GoalDuration: simGoal, RejectionSample: o.random.Float64(),
+	})
+	for _, id := range evicted {
+		o.reject(g, g.waiting[id])
+	}
+	switch decision {
+	case admission.Started:
+		o.start(g, r)
+	case admission.Queued:
+		g.waiting[r.id] = r
+	default:
+		o.reject(g, r)
+	}
+}
+
+func (o *overload) done(g *simGate, r *simRequest, notRun bool) {
+	load := g.queue.Load(o.now)
+	r.entry.picker.Done(o.now, o.targets[r.gate].Gate, "s", placement.Outcome{Load: &load, NotRun: notRun})
+}
+
+func (o *overload) reject(g *simGate, r *simRequest) {
+	delete(g.waiting, r.id)
+	o.rejections++
+	o.done(g, r, true)
+	r.reroutes++
+	if r.reroutes <= simReroutes && o.now.Before(r.deadline) && (!o.throttled || r.entry.search.TakeSaved()) {
+		o.send(r)
+		return
+	}
+	r.entry.throttle.Done(o.now, false)
+	o.refuse(r)
+}
+
+func (o *overload) start(g *simGate, r *simRequest) {
+	const spread = 0.8 // sigma of the log-normal service time
+	spent := time.Duration(math.Exp(spread*o.random.NormFloat64()-spread*spread/2) * float64(simService))
+	o.after(spent, func() {
+		switch {
+		case o.now.After(r.deadline):
+			o.expired++
+		case o.now.After(r.goal):
+			o.late++
+		default:
+			o.served++
+		}
+		r.entry.throttle.Done(o.now, !o.now.After(r.deadline))
+		for _, id := range g.queue.Finish(o.now, r.id, spent, true) {
+			w := g.waiting[id]
+			delete(g.waiting, id)
+			o.start(g, w)
+		}
+		o.done(g, r, false)
+	})
+}
+
+// Guards against a retry storm: under overload, requests that every gate rejects fill the links of
+// the gates, so that those which could run arrive late or not at all.
+func TestRetryStormLeavesTheLinksToRequestsThatRun(t *testing.T) {
+	is := is.New(t)
+	for _, factor := range []float64{0.7, 1.3, 2.6, 4} {
+		plain, throttled := overload{}, overload{throttled: true}
+		plain.run(factor)
+		throttled.run(factor)
+		capacity := simGates * simSlots / simService.Seconds() * simLength.Seconds()
+		for name, o := range map[string]*overload{"without": &plain, "with": &throttled} {
+			t.Logf("load %.1f, %s throttle: %.2f of the capacity in time, %.2f late, %.2f after the deadline, %.2f rejections by gates for each request that ran",
+				factor, name, float64(o.served)/capacity, float64(o.late)/capacity, float64(o.expired)/capacity, float64(o.rejections)/float64(o.served+o.late+o.expired))
+		}
+		ran := throttled.served + throttled.late
+		is.True(float64(throttled.rejections) < 1.5*float64(ran))                                      // rejections stay in proportion to the work
+		is.True(float64(ran) > 0.9*capacity*min(1, factor))                                            // useful work does not collapse
+		is.True(float64(throttled.served) > 0.97*float64(plain.served) || factor < 1)                  // nor fall behind no throttle
+		is.True(factor > 1 || float64(throttled.served+throttled.late) > 0.97*float64(plain.requests)) // no request suffers without overload
+	}
+}
--- /dev/null
+++ b/core/throttle/throttle_test.go
@@ -0,0 +1,73 @@
+package throttle
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+// Checks that all requests are sent while most are accepted.
+func TestAcceptedRequestsAreNotThrottled(t *testing.T) {
+	is := is.New(t)
+	var throttle Throttle
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		is.True(throttle.Offer(now, random.Float64()))
+		throttle.Done(now, random.Float64() < 0.85)
+	}
+}
+
+// Guards against a service that receives many times the requests that it accepts, and against one
+// that receives too few to use its capacity.
+func TestSentRequestsStayNearTheAccepted(t *testing.T) {
+	is := is.New(t)
+	for _, capacity := range []float64{10, 40, 70} { // accepted of 100 requests per second
+		var throttle Throttle
+		random := rand.New(rand.NewPCG(1, 2))
+		tokens, sent, accepted := 0.0, 0, 0
+		for i := range 3000 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			tokens = min(tokens+capacity/100, 5)
+			if !throttle.Offer(now, random.Float64()) {
+				continue
+			}
+			sent++
+			runs := tokens >= 1
+			throttle.Done(now, runs)
+			if runs {
+				tokens--
+				accepted++
+			}
+		}
+		is.True(float64(accepted) > 0.93*capacity*30)
+		priorPerSecond := prior * math.Ln2 / halfLife.Seconds() // accepted requests of which prior is the decayed count
+		is.True(float64(sent) < 1.1*sendRatio*(float64(accepted)+30*priorPerSecond))
+	}
+}
+
+// Guards against requests that are rejected long after an overload has ended.
+func TestThrottleEndsWithTheOverload(t *testing.T) {
+	is := is.New(t)
+	var throttle Throttle
+	for i := range 500 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if throttle.Offer(now, 0.5) {
+			throttle.Done(now, false)
+		}
+	}
+	is.True(throttle.RejectionProbability() > 0.8)
+	random := rand.New(rand.NewPCG(1, 3))
+	for i := range 400 {
+		now := start.Add(5*time.Second + time.Duration(i)*10*time.Millisecond)
+		if throttle.Offer(now, random.Float64()) {
+			throttle.Done(now, true)
+		}
+	}
+	is.Equal(throttle.RejectionProbability(), 0.0)
+}
