core/rollout: judge slow answers by upstream instead of a mean

An answer is slow above a quantile of the old version's faster half of upstreams; the shares of slow answers are compared without the quarter of upstreams that have most, per route and over all routes, by the likelihood ratio test of the failures. Weak evidence holds the share.

--- a/core/rollout/histogram.go
+++ b/core/rollout/histogram.go
@@ -63,3 +63,15 @@
 }
 
 func (h Histogram) total() uint64 { return h.above(-1) }
+
+// quantile returns the first bucket with at most the fraction 1-q of the requests after it.
+func (h Histogram) quantile(q float64) int {
+	allowed := uint64((1 - q) * float64(h.total()))
+	after := uint64(0)
+	for i := TimeBuckets - 1; i > 0; i-- {
+		if after += h[i]; after > allowed {
+			return i
+		}
+	}
+	return 0
+}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -95,6 +95,8 @@
 	loadSkew          loadSkew
 	lastCounts        map[counterKey]Counts // of the last decision
 	routes            map[string]*route     // by route name
+	slowEvidence      float64               // log likelihood ratio of the slow answers at the last decision
+	slowRoute         string                // route with that evidence, or allRoutes
 }
 
 type counterKey struct{ upstream, route string }
@@ -149,11 +151,13 @@
 // not raised.
 func (j *Judge) worstRoute() (name string, evidence float64) {
 	for n, r := range j.routes {
-		strongest := max(r.evidence, r.times.evidence)
-		if (r.evidence >= holdEvidence || r.times.evidence >= holdSlowEvidence) && strongest > evidence {
-			name, evidence = n, strongest
+		if r.evidence >= holdEvidence && r.evidence > evidence {
+			name, evidence = n, r.evidence
 		}
 	}
+	if name == "" && j.slowEvidence >= holdSlowEvidence {
+		return j.slowRoute, j.slowEvidence
+	}
 	return name, evidence
 }
 
@@ -182,11 +186,8 @@
 		if reason := r.failures(name, increment); reason != "" {
 			return reason
 		}
-		if reason := r.times.slowness(name, in.Elapsed); reason != "" {
-			return reason
-		}
 	}
-	return ""
+	return j.slowness(in.Elapsed)
 }
 
 // countsAdded returns what was added to the counts of each route since the last decision.
--- a/core/rollout/slow.go
+++ b/core/rollout/slow.go
@@ -3,19 +3,22 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// slowFactor is the ratio to the mean response time of the old version above which an answer is
-	// slow. During coldStartTime, in which new upstreams take twice as long, it is larger by
+	// slowQuantile is the fraction of the old version's answers, on its fastest upstreams, above whose
+	// response time an answer is slow. minSlowFactor is the least ratio of that time to their mean.
+	// During coldStartTime, in which new upstreams take twice as long, the time is larger by
 	// coldStartFactor.
-	slowFactor      = 5.0
+	slowQuantile    = 0.985
+	minSlowFactor   = 2.5
 	coldStartFactor = 2.0
 	coldStartTime   = 4 * time.Second
-	// referenceShare is the fraction of the old version's upstreams, the fastest ones, whose mean
-	// response time is used: it does not change when fewer than half of them are slow.
+	// referenceShare is the fraction of the old version's upstreams, the fastest ones, whose
+	// response times are used: they do not change when fewer than half of them are slow.
 	referenceShare = 0.5
 	// slowUpstreamShare is the fraction of the upstreams of a version, those with the most slow
 	// answers, that are left out of the comparison: slow hosts are no fault of a version.
@@ -24,14 +27,18 @@
 	// the old one, such as on hosts of lower speed.
 	slowExcess = 0.03
 	// revertSlowEvidence is the log likelihood ratio at which a version is reverted for its slow
-	// answers: 2.4 standard deviations.
-	revertSlowEvidence = 3.5
-	// holdSlowEvidence is the log likelihood ratio from which the share is not raised.
-	holdSlowEvidence   = 1.5
+	// answers: 2.4 standard deviations. From holdSlowEvidence on, the share is not raised. While no
+	// upstream can be left out, because there are fewer than 1/slowUpstreamShare, the evidence
+	// counts for a share of fewUpstreamsWeight: a slow host may cause it.
+	revertSlowEvidence = 3.0
+	holdSlowEvidence   = 1.0
+	fewUpstreamsWeight = 0.5
 	minOldForTimes     = 20 // requests to the old version that the comparison needs
 	minSlowAnswers     = 6  // slow answers beyond those expected that it needs
 	// maxTrackedUpstreams bounds the memory for upstreams that no longer report.
 	maxTrackedUpstreams = 4096
+	// allRoutes names the comparison over all routes together.
+	allRoutes = "all"
 )
 
 // upstreamTimes holds the response times of one upstream on one route.
@@ -52,7 +59,6 @@
 	upstreams map[string]*upstreamTimes
 	bound     time.Duration // response time above which an answer is slow; 0: not known yet
 	compared  sample        // of the last comparison
-	evidence  float64       // log likelihood ratio at the last decision
 }
 
 // add adds the counts of one upstream in the current decision interval.
@@ -69,33 +75,62 @@
 	u.pending = u.pending.plus(added.Times)
 }
 
-// slowness ends the current decision interval. It returns why the new version must be reverted
-// if more of its answers are slow than on the old one, or "".
-func (t *responseTimes) slowness(name string, elapsed time.Duration) string {
-	bucket, known := t.slowBucket(elapsed)
-	for _, u := range t.upstreams {
-		u.endInterval(bucket)
+// slowness ends the decision interval and compares the response times of the versions on each
+// route and on all routes together. It returns why the new version must be reverted if more of
+// its answers are slow than on the old one, or "".
+func (j *Judge) slowness(elapsed time.Duration) string {
+	j.slowEvidence, j.slowRoute = 0, ""
+	var all []*responseTimes
+	reason := ""
+	for name, r := range j.routes {
+		if !r.times.endInterval(elapsed) {
+			continue
+		}
+		all = append(all, &r.times)
+		r.times.compared, _ = compareTimes([]*responseTimes{&r.times}, maxHistory)
+		reason = cmp.Or(reason, j.compareSlow(name, []*responseTimes{&r.times}))
 	}
-	if !known {
-		return ""
+	if len(all) > 1 {
+		reason = cmp.Or(reason, j.compareSlow(allRoutes, all))
 	}
-	t.bound, t.evidence = bucketBound(bucket), 0
+	return reason
+}
+
+// compareSlow compares the versions over all windows. It returns why the new version must be
+// reverted, or "".
+func (j *Judge) compareSlow(name string, times []*responseTimes) string {
 	for _, w := range windows {
-		s := t.compare(w.intervals)
+		s, upstreams := compareTimes(times, w.intervals)
 		if s.excessFailures() < minSlowAnswers {
 			continue
 		}
 		evidence := excessEvidence(s, slowExcess)
-		t.evidence = max(t.evidence, evidence)
+		if slowUpstreamShare*float64(upstreams) < 1 {
+			evidence *= fewUpstreamsWeight
+		}
+		if evidence > j.slowEvidence {
+			j.slowEvidence, j.slowRoute = evidence, name
+		}
 		if evidence >= revertSlowEvidence {
-			t.compared = s
-			return fmt.Sprintf("route %s: %.0f of %.0f answers took over %v; %.1f%% on the old version", name, s.newFailed, s.newRequests, t.bound.Round(time.Millisecond), 100*s.oldRate())
+			return fmt.Sprintf("route %s: %.0f of %.0f answers were slow; %.1f%% on the old version", name, s.newFailed, s.newRequests, 100*s.oldRate())
 		}
 	}
-	t.compared = t.compare(maxHistory)
 	return ""
 }
 
+// endInterval ends the current decision interval of all upstreams. It returns false if too few
+// requests to the old version have ended to tell which answers are slow.
+func (t *responseTimes) endInterval(elapsed time.Duration) bool {
+	bucket, known := t.slowBucket(elapsed)
+	for _, u := range t.upstreams {
+		u.endInterval(bucket)
+	}
+	if known {
+		t.bound = bucketBound(bucket)
+	}
+	return known
+}
+
 // endInterval moves the pending response times to the history; those above the bucket are slow.
 func (u *upstreamTimes) endInterval(bucket int) {
 	u.slow = append(u.slow, slowCount{requests: uint32(u.pending.total()), slow: uint32(u.pending.above(bucket))})
@@ -124,34 +159,37 @@
 		}
 		reference = reference.plus(c)
 	}
-	factor := slowFactor
+	bucket := reference.Times.quantile(slowQuantile)
+	bound := max(bucketBound(bucket), time.Duration(minSlowFactor*float64(reference.meanTime())))
 	if elapsed < coldStartTime {
-		factor *= coldStartFactor
+		bound = time.Duration(coldStartFactor * float64(bound))
 	}
-	return TimeBucket(time.Duration(factor * float64(reference.meanTime()))), true
+	return TimeBucket(bound), true
 }
 
-// compare returns the numbers of slow answers and of requests of both versions in the last
-// decision intervals, without the upstreams with the most slow answers.
-func (t *responseTimes) compare(intervals int) sample {
-	var newCounts, oldCounts []slowCount
-	for _, u := range t.upstreams {
-		c := slowCount{}
-		for _, interval := range u.slow[max(0, len(u.slow)-intervals):] {
-			c.requests, c.slow = c.requests+interval.requests, c.slow+interval.slow
-		}
-		switch {
-		case c.requests == 0:
-		case u.isNew:
-			newCounts = append(newCounts, c)
-		default:
-			oldCounts = append(oldCounts, c)
+// compareTimes returns the numbers of slow answers and of requests of both versions on the given
+// routes in the last decision intervals, without the upstreams with the most slow answers. It also
+// returns the number of upstreams of the new version.
+func compareTimes(times []*responseTimes, intervals int) (s sample, newUpstreams int) {
+	newCounts, oldCounts := make(map[string]slowCount), make(map[string]slowCount)
+	for _, t := range times {
+		for name, u := range t.upstreams {
+			counts := oldCounts
+			if u.isNew {
+				counts = newCounts
+			}
+			c := counts[name]
+			for _, interval := range u.slow[max(0, len(u.slow)-intervals):] {
+				c.requests, c.slow = c.requests+interval.requests, c.slow+interval.slow
+			}
+			if c.requests > 0 {
+				counts[name] = c
+			}
 		}
 	}
-	s := sample{}
-	s.newFailed, s.newRequests = sumTypical(newCounts)
-	s.oldFailed, s.oldRequests = sumTypical(oldCounts)
-	return s
+	s.newFailed, s.newRequests = sumTypical(slices.Collect(maps.Values(newCounts)))
+	s.oldFailed, s.oldRequests = sumTypical(slices.Collect(maps.Values(oldCounts)))
+	return s, len(newCounts)
 }
 
 // sumTypical sums the counts without the slowUpstreamShare of upstreams with the most slow
