app/proxy: end permissions of the gate by the wall clock too

Cause: a gate that was suspended continues with a monotonic clock that excludes the suspension, so a deadline or the time in which an upstream that leaves may still get requests seemed to have time left. Measured: TestPausedGateSendsNoExpiredRequest: without the check the request is not sent either, because the deadline of the connection is past, but the gate says that it has no upstream; with it the reason is the deadline. A suspension itself is not played by a test: Go offers no clock of its own for it. Leases and leadership were read: app/consensus already counts suspensions in its clock.

--- a/app/proxy/proxy_test.go
+++ b/app/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"strconv"
 	"strings"
@@ -204,6 +205,24 @@
 	is.Equal(n.upstream.count(), before)
 }
 
+// Guards against a gate that was paused after it read a request and sends it to the upstream
+// although the deadline has passed meanwhile.
+func TestPausedGateSendsNoExpiredRequest(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, newMesh(), "i1", succeed)
+	x := &meshhttp.Exchange{Received: time.Now().Add(-3 * time.Second)}
+	x.Request.SetRequestURI("/write/1")
+	x.Request.Header.SetHost("h")
+	x.Request.Header.Set(testHeaders.ID, "1")
+	x.Request.Header.Set(hopService, "a")
+	x.Request.Header.Set(hopPriority, "0")
+	x.Request.Header.Set(hopRemainingMs, "2000")
+	n.gate.Handle(context.Background(), x)
+	is.Equal(string(x.Response.Header.Peek(hopRan)), ranNo)
+	is.Equal(string(x.Response.Header.Peek(hopReason)), reasonDeadline)
+	is.Equal(n.upstream.count(), 0)
+}
+
 // Guards against a node that starts while its upstream is leaving and lets requests
 // reach it for another DrainBound, although the leave was acknowledged before.
 func TestStartWithALeavingUpstream(t *testing.T) {
--- a/app/proxy/upstream.go
+++ b/app/proxy/upstream.go
@@ -28,7 +28,7 @@
 	switch {
 	case u == nil:
 		return reasonNoUpstream
-	case !u.closesAt.IsZero() && !now.Before(u.closesAt):
+	case !u.closesAt.IsZero() && passed(now, u.closesAt):
 		return reasonLeaving
 	case u.unreachable, now.Sub(u.lastAnnounced) > lostAfter:
 		return reasonNoUpstream
