adapters/meshhttp: keep a stopping process until late connections are answered

The wait of a draining server ended for good when no connection was open at one moment, 0.3 s (the linger time) after the drain began; the listener was closed after that, and the process ended although a connection had been accepted in between. Change: Shutdown drains, waits, closes the listener and waits again; a wait looks for connections that are open now. Measured: TestWaitCountsConnectionsAfterDrain fails before and passes after; TestShutdownAnswersLateConnection is new (held by the old order in its case).

--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -461,3 +461,64 @@
 	is.Equal(got, "halfhalf")
 	is.True(resp.ConnectionClose())
 }
+
+// Guards against a request that is cut off because its connection is accepted when the draining
+// server has no other connection left and is about to end.
+func TestShutdownAnswersLateConnection(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, address := serve(t, func(_ context.Context, x *Exchange) {
+		close(started)
+		<-release
+		x.Response.SetBodyString("done")
+	}, "")
+	client, reader := dial(t, address)
+	_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	late, cancelLate := context.WithCancel(context.Background())
+	defer cancelLate()
+	ended := make(chan struct{})
+	go func() {
+		s.Shutdown(late)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		t.Fatal("the shutdown ended while a request was handled")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	got, _ := readBody(t, reader)
+	is.Equal(got, "done")
+	_ = client.Close()
+	<-ended
+}
+
+// Guards against a wait that ends because there was no connection when the drain began.
+func TestWaitCountsConnectionsAfterDrain(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	s, address := serve(t, func(_ context.Context, x *Exchange) {
+		close(started)
+		<-release
+		x.Response.SetBodyString("done")
+	}, "")
+	client, _ := dial(t, address)
+	_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	s.mu.Lock()
+	conns := s.conns
+	s.conns = make(map[*conn]struct{}) // as before the connection is accepted
+	s.mu.Unlock()
+	s.Drain()
+	s.mu.Lock()
+	s.conns = conns
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	s.Wait(ctx)
+	is.True(ctx.Err() != nil) // the connection was still open
+	close(release)
+}
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -73,12 +73,11 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
-	empty    chan struct{} // closed once the server drains and no connection is left
 }
 
 // NewServer returns a server that is started by Serve.
 func NewServer(o ServerOptions) *Server {
-	return &Server{options: o, conns: make(map[*conn]struct{}), empty: make(chan struct{})}
+	return &Server{options: o, conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the listener is closed, for example by StopListening. It always returns nil.
@@ -119,17 +118,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	s.checkEmptyLocked()
-}
-
-func (s *Server) checkEmptyLocked() {
-	if s.draining.Load() && len(s.conns) == 0 {
-		select {
-		case <-s.empty:
-		default:
-			close(s.empty)
-		}
-	}
 }
 
 // StopListening closes the listener, so that no new connections are accepted.
@@ -150,17 +138,35 @@
 	for c := range s.conns {
 		c.interruptIdleRead()
 	}
-	s.checkEmptyLocked()
 }
 
-// Wait blocks until every connection has ended after Drain, or until the context ends.
+// waitInterval is the interval at which Wait looks for open connections.
+const waitInterval = 5 * time.Millisecond
+
+// Wait blocks until no connection is open, or until the context ends. Connections may be accepted
+// until StopListening, so a stopping process waits once more after it.
 func (s *Server) Wait(ctx context.Context) {
-	select {
-	case <-s.empty:
-	case <-ctx.Done():
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for s.OpenConnections() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
+// Shutdown drains the server: connections end with the response to their last outstanding request
+// and new ones are accepted until no other is open. It returns when all have ended and the listener
+// is closed, or when the context ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.Drain()
+	s.Wait(ctx)
+	s.StopListening()
+	s.Wait(ctx)
+}
+
 // OpenConnections returns the number of open connections.
 func (s *Server) OpenConnections() int {
 	s.mu.Lock()
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -244,12 +245,11 @@
 	time.Sleep(time.Until(at(drainStart)))
 	ctx, cancel := context.WithDeadline(context.Background(), at(drainEnd))
 	defer cancel()
-	p.entryServer.Drain()
-	p.gateServer.Drain()
-	p.entryServer.Wait(ctx)
-	p.gateServer.Wait(ctx)
-	p.entryServer.StopListening()
-	p.gateServer.StopListening()
+	var servers sync.WaitGroup
+	for _, s := range []*meshhttp.Server{p.entryServer, p.gateServer} {
+		servers.Go(func() { s.Shutdown(ctx) })
+	}
+	servers.Wait()
 	_ = p.logger.Log("event", "drained", "entry_connections", p.entryServer.OpenConnections(), "gate_connections", p.gateServer.OpenConnections(), "after", time.Since(begin))
 }
 
