adapters/meshhttp: wait for the accept loop before the last connections

Cause: a connection that was accepted but not yet counted could be missed by the wait after the listener is closed. Change: Shutdown waits for the accept loop to end.

--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -70,6 +70,7 @@
 	options  ServerOptions
 	draining atomic.Bool
 
+	serving  sync.WaitGroup // calls of Serve
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
@@ -82,6 +83,8 @@
 
 // Serve accepts connections until the listener is closed, for example by StopListening. It always returns nil.
 func (s *Server) Serve(l net.Listener) error {
+	s.serving.Add(1)
+	defer s.serving.Done()
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
@@ -164,6 +167,7 @@
 	s.Drain()
 	s.Wait(ctx)
 	s.StopListening()
+	s.serving.Wait() // a connection that was accepted last is open from now on
 	s.Wait(ctx)
 }
 
