--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -461,3 +461,28 @@
 	is.Equal(got, "halfhalf")
 	is.True(resp.ConnectionClose())
 }
+
+// Guards against a response without a length whose connection is reset and that is reported as
+// complete.
+func TestResetEndsNoResponse(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	reset := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var header fasthttp.RequestHeader
+		_ = header.Read(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\n\r\npart")
+		<-reset
+		_ = c.(*net.TCPConn).SetLinger(0) // the close sends a reset
+		_ = c.Close()
+	}()
+	time.AfterFunc(50*time.Millisecond, func() { close(reset) })
+	o, _ := call(t, newTestPool(), l.Addr().String(), "1")
+	is.Equal(o.Failure, ConnectionLost)
+}
