--- a/core/rollout/slow.go
+++ b/core/rollout/slow.go
@@ -15,6 +15,7 @@
 	// coldStartFactor.
 	slowQuantile    = 0.985
 	minSlowFactor   = 2.5
+	minSlowTime     = 20 * time.Millisecond // faster answers are never slow
 	coldStartFactor = 2.0
 	coldStartTime   = 4 * time.Second
 	// referenceShare is the fraction of the old version's upstreams, the fastest ones, whose
@@ -160,7 +161,7 @@
 		reference = reference.plus(c)
 	}
 	bucket := reference.Times.quantile(slowQuantile)
-	bound := max(bucketBound(bucket), time.Duration(minSlowFactor*float64(reference.meanTime())))
+	bound := max(bucketBound(bucket), time.Duration(minSlowFactor*float64(reference.meanTime())), minSlowTime)
 	if elapsed < coldStartTime {
 		bound = time.Duration(coldStartFactor * float64(bound))
 	}
