app/proxy: name the budget of reroutes for what it is

Cause: read as a newcomer, "search" says nothing of reroutes. Measured: app/proxy passes; no behaviour changes.

--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -45,14 +45,14 @@
 	// maxReroutes is the maximum number of times that a request is rerouted, outside the retry
 	// budget, from a gate that did not run it or was unreachable.
 	maxReroutes = 2
-	// searchPercent is the share of requests, in percent, that may be rerouted because a gate
-	// rejected them for lack of capacity, and searchBurst the number that may accumulate. When
+	// reroutePercent is the share of requests, in percent, that may be rerouted because a gate
+	// rejected them for lack of capacity, and rerouteBurst the number that may accumulate. When
 	// the whole service is overloaded, asking further gates only adds load.
-	searchPercent = 30
-	searchBurst   = 10
+	reroutePercent = 30
+	rerouteBurst   = 10
 	// minRemaining is the least remaining time in which another attempt is worthwhile.
 	minRemaining = 15 * time.Millisecond
-	// retryAfter is the least mean Retry-After of a response to a client whose request found no capacity.
+	// retryAfter is the mean Retry-After of a response to a client whose request found no capacity.
 	// In this time a queue of the length that gates allow becomes noticeably shorter.
 	retryAfter       = 120 * time.Millisecond
 	retryAfterNoPlan = 300 * time.Millisecond
@@ -72,14 +72,14 @@
 	clientWaits clientWaits
 	sizes       sizes
 
-	mu           sync.Mutex
-	random       *rand.Rand
-	picker       *placement.Picker
-	splitter     *plan.Splitter
-	retryBudgets map[string]*retry.Budget
-	extra        map[string]*retry.Window // retries beyond the budget, by service
-	throttles    map[throttleKey]*throttle.Throttle
-	searches     map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
+	mu             sync.Mutex
+	random         *rand.Rand
+	picker         *placement.Picker
+	splitter       *plan.Splitter
+	retryBudgets   map[string]*retry.Budget
+	extra          map[string]*retry.Window // retries beyond the budget, by service
+	throttles      map[throttleKey]*throttle.Throttle
+	rerouteBudgets map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
 }
 
 // throttleKey identifies the requests that are throttled together: those of one route to one
@@ -93,7 +93,7 @@
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
 		clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, retryBudgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
-		throttles: make(map[throttleKey]*throttle.Throttle), searches: make(map[string]*retry.Budget),
+		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget),
 	}
 }
 
@@ -249,13 +249,13 @@
 	return t
 }
 
-// search returns the budget of reroutes after rejections for lack of capacity. The caller must
-// hold e.mu.
-func (e *Entry) search(service string) *retry.Budget {
-	b := e.searches[service]
+// rerouteBudget returns the budget of reroutes after rejections for lack of capacity. The caller
+// must hold e.mu.
+func (e *Entry) rerouteBudget(service string) *retry.Budget {
+	b := e.rerouteBudgets[service]
 	if b == nil {
-		b = retry.NewBudgetWithBurst(searchPercent, searchBurst)
-		e.searches[service] = b
+		b = retry.NewBudgetWithBurst(reroutePercent, rerouteBurst)
+		e.rerouteBudgets[service] = b
 	}
 	return b
 }
@@ -265,7 +265,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.search(key.service).CountCall()
+	e.rerouteBudget(key.service).CountCall()
 	return e.throttle(key).Offer(now, e.random.Float64())
 }
 
@@ -277,11 +277,11 @@
 	e.throttle(key).Done(now, accepted)
 }
 
-// takeSearch reports whether a request that a gate rejected for lack of capacity may ask another.
-func (e *Entry) takeSearch(service string) bool {
+// takeReroute reports whether a request that a gate rejected for lack of capacity may ask another.
+func (e *Entry) takeReroute(service string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.search(service).TakeSaved()
+	return e.rerouteBudget(service).TakeSaved()
 }
 
 // takeRetry uses one retry from this node's part of the budget and reports
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -276,7 +276,7 @@
 	if a.ran == ranNo && a.reason != reasonUpstreamNotRun {
 		f.reroutes++
 		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted
-		return f.reroutes <= maxReroutes && (!noCapacity || f.entry.takeSearch(f.service))
+		return f.reroutes <= maxReroutes && (!noCapacity || f.entry.takeReroute(f.service))
 	}
 	if a.ran != ranNo && !f.route.GetIdempotent() {
 		return false
