--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -112,10 +112,10 @@
 	for _, m := range s.sides[:victims] {
 		lost := 0
 		for _, k := range kept {
-			for _, id := range k.unanswered {
-				if k.machine == m && ran(id) {
+			for _, u := range k.unanswered {
+				if k.machine == m && ran(u.id) {
 					lost++
-					r.addf("check", "%s: %s was passed on to a back end, and its kept connection was closed without an answer", m.name(), id)
+					r.addf("check", "%s: %s was passed on to a back end, and its kept connection was closed without an answer", m.name(), u.id)
 				}
 			}
 		}
@@ -186,7 +186,13 @@
 	record             *recorder
 	machine            *machine
 	name, path, method string
-	unanswered         []string // requests on connections that had carried one before and ended without an answer
+	unanswered         []sentRequest // requests on connections that had carried one before and ended without an answer
+}
+
+// sentRequest is a request of a client.
+type sentRequest struct {
+	id   string
+	sent time.Time
 }
 
 func (k *keptClient) run(done <-chan struct{}) {
@@ -216,6 +222,7 @@
 		id := fmt.Sprintf("%s-%d-%d", k.name, connection, n)
 		_ = c.SetDeadline(time.Now().Add(clientLimit + time.Second))
 		k.record.addf("client", "%s: %s %s to %s", id, k.method, k.path, k.machine.ip)
+		sent := time.Now()
 		if _, err := io.WriteString(c, requestHeader(k.method, k.path, id, 0)); err != nil {
 			return
 		}
@@ -231,7 +238,7 @@
 		case err != nil:
 			k.record.addf("client", "%s: the connection ended without an answer: %v", id, err)
 			if n > 0 {
-				k.unanswered = append(k.unanswered, id)
+				k.unanswered = append(k.unanswered, sentRequest{id: id, sent: sent})
 			}
 			return
 		}
