--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -28,7 +28,7 @@
 	version string
 
 	mu  sync.Mutex
-	ran map[string]int // runs by X-Attempt-Id
+	ran map[string]int // runs by the id of the request
 }
 
 // startBackend starts the back end of a side machine.
@@ -76,7 +76,7 @@
 	if err != nil {
 		panic(err) // cannot happen: the values are those above
 	}
-	url := fmt.Sprintf("http://%s/rattanfield/rpc?call=%s&of=%s", at(b.machine.ip, portControl), call, b.id)
+	url := fmt.Sprintf("http://%s%s?call=%s&of=%s", at(b.machine.ip, portControl), wire.RPCPath, call, b.id)
 	resp, err := b.client.Post(url, "application/json", bytes.NewReader(text))
 	if err != nil {
 		return false
@@ -93,13 +93,13 @@
 
 // serve runs a request: it reads the body, works, and answers with the id, a receipt and a body that names the request.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
+	id := r.Header.Get(wire.ID)
+	w.Header().Set(wire.ID, id)
 	w.Header().Set("X-Instance-Id", b.id)
 	if r.URL.Path == "/healthz" {
 		return
 	}
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != b.id {
+	if expected := r.Header.Get(wire.ExpectedInstance); expected != "" && expected != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -119,7 +119,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Response-Signature", "signed-"+id)
+	w.Header().Set(wire.Signature, "signed-"+id)
 	fmt.Fprintf(w, "body of %s from %s", id, b.id)
 }
 
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -23,7 +23,7 @@
 
 // call sends one call to one control machine. Status 0 stands for no response.
 func (o *operator) call(ip, name, of string, body []byte) (int, []byte) {
-	url := fmt.Sprintf("http://%s/rattanfield/rpc?call=%s", at(ip, portControl), name)
+	url := fmt.Sprintf("http://%s%s?call=%s", at(ip, portControl), wire.RPCPath, name)
 	if of != "" {
 		url += "&of=" + of
 	}
@@ -78,7 +78,7 @@
 		hosts = append(hosts, object{"host": "idle.example", "paths": more})
 	}
 	b, err := json.Marshal(object{
-		"version": fmt.Sprint("r", version), "base_version": fmt.Sprint("r", base),
+		"version": fmt.Sprint("r", version), wire.Base: fmt.Sprint("r", base),
 		"services": []object{{"name": serviceName, "health_path": "/healthz", "max_conns": 120, "protocol": "h1", "tls": false}},
 		"limits":   object{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"hosts":    hosts,
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -180,8 +180,8 @@
 	if m.role == "control" {
 		fmt.Fprintf(&b, "loss_counted = true\ndata_dir = %q\n[listen]\ncontrol = %q\n", filepath.Join(m.site.dir, m.ip, "data"), at(m.ip, portControl))
 	} else {
-		fmt.Fprintf(&b, "app_addr = %q\nservice = %q\n[listen]\ninbound = %q\noutbound = %q\nready_address = %q\ncontrol = %q\n",
-			at(m.ip, portApp), serviceName, at(m.ip, portInbound), at(m.ip, portOutbound), at(m.ip, portReady), at(m.ip, portControl))
+		fmt.Fprintf(&b, "app_addr = %q\nservice = %q\n[listen]\ninbound = %q\noutbound = %q\n%s = %q\ncontrol = %q\n",
+			at(m.ip, portApp), serviceName, at(m.ip, portInbound), at(m.ip, portOutbound), wire.ReadySetting, at(m.ip, portReady), at(m.ip, portControl))
 	}
 	fmt.Fprintf(&b, "[limits]\ncpu_share = 0.3\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\n[fault_tolerance]\nmachines = 1\n", m.memoryMB)
 	b.WriteString(`[bounds]
@@ -227,7 +227,7 @@
 		return err
 	}
 	c := exec.Command(m.site.binary, m.role)
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "RATTANFIELD_NODE_FILE=" + settings}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", wire.SettingsVariable + "=" + settings}
 	c.Stdout, c.Stderr = log, log
 	// The process ends with the case, whatever ends the case.
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -134,7 +134,7 @@
 func awaitReady(m *machine, limit time.Duration) bool {
 	c := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		resp, err := c.Get("http://" + at(m.ip, portReady) + "/rattanfield/readyz")
+		resp, err := c.Get("http://" + at(m.ip, portReady) + wire.ReadyPath)
 		if err != nil {
 			continue
 		}
@@ -174,7 +174,7 @@
 }
 
 func requestHeader(method, path, id string, length int) string {
-	h := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, hostName, id, clientLimit.Milliseconds())
+	h := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nX-Deadline-Ms: %d\r\n", method, path, hostName, wire.ID, id, clientLimit.Milliseconds())
 	if method != "GET" {
 		h += fmt.Sprintf("Content-Length: %d\r\n", length)
 	}
