core/voters: choose the voters from the hosts that are there

A host got a vote only when it joined and only if there were fewer than 7 voters, counting lost ones; a lost voter was removed only if another voter, not a successor without a vote, of its failure domain ran. Each replacement cost a vote. Change: the pure package core/voters wants an odd number of voters among the hosts that are available, swaps lost and leaving voters for standbys, never takes a vote without a successor unless the group bears more without it, and forgets hosts that are gone. A host that stops tells the leader (new call Leave), which passes its vote on before it ends. TestControlHostsFormOneGroup expects three voters and a standby of four hosts, no longer four voters: both bear one loss (docs/decisions/voters.md). The test's hosts serve until their log has ended, as the process does.

--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -41,7 +41,8 @@
 	logger  log.Logger
 	clock   *clock
 
-	node      *raft.Node // step loop only
+	node      *raft.Node               // step loop only
+	leaving   map[string]time.Duration // step loop only: until when a host counts as leaving, see replaceLeaving
 	store     *disk.Store
 	inbox     *ring.Ring[*pb.RaftMessage]
 	proposed  *ring.Ring[proposal]
@@ -94,7 +95,7 @@
 		inbox: ring.New[*pb.RaftMessage](inboxCapacity), proposed: ring.New[proposal](proposalCapacity),
 		stepCalls: ring.New[func()](stepCallCapacity), diskJobs: ring.New[diskJob](diskCapacity),
 		apply: ring.New[applyJob](applyCapacity), synced: ring.New[struct{}](1),
-		payloads: newPayloadCache(), waiters: newWaiters(), done: make(chan struct{}),
+		leaving: make(map[string]time.Duration), payloads: newPayloadCache(), waiters: newWaiters(), done: make(chan struct{}),
 	}
 	h.runCtx, h.cancelRun = context.WithCancelCause(context.Background())
 	store, stored, err := disk.Open(disk.Options{Dir: o.DataDir, FS: o.FS, SegmentBytes: o.SegmentBytes, OnFull: h.waitForSpace})
@@ -153,7 +154,7 @@
 	runCtx, cancel := h.runCtx, h.cancelRun
 	defer close(h.done)
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context) error{h.stepLoop, h.diskLoop, h.applyLoop, h.pruneLoop} {
+	for _, loop := range []func(context.Context) error{h.stepLoop, h.diskLoop, h.applyLoop, h.membersLoop} {
 		wg.Go(func() {
 			if err := loop(runCtx); err != nil {
 				cancel(err)
@@ -163,6 +164,7 @@
 	select {
 	case <-ctx.Done():
 		h.transferLeadership(runCtx)
+		h.leave(runCtx)
 	case <-runCtx.Done():
 	}
 	cancel(errStopped)
--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -27,6 +27,9 @@
 	// may then be empty.
 	Members []*pb.Member
 	DataDir string
+	// KeepMembers keeps hosts without a vote in the member set however long they are silent. It is for hosts that
+	// do not ask to be admitted again.
+	KeepMembers bool
 	// AddressOf returns the address of a member that the member set of this host does not contain
 	// yet, or "". With it a host with an empty disk reaches the leader that admits it. It may be nil.
 	AddressOf func(id string) string `json:"-"`
--- a/app/consensus/service_raft.go
+++ b/app/consensus/service_raft.go
@@ -62,6 +62,12 @@
 	return payload
 }
 
+// Leave passes the vote of a control host that stops to a standby, if this host leads and there is one.
+func (s raftService) Leave(ctx context.Context, req *connect.Request[pb.LeaveRequest]) (*connect.Response[pb.LeaveResponse], error) {
+	s.h.replaceLeaving(ctx, req.Msg.GetMember())
+	return connect.NewResponse(&pb.LeaveResponse{}), nil
+}
+
 // Forward submits a command on this host. It does not forward the command again
 // if this host does not lead.
 func (s raftService) Forward(ctx context.Context, req *connect.Request[pb.ForwardRequest]) (*connect.Response[pb.ForwardResponse], error) {
--- a/app/control/wire.go
+++ b/app/control/wire.go
@@ -43,7 +43,7 @@
 }
 
 func newHost(s *settings.Control, client *rpc.Client, logger log.Logger) (*consensus.Host, error) {
-	return consensus.New(consensus.Options{ID: s.ID, Members: members(s.Site), DataDir: s.DataDirectory}, client, logger)
+	return consensus.New(consensus.Options{ID: s.ID, Members: members(s.Site), DataDir: s.DataDirectory, KeepMembers: true}, client, logger)
 }
 
 func moveOptions(s *settings.Control, host *consensus.Host) moves.Options {
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -137,7 +137,7 @@
 	p.contact, p.contacted = n.now, true
 	if !bytes.Equal(p.diskID, m.GetIncarnation()) {
 		if len(p.diskID) > 0 { // the disk was replaced, and with it the entries that it held
-			p.match = 0
+			p.match, p.upToDate, p.upToDateAt, p.goal = 0, false, n.now, 0
 			p.probe(n.log.last() + 1)
 		}
 		p.diskID = m.GetIncarnation()
@@ -169,6 +169,7 @@
 		n.recordMatch(m.GetFrom(), p, m.GetLogIndex())
 	}
 	n.advanceCommit()
+	p.recordUpToDate(n.log.commit, n.now)
 	if n.role == Leader && n.log.commit == committed && matched < committed && p.match > matched {
 		n.sendCommit(m.GetFrom(), p) // the majority committed before this member's reply arrived
 	}
--- a/core/raft/lease.go
+++ b/core/raft/lease.go
@@ -137,6 +137,7 @@
 		return
 	}
 	p.memberSentAt = max(p.memberSentAt, m.GetSentAt())
+	p.recordUpToDate(n.log.commit, n.now)
 	if p.snapshot > 0 && n.now-p.snapshotAt > snapshotRetry {
 		p.probe(p.next)
 	}
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -23,6 +23,10 @@
 	contact      time.Duration // time of the last reply; before the first one, the time at which the member was added
 	contacted    bool          // a reply has arrived in this term
 	memberSentAt uint64        // highest sent_at of the member's replies: a time of the member's own clock, ns
+	upToDateAt   time.Duration // latest time whose commit index the member is known to hold; before that, when it was added
+	upToDate     bool          // the member has held the commit index at upToDateAt
+	goal         uint64        // commit index at goalAt, which the member is not known to hold yet
+	goalAt       time.Duration
 }
 
 func newProgress(last uint64) *progress { return &progress{next: last + 1, probing: true} }
@@ -32,6 +36,20 @@
 	return p.snapshot > 0 || (p.probing && p.inflight > 0) || p.inflight >= maxInflight
 }
 
+// recordUpToDate updates upToDateAt after a reply. A member that is always a little behind a busy log is up to
+// date at the times whose commit index its later replies cover.
+func (p *progress) recordUpToDate(commit uint64, now time.Duration) {
+	if p.match >= p.goal {
+		if p.goal > 0 {
+			p.upToDate, p.upToDateAt = true, p.goalAt
+		}
+		p.goal, p.goalAt = commit, now
+	}
+	if p.match > 0 && p.match >= commit {
+		p.upToDate, p.upToDateAt = true, now
+	}
+}
+
 // probe switches back to one append at a time, starting at an index.
 func (p *progress) probe(next uint64) {
 	p.next, p.probing, p.inflight, p.snapshot = max(next, p.match+1), true, 0, 0
@@ -78,7 +96,7 @@
 	for _, m := range members {
 		if l.progress[m.GetId()] == nil {
 			p := newProgress(last)
-			p.contact = now
+			p.contact, p.upToDateAt = now, now
 			l.progress[m.GetId()] = p
 		}
 	}
@@ -87,7 +105,10 @@
 func (l *leaderState) status() map[string]MemberProgress {
 	out := make(map[string]MemberProgress, len(l.progress))
 	for id, p := range l.progress {
-		out[id] = MemberProgress{Match: p.match, LastContact: p.contact, Contacted: p.contacted || id == l.self}
+		out[id] = MemberProgress{
+			Match: p.match, LastContact: p.contact, Contacted: p.contacted || id == l.self,
+			UpToDateAt: p.upToDateAt, UpToDate: p.upToDate,
+		}
 	}
 	return out
 }
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -119,4 +119,8 @@
 	Match       uint64
 	LastContact time.Duration // time of the last message from the member
 	Contacted   bool          // a message has arrived in this term
+	// UpToDateAt is the latest time whose commit index the member is known to hold. While UpToDate is false, there is
+	// none in this term, and UpToDateAt is the time at which the leader began to observe the member.
+	UpToDateAt time.Duration
+	UpToDate   bool
 }
--- a/gen/rattanfield/v1/rattanfieldv1connect/raft.connect.go
+++ b/gen/rattanfield/v1/rattanfieldv1connect/raft.connect.go
@@ -40,6 +40,8 @@
 	RaftServiceFetchPayloadProcedure = "/rattanfield.v1.RaftService/FetchPayload"
 	// RaftServiceForwardProcedure is the fully-qualified name of the RaftService's Forward RPC.
 	RaftServiceForwardProcedure = "/rattanfield.v1.RaftService/Forward"
+	// RaftServiceLeaveProcedure is the fully-qualified name of the RaftService's Leave RPC.
+	RaftServiceLeaveProcedure = "/rattanfield.v1.RaftService/Leave"
 )
 
 // RaftServiceClient is a client for the rattanfield.v1.RaftService service.
@@ -50,6 +52,8 @@
 	FetchPayload(context.Context, *connect.Request[v1.FetchPayloadRequest]) (*connect.Response[v1.FetchPayloadResponse], error)
 	// Forward submits a command at the leader.
 	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error)
+	// Leave passes the vote of the host to a standby and returns when that is done or there is none.
+	Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error)
 }
 
 // NewRaftServiceClient constructs a client for the rattanfield.v1.RaftService service. By default,
@@ -81,6 +85,12 @@
 			connect.WithSchema(raftServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[v1.LeaveRequest, v1.LeaveResponse](
+			httpClient,
+			baseURL+RaftServiceLeaveProcedure,
+			connect.WithSchema(raftServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +99,7 @@
 	sendRaft     *connect.Client[v1.SendRaftRequest, v1.SendRaftResponse]
 	fetchPayload *connect.Client[v1.FetchPayloadRequest, v1.FetchPayloadResponse]
 	forward      *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	leave        *connect.Client[v1.LeaveRequest, v1.LeaveResponse]
 }
 
 // SendRaft calls rattanfield.v1.RaftService.SendRaft.
@@ -106,6 +117,11 @@
 	return c.forward.CallUnary(ctx, req)
 }
 
+// Leave calls rattanfield.v1.RaftService.Leave.
+func (c *raftServiceClient) Leave(ctx context.Context, req *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
 // RaftServiceHandler is an implementation of the rattanfield.v1.RaftService service.
 type RaftServiceHandler interface {
 	// SendRaft delivers Raft messages.
@@ -114,6 +130,8 @@
 	FetchPayload(context.Context, *connect.Request[v1.FetchPayloadRequest]) (*connect.Response[v1.FetchPayloadResponse], error)
 	// Forward submits a command at the leader.
 	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error)
+	// Leave passes the vote of the host to a standby and returns when that is done or there is none.
+	Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error)
 }
 
 // NewRaftServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -141,6 +159,12 @@
 		connect.WithSchema(raftServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	raftServiceLeaveHandler := connect.NewUnaryHandler(
+		RaftServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(raftServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rattanfield.v1.RaftService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RaftServiceSendRaftProcedure:
@@ -149,6 +173,8 @@
 			raftServiceFetchPayloadHandler.ServeHTTP(w, r)
 		case RaftServiceForwardProcedure:
 			raftServiceForwardHandler.ServeHTTP(w, r)
+		case RaftServiceLeaveProcedure:
+			raftServiceLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -169,3 +195,7 @@
 func (UnimplementedRaftServiceHandler) Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanfield.v1.RaftService.Forward is not implemented"))
 }
+
+func (UnimplementedRaftServiceHandler) Leave(context.Context, *connect.Request[v1.LeaveRequest]) (*connect.Response[v1.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanfield.v1.RaftService.Leave is not implemented"))
+}
