app/controlserver: ask to be admitted again without contact to a leader

It had been removed from the member set and never learned of it: the leader sends only to members, the host found itself in its own copy of the set and asked nobody, and its pre-votes are ignored while the others have a leader. Change: the member set that a host knows counts only while a leader has confirmed it in the last 2 s; otherwise it asks to be admitted, which changes nothing for a member. Several hosts are asked at once, because those that are gone let a request hang.

--- a/app/controlserver/exchange.go
+++ b/app/controlserver/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,6 +26,10 @@
 	exchangeRetry   = 250 * time.Millisecond
 	joinInterval    = 500 * time.Millisecond
 	joinTimeout     = 800 * time.Millisecond
+	joinConcurrency = 8 // join requests in progress
+	// removedAfter is how long a host must be without contact to a leader until it assumes that it may have been
+	// removed from the group, which nobody else tells it. It is several election timeouts.
+	removedAfter = 2 * time.Second
 )
 
 // exchangeWithAll runs one loop of polls for each other control host, and follows
@@ -145,9 +151,7 @@
 			_ = j.Log("event", "waiting to join the control group", "asking", len(addresses), "first", firstAddress(addresses))
 		}
 		waiting = true
-		for _, a := range addresses {
-			j.requestJoin(ctx, a)
-		}
+		j.requestJoins(ctx, addresses)
 		lifecycle.Pause(ctx, joinInterval/2+rand.N(joinInterval))
 	}
 	return nil
@@ -161,8 +165,11 @@
 }
 
 // isMember reports whether the member set contains this host with its current address
-// and failure domain.
+// and failure domain. The member set that this host knows counts only while a leader keeps it up to date.
 func (j *Joiner) isMember() bool {
+	if j.State.ConfirmedAge() > removedAfter {
+		return false
+	}
 	for _, m := range j.State.State().Members {
 		if m.GetId() == j.Self.GetId() && m.GetAddress() == j.Self.GetAddress() && m.GetFailureDomain() == j.Self.GetFailureDomain() {
 			return true
@@ -192,6 +199,17 @@
 	return out
 }
 
+// requestJoins asks several control hosts at once, because hosts that are gone let requests wait.
+func (j *Joiner) requestJoins(ctx context.Context, addresses []string) {
+	for some := range slices.Chunk(addresses, joinConcurrency) {
+		var group sync.WaitGroup
+		for _, a := range some {
+			group.Go(func() { j.requestJoin(ctx, a) })
+		}
+		group.Wait()
+	}
+}
+
 // requestJoin sends a join request to a control host, and to the leader that it names.
 func (j *Joiner) requestJoin(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
--- a/app/controlserver/group_test.go
+++ b/app/controlserver/group_test.go
@@ -102,3 +102,31 @@
 	submit(t, paused.host, 2, 1)
 	eventually(t, "the plan at the successor", func() bool { return successor.host.State().Plan.GetNumber() == 2 })
 }
+
+// Guards against a host that was removed while it was cut off, and that takes itself for a member ever after.
+func TestRemovedHostJoinsAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a := addresses(4)
+	var hosts []*controlHost
+	for i := range a {
+		var founders []string
+		if i < 3 {
+			founders = a[:3]
+		}
+		hosts = append(hosts, startControl(t, a[i], t.TempDir(), fmt.Sprint("d", i), founders, a[:3]))
+	}
+	isMember := func(id string) func() bool {
+		return func() bool {
+			return slices.ContainsFunc(hosts[0].host.State().Members, func(m *pb.Member) bool { return m.GetId() == id })
+		}
+	}
+	eventually(t, "a standby", isMember(a[3]))
+	eventually(t, "the standby knows the group", func() bool { return len(hosts[3].host.State().Members) == 4 })
+	isolatedHosts.Store(a[3], true)
+	eventually(t, "the standby is removed", func() bool { return !isMember(a[3])() })
+	submit(t, hosts[0].host, 1, 0)
+	isolatedHosts.Delete(a[3])
+	eventually(t, "the plan at the host that was removed", func() bool { return hosts[3].host.State().Plan.GetNumber() == 1 })
+	is.Equal(voters(hosts[0].host), 3)
+}
