core/state, platform: keep an old order from undoing a later rollout

Nothing in an order of a rollout tells its age, and a repetition was recognised only while it was the newest order of its service. A lost acknowledgement with another operator's order in between does the same. TestUnfinishedVersionsStayWithdrawn lets time pass between its orders, because the same order at the same time now counts as sent again; what it checks is unchanged.

--- a/core/state/plan.go
+++ b/core/state/plan.go
@@ -22,8 +22,9 @@
 	current       *pb.StoredPlan
 	accepted      []*pb.AcceptedPlan // oldest first, in ascending order of numbers
 	rollouts      map[string]*pb.Rollout
-	rolloutSerial uint64 // serial of the newest rollout, counted over all services
-	changes       uint64 // number of accepted changes to the plan or to any rollout
+	orders        []*pb.RolloutOrder // accepted in the last orderMemory, oldest first
+	rolloutSerial uint64             // serial of the newest rollout, counted over all services
+	changes       uint64             // number of accepted changes to the plan or to any rollout
 }
 
 // replacePlan accepts a plan that is based on the current one. A plan that was
@@ -56,8 +57,17 @@
 	return m.accepted()
 }
 
+// Limits of the accepted orders of rollouts that are remembered. Operators send an order again for at most 4 s, and the
+// submission times of two leaders differ by up to 5 s.
+const (
+	orderMemoryMs = 10_000
+	maxOrders     = 256
+)
+
 // startRollout starts a rollout. When the last rollout of the service has the
-// same target version, the command is accepted and changes nothing.
+// same target version, or when the same order was accepted lately, the command is
+// accepted and changes nothing: it was sent again, and newer orders stay in force.
+// An order that was received before the newest rollout was known is rejected.
 func (m *Machine) startRollout(c *pb.Command, s *pb.StartRollout) *pb.CommandResult {
 	if s.GetService() == "" || s.GetTargetVersion() == "" || s.GetDurationMs() == 0 {
 		return invalid(problem("rollout", "service, target version and duration must be set"))
@@ -66,6 +76,18 @@
 	if previous != nil && previous.GetTargetVersion() == s.GetTargetVersion() {
 		return m.accepted()
 	}
+	if m.acceptedLately(s) {
+		return m.accepted()
+	}
+	if s.BaseSerial != nil && s.GetBaseSerial() != previous.GetSerial() {
+		return &pb.CommandResult{
+			Outcome: pb.Outcome_OUTCOME_CONFLICT, Revision: m.Revision(),
+			Message: fmt.Sprintf("based on rollout %d of %s, the newest one is %d", s.GetBaseSerial(), s.GetService(), previous.GetSerial()),
+		}
+	}
+	m.plans.orders = append(m.plans.orders, &pb.RolloutOrder{
+		Service: s.GetService(), TargetVersion: s.GetTargetVersion(), DurationMs: s.GetDurationMs(), AcceptedUnixMs: m.clock,
+	})
 	m.plans.rolloutSerial++
 	m.plans.rollouts[s.GetService()] = &pb.Rollout{
 		Service: s.GetService(), TargetVersion: s.GetTargetVersion(), DurationMs: s.GetDurationMs(),
@@ -77,6 +99,16 @@
 	return m.accepted()
 }
 
+// acceptedLately reports whether the same order was accepted in the last orderMemoryMs.
+func (m *Machine) acceptedLately(s *pb.StartRollout) bool {
+	p := &m.plans
+	p.orders = slices.DeleteFunc(slices.Clone(p.orders), func(o *pb.RolloutOrder) bool { return o.GetAcceptedUnixMs() < m.clock-orderMemoryMs })
+	p.orders = p.orders[max(0, len(p.orders)-maxOrders):]
+	return slices.ContainsFunc(p.orders, func(o *pb.RolloutOrder) bool {
+		return o.GetService() == s.GetService() && o.GetTargetVersion() == s.GetTargetVersion() && o.GetDurationMs() == s.GetDurationMs()
+	})
+}
+
 // maxWithdrawn bounds the withdrawn versions that are stored per service. Older
 // ones can be dropped because their upstreams stop soon.
 const maxWithdrawn = 16
--- a/core/state/plan_test.go
+++ b/core/state/plan_test.go
@@ -112,7 +112,9 @@
 	started := 0
 	start := func(version string) *pb.Rollout {
 		started++
-		is.Equal(m.applyCommand(rolloutCommand(strconv.Itoa(started), "a", version)).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+		c := rolloutCommand(strconv.Itoa(started), "a", version)
+		c.SubmittedUnixMs = int64(started) * 2 * orderMemoryMs // a new order, not one that is sent again
+		is.Equal(m.applyCommand(c).GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
 		return m.plans.rollouts["a"]
 	}
 	end := func(phase pb.RolloutPhase) {
@@ -130,3 +132,56 @@
 	end(pb.RolloutPhase_ROLLOUT_PHASE_REVERTED)
 	is.Equal(start("v3").GetWithdrawn(), []string{"v2", "v5"}) // v3 is rolled out again
 }
+
+// Guards against a rollout that is undone by an earlier order that is sent again after its acknowledgement was lost.
+func TestRepeatedOrderDoesNotUndoLaterRollout(t *testing.T) {
+	is := is.New(t)
+	m := New(nil)
+	order := func(version string, at int64) (pb.Outcome, string) {
+		c := rolloutCommand(fmt.Sprint(version, at), "a", version)
+		c.SubmittedUnixMs = at
+		outcome := m.applyCommand(c).GetOutcome()
+		return outcome, m.plans.rollouts["a"].GetTargetVersion()
+	}
+	const start = 1_000_000
+	for _, o := range []struct {
+		version string
+		at      int64
+		target  string
+	}{
+		{"v2", start, "v2"},
+		{"v3", start + 2800, "v3"},
+		{"v2", start + 4000, "v3"},                       // sent again
+		{"v2", start + orderMemoryMs, "v3"},              // sent again; the clock of another leader is ahead
+		{"v2", start + 2800 + 2*orderMemoryMs, "v2"},     // a new order
+		{"v3", start + 2800 + 2*orderMemoryMs + 1, "v3"}, // a new order
+	} {
+		outcome, target := order(o.version, o.at)
+		is.Equal(outcome, pb.Outcome_OUTCOME_ACCEPTED)
+		is.Equal(target, o.target)
+	}
+	data, err := m.Encode()
+	is.NoErr(err)
+	m, err = Decode(data)
+	is.NoErr(err)
+	_, target := order("v2", start+2800+2*orderMemoryMs+2)
+	is.Equal(target, "v3") // a snapshot keeps the accepted orders
+}
+
+// Guards against an order that a host received before a later one was accepted, and that it submits after it.
+func TestOrderOnAnOlderRolloutIsRejected(t *testing.T) {
+	is := is.New(t)
+	m := New(nil)
+	order := func(version string, base uint64) pb.Outcome {
+		c := rolloutCommand(fmt.Sprint(version, base), "a", version)
+		c.GetStartRollout().BaseSerial = &base
+		return m.applyCommand(c).GetOutcome()
+	}
+	is.Equal(order("v2", 0), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(order("v3", 1), pb.Outcome_OUTCOME_ACCEPTED)
+	is.Equal(order("v4", 1), pb.Outcome_OUTCOME_CONFLICT)
+	is.Equal(order("v4", 0), pb.Outcome_OUTCOME_CONFLICT)
+	is.Equal(m.plans.rollouts["a"].GetTargetVersion(), "v3")
+	is.Equal(order("v3", 1), pb.Outcome_OUTCOME_ACCEPTED) // sent again
+	is.Equal(order("v4", 2), pb.Outcome_OUTCOME_ACCEPTED)
+}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -13,7 +13,8 @@
 		Index: m.index, Term: m.term, Configuration: m.configuration, Moves: m.sortedMoves(), History: m.history,
 		Members: m.members, ConfigurationRevision: m.configurationRevision, ClockUnixMs: m.clock,
 		Plan: m.plans.current, AcceptedPlans: m.plans.accepted, Rollouts: m.plans.sortedRollouts(), RolloutSerial: m.plans.rolloutSerial,
-		PlanChanges: m.plans.changes,
+		RolloutOrders: m.plans.orders,
+		PlanChanges:   m.plans.changes,
 	}
 	for _, id := range m.resultOrder {
 		s.Results = append(s.Results, m.results[id])
@@ -36,6 +37,7 @@
 	m.history = s.GetHistory()
 	m.plans.current, m.plans.accepted, m.plans.rolloutSerial = s.GetPlan(), s.GetAcceptedPlans(), s.GetRolloutSerial()
 	m.plans.changes = s.GetPlanChanges()
+	m.plans.orders = s.GetRolloutOrders()
 	for _, r := range s.GetRollouts() {
 		m.plans.rollouts[r.GetService()] = r
 	}
