adapters/body: bound the memory of large responses until they are written

Cause: a node ran out of memory, and ended with the requests of all its clients, while an upstream answered several requests at once with bytes without end. The bound of an eighth of the memory counted the bytes read, not the buffers: those that grow, copies between entry and gate, buffers of failed reads in the pool of the HTTP library, and answers that wait for slow clients. Garbage came on top. Change: a lease counts the buffers, from the read until the response is written, within a quarter of the memory; one complete body may have a sixteenth of the memory, as before. Entry and gate move bodies. Large buffers are not pooled.

--- a/adapters/body/body_test.go
+++ b/adapters/body/body_test.go
@@ -38,8 +38,35 @@
 						t.Fatalf("no error without the last %d of %d bytes", missing, len(c.raw))
 					}
 				}
-				is.Equal(memory.reserved.Load(), int64(0))
+				is.Equal(memory.held.Load(), int64(0))
 			})
 		}
 	}
 }
+
+// Guards against buffers of large bodies that no lease accounts for, while they grow and after they were read, and
+// against buffers of failed reads that are kept.
+func TestLeaseCoversBuffer(t *testing.T) {
+	is := is.New(t)
+	memory := NewMemory(8 << 20)
+	for _, header := range []string{"Content-Length: %d\r\n\r\n%s", "X-Length: %d\r\n\r\n%s"} {
+		for _, size := range []int{uncountedBytes + 1, 300_000, 1 << 20, 2 << 20} {
+			br := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + fmt.Sprintf(header, size, strings.Repeat("x", size))))
+			var r fasthttp.Response
+			is.NoErr(r.Header.Read(br))
+			l := memory.Lease()
+			is.NoErr(Read(br, &r, l))
+			is.Equal(len(r.Body()), size)
+			is.True(memory.held.Load() >= int64(cap(r.Body())))
+			is.True(cap(r.Body()) <= 2<<20) // the share of one response
+			l.Release()
+			is.Equal(memory.held.Load(), int64(0))
+		}
+	}
+	br := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 2<<20+1)))
+	var r fasthttp.Response
+	is.NoErr(r.Header.Read(br))
+	is.Equal(Read(br, &r, memory.Lease()), ErrTooLarge)
+	is.Equal(memory.held.Load(), int64(0))
+	is.True(cap(r.Body()) <= uncountedBytes)
+}
--- a/adapters/body/memory.go
+++ b/adapters/body/memory.go
@@ -4,50 +4,55 @@
 
 import "sync/atomic"
 
-// Memory bounds the memory that large response bodies use while they are read, over all
-// connections that share it. Reading an endless body fails once the bound is reached.
-// It is safe for concurrent use.
+// Memory bounds the memory that large response bodies use, over all connections that share
+// it. Reading an endless body fails once the bound is reached. It is safe for concurrent use.
 type Memory struct {
-	limit    int64
-	reserved atomic.Int64
+	limit int64
+	held  atomic.Int64
 }
 
-// NewMemory returns a Memory of limit bytes. One response may use at most half of it.
+// largestShare is the part of a Memory that one response body may use once it is complete. While it grows, it takes
+// up to three times as much: the old and the new buffer.
+const largestShare = 4
+
+// NewMemory returns a Memory of limit bytes. The body of one response may have a quarter of it.
 func NewMemory(limit int) *Memory { return &Memory{limit: int64(limit)} }
 
-// Lease returns a lease without reserved memory, for one response.
+// Lease returns a lease without memory, for one response.
 func (m *Memory) Lease() *Lease { return &Lease{memory: m} }
 
 // uncountedBytes is the size in bytes up to which a body does not count towards the limit, so that
 // large bodies never prevent ordinary ones from being read.
 const uncountedBytes = 64 << 10
 
-// Lease is the memory that one response has reserved in a Memory. It is not safe for concurrent use.
+// Lease is the memory that one response holds of a Memory. It is not safe for concurrent use.
 type Lease struct {
-	memory   *Memory
-	reserved int64
+	memory *Memory
+	held   int64
 }
 
-// reserve extends the reservation to a body of size bytes in total. It returns false if
-// that exceeds half of the limit or if too little memory is left.
-func (l *Lease) reserve(size int64) bool {
-	additional := size - uncountedBytes - l.reserved
-	if additional <= 0 {
-		return true
-	}
-	if size > l.memory.limit/2 {
-		return false
+// allows reports whether a body may have a size in bytes.
+func (l *Lease) allows(size int64) bool {
+	return size <= max(uncountedBytes, l.memory.limit/largestShare)
+}
+
+// hold changes the memory of the lease to a number of bytes. It returns false, and changes nothing, if too little
+// memory is left.
+func (l *Lease) hold(bytes int64) bool {
+	if bytes <= uncountedBytes {
+		bytes = 0
 	}
-	if l.memory.reserved.Add(additional) > l.memory.limit {
-		l.memory.reserved.Add(-additional)
+	additional := bytes - l.held
+	if held := l.memory.held.Add(additional); additional > 0 && held > l.memory.limit {
+		l.memory.held.Add(-additional)
 		return false
 	}
-	l.reserved += additional
+	l.held = bytes
 	return true
 }
 
-// Release returns the reserved memory. The lease can be used again afterwards.
+// Release returns the memory of the lease, which can be used again afterwards.
 func (l *Lease) Release() {
-	l.memory.reserved.Add(-l.reserved)
-	l.reserved = 0
+	l.memory.held.Add(-l.held)
+	l.held = 0
 }
--- a/adapters/httpproxy/headers.go
+++ b/adapters/httpproxy/headers.go
@@ -44,6 +44,6 @@
 	maxBodyBytes        = 8 << 20 // upper bound; a service may state a smaller limit
 	maxInterimResponses = 8       // interim (1xx) responses before the final one
 	// responseMemory bounds the memory of all large responses of a pool while they are read. One
-	// response may use half of it.
-	responseMemory = 2 * maxBodyBytes
+	// response may use a quarter of it.
+	responseMemory = 4 * maxBodyBytes
 )
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -56,6 +56,9 @@
 	// connection that was idle for longer is more likely to be reset by its server, and a request
 	// that must not run twice cannot be repeated then.
 	RecentlyUsedOnly bool
+	// Lease holds the memory of a large response body until the caller releases it. Without it, the
+	// memory counts only while the body is read.
+	Lease *body.Lease
 }
 
 // Outcome is the result of a Call.
@@ -139,9 +142,12 @@
 	}
 	out := Outcome{Reused: c.used}
 	var keep bool
-	l := p.memory.Lease()
+	l := call.Lease
+	if l == nil {
+		l = p.memory.Lease()
+		defer l.Release()
+	}
 	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
-	l.Release()
 	out.Unconfirmed = out.Failure == Answered && !c.confirmed
 	if keep {
 		p.putIdle(address, c)
@@ -151,6 +157,9 @@
 	return out
 }
 
+// Lease returns a lease of the memory for large response bodies.
+func (p *Pool) Lease() *body.Lease { return p.memory.Lease() }
+
 // Preconnect opens a connection to a destination and adds it to the pool. It returns an error
 // if the destination does not accept a connection within 400 ms.
 func (p *Pool) Preconnect(ctx context.Context, address string) error {
@@ -373,6 +382,8 @@
 
 func (c *clientConn) readResponse(call *Call, l *body.Lease) error {
 	r := call.Response
+	body.Discard(r) // of an earlier attempt, or of a response that was skipped
+	l.Release()
 	if err := c.readHeader(r); err != nil {
 		return err
 	}
@@ -385,7 +396,6 @@
 	if unframed && call.IDRequired && len(r.Header.Peek(call.IDHeader)) == 0 {
 		return errEndUnknown
 	}
-	l.Release() // frees what a skipped response reserved
 	if err := body.Read(c.br, r, l); err != nil {
 		return c.parseError(err)
 	}
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -274,6 +274,7 @@
 	for x := range c.queue {
 		<-x.done
 		last := c.write(x)
+		x.release()
 		c.mu.Lock()
 		c.outstanding--
 		idle := c.outstanding == 0
@@ -289,6 +290,7 @@
 	}
 	for x := range c.queue { // requests behind the last response get no response
 		<-x.done
+		x.release()
 	}
 }
 
--- a/adapters/meshhttp/endless_test.go
+++ b/adapters/meshhttp/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"runtime"
@@ -128,3 +129,30 @@
 const nodeMemory = 128 << 20 // memory of a node in the design target
 
 func newTestPool() *Pool { return NewPool(nil, body.NewMemory(nodeMemory/8)) }
+
+// Guards against complete large responses that wait for slow clients and that nothing bounds.
+func TestLargeResponseHoldsMemoryUntilReleased(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(nil, body.NewMemory(4<<20))
+	address := backend(t, rawResponse("1", strings.Repeat("x", 1<<20)))
+	var leases []*body.Lease
+	send := func() Failure {
+		request := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(request)
+		request.SetRequestURI("http://" + address + "/")
+		l := p.Lease()
+		leases = append(leases, l)
+		var response fasthttp.Response
+		return p.Do(context.Background(), address, &Call{Request: request, Response: &response, Deadline: time.Now().Add(testWait), Lease: l}).Failure
+	}
+	for range 3 {
+		is.Equal(send(), Answered)
+	}
+	for send() == Answered { // the fourth body fits only if it needs no room to grow
+		is.True(len(leases) < 5)
+	}
+	for _, l := range leases {
+		l.Release()
+	}
+	is.Equal(send(), Answered)
+}
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -50,11 +51,20 @@
 	Limit time.Time
 	// Nested is set by ServerOptions.Admit for a request that it took for a nested call of another in progress.
 	Nested bool
+	// Lease holds the memory of the response body until the response is written; nil: none is held.
+	Lease *body.Lease
 
 	done  chan struct{} // closed when Response is complete
 	close bool          // the connection closes after the response
 }
 
+// release returns the memory of the response body.
+func (x *Exchange) release() {
+	if x.Lease != nil {
+		x.Lease.Release()
+	}
+}
+
 // Handler fills in the response of an exchange. The context is cancelled when the client disconnects.
 type Handler func(ctx context.Context, x *Exchange)
 
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -58,9 +58,8 @@
 	confirmTimeout = 3 * time.Second
 	// defaultMemory is the memory of a node in the deployment that the system is designed for.
 	defaultMemory = 128 << 20
-	// bodyMemoryDivisor divides the memory to give the limit for large response bodies while
-	// they are read. Growing buffers, and those not yet garbage collected, take a multiple of it.
-	bodyMemoryDivisor = 8
+	// bodyMemoryDivisor divides the memory to give the limit for large response bodies.
+	bodyMemoryDivisor = 4
 	gateIdleTimeout   = 60 * time.Second // above the idle limit of clients (see meshhttp)
 )
 
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -154,6 +154,7 @@
 		return
 	}
 	defer fasthttp.ReleaseRequest(f.out)
+	defer f.discardSavedFailure()
 	f.forward(ctx)
 }
 
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/core/admission"
@@ -36,6 +37,7 @@
 	tried        []string           // gate addresses
 	mayHaveRun   bool               // an attempt had an unknown outcome; not set by a response of an upstream
 	savedFailure *fasthttp.Response // failure response of an upstream, returned if the retry fails
+	savedLease   *body.Lease        // memory of savedFailure
 	lastReason   string             // why the last attempt was not answered
 }
 
@@ -251,19 +253,45 @@
 // node is identified by the address of its gate.
 func (f *forwarding) send(ctx context.Context, gate string, now time.Time) meshhttp.Outcome {
 	e := f.entry
+	if f.x.Lease == nil {
+		f.x.Lease = e.pool.Lease()
+	}
 	if gate != e.options.Node {
 		return e.pool.Do(ctx, gate, &meshhttp.Call{
 			Request: f.out, Response: &f.x.Response, Deadline: f.deadline.Add(2 * answerSlack),
 			IDHeader: e.options.Headers.ID, ID: f.id, RecentlyUsedOnly: !f.route.GetIdempotent(),
+			Lease: f.x.Lease,
 		})
 	}
-	local := &meshhttp.Exchange{Received: now}
-	f.out.CopyTo(&local.Request)
+	local := &meshhttp.Exchange{Received: now, Lease: f.x.Lease}
+	copyRequest(f.out, &local.Request)
 	e.gate.handle(ctx, local, f.x.Nested)
-	local.Response.CopyTo(&f.x.Response)
+	moveResponse(&local.Response, &f.x.Response)
 	return meshhttp.Outcome{}
 }
 
+// moveResponse moves a response with its body. A copy of a large body would be memory that no lease holds.
+func moveResponse(from, to *fasthttp.Response) {
+	content := from.SwapBody(nil)
+	body.Discard(to)
+	from.CopyTo(to)
+	to.SwapBody(content)
+}
+
+// discardSavedFailure releases the failure response of an earlier attempt, if there is one.
+func (f *forwarding) discardSavedFailure() {
+	if f.savedFailure == nil {
+		return
+	}
+	body.Discard(f.savedFailure)
+	fasthttp.ReleaseResponse(f.savedFailure)
+	f.savedFailure = nil
+	if f.savedLease != nil {
+		f.savedLease.Release()
+		f.savedLease = nil
+	}
+}
+
 // classify determines from the outcome and the headers of the gate whether the request ran.
 func (f *forwarding) classify(o meshhttp.Outcome) attempt {
 	switch o.Failure {
@@ -323,8 +351,10 @@
 	}
 	f.entry.metrics.count("entry", "repeated")
 	if a.ran == ranYes {
+		f.discardSavedFailure()
 		f.savedFailure = fasthttp.AcquireResponse()
-		f.x.Response.CopyTo(f.savedFailure)
+		moveResponse(&f.x.Response, f.savedFailure)
+		f.savedLease, f.x.Lease = f.x.Lease, nil
 	}
 	return true
 }
@@ -346,9 +376,12 @@
 // earlier attempt if there is one, otherwise with the entry's own response.
 func (f *forwarding) giveUp() {
 	if f.savedFailure != nil {
-		f.savedFailure.CopyTo(&f.x.Response)
-		fasthttp.ReleaseResponse(f.savedFailure)
-		f.savedFailure = nil
+		moveResponse(f.savedFailure, &f.x.Response)
+		if f.x.Lease != nil {
+			f.x.Lease.Release()
+		}
+		f.x.Lease, f.savedLease = f.savedLease, nil
+		f.discardSavedFailure()
 		f.passResponse(attempt{ran: ranYes, status: f.x.Response.StatusCode()})
 		return
 	}
@@ -358,6 +391,7 @@
 // reject fills in the entry's own response with the status for the reason.
 func (f *forwarding) reject(reason string) {
 	r := &f.x.Response
+	body.Discard(r)
 	r.Reset()
 	status := fasthttp.StatusServiceUnavailable
 	switch {
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/core/admission"
@@ -203,9 +204,13 @@
 	dropHopHeaders(&out.Header, out.Header.All())
 	out.Header.Set(g.options.Headers.RemainingMs, formatMs(req.deadline.Sub(now)))
 	out.Header.Set(g.options.Headers.ExpectInstance, a.GetInstance())
+	if x.Lease == nil {
+		x.Lease = g.pool.Lease()
+	}
 	o := g.pool.Do(ctx, a.GetAddress(), &meshhttp.Call{
 		Request: out, Response: &x.Response, Deadline: req.deadline.Add(answerSlack),
 		IDHeader: g.options.Headers.ID, ID: req.id, IDRequired: req.id != "", RecentlyUsedOnly: !req.idempotent,
+		Lease: x.Lease,
 	})
 	g.finish(x, req, u, id, o, time.Since(now))
 }
@@ -314,6 +319,7 @@
 // ran the request: ranNo or ranUnknown.
 func (g *Gate) reject(x *meshhttp.Exchange, req gateRequest, ran, reason, detail string) {
 	g.metrics.count("gate", reason)
+	body.Discard(&x.Response)
 	x.Response.Reset()
 	x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	h := &x.Response.Header
