adapters/disk: leave a readable log behind when the disk was full

A write that a full disk cut was removed by shortening the segment, but segments were not opened for appending, so that the next write left a gap and the host could not start again. If shortening was refused as well, the next write followed the remains; a refused rename ended the process. Change: segments are opened for appending; remains are removed before the next attempt; renames are repeated while the disk is full. Measured: TestFullDiskLeavesAReadableLog fails before ("corrupt at offset 0") and passes after. The simulated file system of the older tests always appends, which hid it.

--- a/adapters/disk/fs.go
+++ b/adapters/disk/fs.go
@@ -33,7 +33,8 @@
 	MkdirAll(dir string) error
 	ReadDir(dir string) ([]string, error) // file names, sorted
 	ReadFile(name string) ([]byte, error)
-	Create(name string) (File, error) // truncates an existing file
+	// Create creates a file, or truncates an existing one. Writes go to the end of the file, also after Truncate.
+	Create(name string) (File, error)
 	Append(name string) (File, error)
 	Truncate(name string, size int64) error // includes a sync
 	Rename(from, to string) error
@@ -78,9 +79,9 @@
 // ReadFile returns the content of a file.
 func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
-// Create creates a file, or truncates an existing one, and opens it for writing.
+// Create creates a file, or truncates an existing one, and opens it for appending.
 func (OS) Create(name string) (File, error) {
-	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_APPEND|os.O_WRONLY, fileMode)
 }
 
 // Append opens a file for appending; it creates a missing file.
--- a/adapters/disk/store.go
+++ b/adapters/disk/store.go
@@ -189,15 +189,17 @@
 }
 
 // writeLog appends b to the open segment, which has the given size. When the disk
-// is full, it truncates what a partial write left before it retries.
+// is full, it truncates what a partial write left before it writes again.
 func (s *Store) writeLog(size int64, b []byte) error {
+	partial := false
 	return s.retryWhileFull(func() error {
-		n, err := s.file.Write(b)
-		if err != nil && n > 0 && errors.Is(err, syscall.ENOSPC) {
-			if truncateErr := s.fs.Truncate(s.path(s.segments[len(s.segments)-1].name), size); truncateErr != nil {
-				return truncateErr
+		if partial {
+			if err := s.fs.Truncate(s.path(s.segments[len(s.segments)-1].name), size); err != nil {
+				return err
 			}
 		}
+		n, err := s.file.Write(b)
+		partial = n > 0
 		return err
 	})
 }
@@ -298,7 +300,7 @@
 		err = closeErr
 	}
 	if err == nil {
-		err = s.fs.Rename(temp, s.path(name))
+		err = s.retryWhileFull(func() error { return s.fs.Rename(temp, s.path(name)) })
 	}
 	if err == nil {
 		err = s.fs.SyncDir(s.dir)
