core/raft: a leader with a full disk passes its leadership on

Cause: a host applies only what its own disk has synced, and the leader reports outcomes from what it has applied. With a full or hanging disk it went on leading, and no order was acknowledged although the others committed. Change: a leader that has not synced for an election timeout what is committed transfers its leadership. Disks that are slow alike cause no transfer, because nothing is committed before a majority has synced it. The report itself, a group that accepts nothing after the disks have room, was not reproduced.

--- a/core/raft/lease.go
+++ b/core/raft/lease.go
@@ -35,6 +35,22 @@
 		n.startRound()
 		n.maintainMembers()
 	}
+	n.checkOwnDisk()
+}
+
+// checkOwnDisk passes the leadership on if this host cannot sync what the others have committed. A host applies only
+// what it has synced, so that a leader with a full disk would report no outcome.
+func (n *Node) checkOwnDisk() {
+	l := n.leading
+	switch {
+	case n.log.commit <= n.log.stable:
+		l.diskBehind = 0
+	case l.diskBehind == 0:
+		l.diskBehind = n.now
+	case n.now-l.diskBehind > n.config.ElectionTimeout:
+		l.diskBehind = 0 // if nobody takes over, the next attempt comes later
+		n.TransferLeadership(n.now)
+	}
 }
 
 // startRound starts a heartbeat round: it sends a heartbeat to every member.
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -68,6 +68,8 @@
 	quorumAt      time.Duration // start of the newest round that a quorum answered
 	quorumRound   uint64
 
+	diskBehind time.Duration // since when this host has not synced what is committed; 0: it has
+
 	reads            []pendingRead
 	transferTo       string        // target of a transfer of leadership; "" without one
 	transferDeadline time.Duration // time at which the transfer has failed
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -296,6 +296,30 @@
 	})
 }
 
+// Guards against a leader whose disk is full and which goes on leading: it applies nothing, so that no outcome is
+// reported although the others commit.
+func TestLeaderWithFullDiskPassesLeadershipOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.SampledFrom([]int{3, 5}).Draw(t, "voters"), 0, rapid.Uint64Range(0, 1<<40).Draw(t, "seed"))
+		s.runFaultFree(4 * time.Second)
+		for range 3 {
+			l := s.leaseHolder()
+			s.require(l != nil, "no leader: %s", s.describe())
+			l.diskFull = true
+			s.propose(l)
+			s.runFaultFree(2 * time.Second)
+			next := s.leaseHolder()
+			s.require(next != nil && next != l, "the leader with a full disk still leads: %s", s.describe())
+			s.propose(next)
+			s.runFaultFree(time.Second)
+			s.require(next.applied == next.node.log.last(), "the next leader does not apply: %s", s.describe())
+			l.diskFull = false
+			s.runFaultFree(2 * time.Second)
+		}
+		s.requireWorking()
+	})
+}
+
 // settle delivers all messages and syncs all writes without advancing the time,
 // except for the messages to or from one host.
 func (s *sim) settle(except string) {
