cmd/rattanfield-platform: take the platform's header names from its package

Change: the test uses platform.Headers. Measured: TestPlatformNamesStayInPackage failed 1 of 1 -> passes; TestEndlessResponsesStayWithinMemory passes. Conclusion: kept; no product change.

--- a/cmd/rattanfield-platform/memory_test.go
+++ b/cmd/rattanfield-platform/memory_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/platform"
 	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
 
@@ -66,6 +67,9 @@
 
 const endless = "endless" // part of the paths that the upstream answers without end
 
+// names are the header names of the platform.
+var names = platform.Headers
+
 // serveUpstream answers ordinary requests, and those for endless paths with bytes until the connection is closed.
 func serveUpstream(c net.Conn) {
 	defer func() { _ = c.Close() }()
@@ -75,7 +79,7 @@
 		if err := r.Read(br); err != nil {
 			return
 		}
-		head := "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: " + string(r.Header.Peek("X-Attempt-Id")) + "\r\n"
+		head := "HTTP/1.1 200 OK\r\n" + names.Signature + ": s\r\n" + names.ID + ": " + string(r.Header.Peek(names.ID)) + "\r\n"
 		if !strings.Contains(string(r.RequestURI()), endless) {
 			if _, err := io.WriteString(c, head+"Content-Length: 4\r\n\r\nbody"); err != nil {
 				return
@@ -153,8 +157,8 @@
 			return 0
 		}
 		r.Host = platformtest.HostName
-		r.Header.Set("X-Attempt-Id", id)
-		r.Header.Set("X-Deadline-Ms", "1500")
+		r.Header.Set(names.ID, id)
+		r.Header.Set(names.RemainingMs, "1500")
 		resp, err := http.DefaultTransport.RoundTrip(r)
 		if err != nil {
 			return 0
