--- a/core/state/plan.go
+++ b/core/state/plan.go
@@ -22,7 +22,7 @@
 	current       *pb.StoredPlan
 	accepted      []*pb.AcceptedPlan // oldest first, in ascending order of numbers
 	rollouts      map[string]*pb.Rollout
-	orders        []*pb.RolloutOrder // accepted in the last orderMemory, oldest first
+	orders        []*pb.RolloutOrder // accepted in the last orderMemoryMs, oldest first
 	rolloutSerial uint64             // serial of the newest rollout, counted over all services
 	changes       uint64             // number of accepted changes to the plan or to any rollout
 }
