app/proxy: tell an ended upstream from a lost answer

Cause: a gate logged reason=lost for an upstream that ended, a reset connection and a lost answer alike, and nothing said which requests were in progress together. Change: after a lost connection the gate checks whether the upstream still accepts connections. If not, or if another process has announced itself, it logs 'upstream ended' with the evidence and the ids and fingerprints of the requests in progress, counts rattanfield_upstream_ends_total and answers reason=upstream-ended. Planned leaves and versions that a rollout has replaced are no such ends. What runs is not changed. Conclusion: the record of a crash now names what was in progress.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -171,6 +171,31 @@
 	return nil
 }
 
+const (
+	// refusalAttempts is the number of connections that Refuses opens at most, and settleTime the time after which a
+	// connection is looked at: a process that ends may still accept one and close it.
+	refusalAttempts = 3
+	settleTime      = 3 * time.Millisecond
+)
+
+// Refuses reports whether connections to a destination are refused, which on the same host shows that no process listens
+// there. A connection that stays open is added to the pool.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	for range refusalAttempts {
+		c, err := p.dial(ctx, address, time.Now().Add(dialTimeout))
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		time.Sleep(settleTime)
+		if socket.Peek(c.nc) == socket.Idle {
+			p.putIdle(address, c)
+			return false
+		}
+		_ = c.nc.Close()
+	}
+	return false
+}
+
 func (p *Pool) getIdle(address string, fresh bool) *clientConn {
 	for {
 		p.mu.Lock()
--- a/app/proxy/announce.go
+++ b/app/proxy/announce.go
@@ -54,6 +54,7 @@
 	if u == nil || u.announcement.GetInstance() != a.GetInstance() || u.announcement.GetBornUnixMs() != a.GetBornUnixMs() {
 		if u != nil {
 			u.notify(u.queue.Clear(), reasonOtherUpstream)
+			g.noticeEnd(u, "replaced", u.unanswered.recent(now))
 		}
 		u = newUpstream(a, now)
 		g.activeUpstream = u
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -103,6 +103,7 @@
 		return
 	}
 	req.deadline, req.nested = limitByStop(g.stop.Load(), req.deadline), nested
+	req.fingerprint = fingerprint(req.service, &x.Request)
 	u, id, reason := g.admit(ctx, req)
 	if reason != "" {
 		g.reject(x, req, ranNo, reason, "")
@@ -192,6 +193,8 @@
 	if reason != "" {
 		delete(u.deadlines, id)
 		u.notify(u.queue.Finish(time.Now(), id, 0, false), "")
+	} else {
+		u.running[id] = req
 	}
 	g.mu.Unlock()
 	if reason != "" {
@@ -212,11 +215,14 @@
 		IDHeader: g.options.Headers.ID, ID: req.id, IDRequired: req.id != "", RecentlyUsedOnly: !req.idempotent,
 		Lease: x.Lease,
 	})
-	g.finish(x, req, u, id, o, time.Since(now))
+	latency := time.Since(now)
+	ended := g.checkEnded(ctx, u, o.Failure)
+	g.finish(x, req, u, id, o, latency, ended)
 }
 
-// finish releases the slot, records the outcome and fills in the response to the entry.
-func (g *Gate) finish(x *meshhttp.Exchange, req gateRequest, u *upstream, id uint64, o meshhttp.Outcome, latency time.Duration) {
+// finish releases the slot, records the outcome and fills in the response to the entry. ended states that the upstream
+// has ended, see checkEnded.
+func (g *Gate) finish(x *meshhttp.Exchange, req gateRequest, u *upstream, id uint64, o meshhttp.Outcome, latency time.Duration, ended bool) {
 	// There are three cases. knownRun: the upstream answered the request. knownNotRun: the request
 	// was not sent, or the upstream answered that it did not run it. Neither: it is unknown whether
 	// the request ran. unknownOrError is true in the third case, and with a status of 500 or above
@@ -237,10 +243,13 @@
 		u.condition.RecordOutcome(time.Now(), latency, unknownOrError || knownNotRun)
 	}
 	delete(u.deadlines, id)
+	delete(u.running, id)
+	u.unanswered.record(time.Now(), req, o.Failure)
 	u.notify(u.queue.Finish(time.Now(), id, latency, knownRun && status < fasthttp.StatusInternalServerError), "")
 	if o.Refused || (knownNotRun && status == fasthttp.StatusMisdirectedRequest) {
 		u.unreachable = true
 		u.notify(u.queue.Clear(), reasonNoUpstream)
+		g.noticeEnd(u, "refused or replaced", u.unanswered.recent(time.Now())) // what is in u.running may not have been sent
 	}
 	g.mu.Unlock()
 	if knownRun || (unknownOrError && o.Failure != meshhttp.Cancelled) {
@@ -268,6 +277,8 @@
 	case o.Failure == meshhttp.TimedOut:
 		g.durations.record(drain.Kind{Route: req.route, Service: req.service}, latency)
 		g.reject(x, req, ranUnknown, reasonDeadline, "")
+	case ended:
+		g.reject(x, req, ranUnknown, reasonUpstreamEnded, o.Err.Error())
 	case o.Failure == meshhttp.InvalidResponse:
 		g.reject(x, req, ranUnknown, reasonUnreadable, o.Err.Error())
 	default:
--- a/app/proxy/gate_request.go
+++ b/app/proxy/gate_request.go
@@ -18,6 +18,7 @@
 	deadline, goal              time.Time
 	goalDuration                time.Duration
 	received                    time.Time
+	fingerprint                 uint64 // see fingerprint; set by Gate.handle
 }
 
 // parseRequest reads the headers of the entry. It returns false if the remaining
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -59,6 +59,7 @@
 	reasonUpstreamNotRun = "shed"  // the upstream answered that it did not run the request
 	reasonUnreachable    = "unreachable"
 	reasonLost           = "lost"
+	reasonUpstreamEnded  = "upstream-ended" // the process of the upstream ended while it ran the request
 	reasonUnreadable     = "unreadable-answer"
 	reasonDeadline       = "deadline"
 	reasonCancelled      = "cancelled"
--- a/app/proxy/metrics.go
+++ b/app/proxy/metrics.go
@@ -46,6 +46,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanfield_stop_requests_total{side=%q,decision=%q}`, side, decision)).Inc()
 }
 
+// countUpstreamEnd counts an upstream that ended while it ran requests.
+func (m *Metrics) countUpstreamEnd() {
+	m.set.GetOrCreateCounter("rattanfield_upstream_ends_total").Inc()
+}
+
 // observe counts an answered request and records its latency.
 func (m *Metrics) observe(side, route string, latency time.Duration) {
 	m.count(side, "answered")
--- a/app/proxy/upstream.go
+++ b/app/proxy/upstream.go
@@ -19,10 +19,15 @@
 	unreachable   bool                   // it refused a connection; reset by the next announcement
 	lastAnnounced time.Time
 	condition     condition.Tracker
+
+	running    map[uint64]gateRequest // requests that are being sent or have been sent, by queue id
+	unanswered unanswered
+	ended      bool          // the process ended without having left
+	endCheck   chan struct{} // closed when the check in progress ends; nil if there is none, see Gate.refuses
 }
 
 func newUpstream(a *pb.Announcement, now time.Time) *upstream {
-	return &upstream{announcement: a, lastAnnounced: now, queue: admission.New(int(a.GetSlots())), waiting: make(map[uint64]chan string), deadlines: make(map[uint64]time.Time)}
+	return &upstream{announcement: a, lastAnnounced: now, queue: admission.New(int(a.GetSlots())), waiting: make(map[uint64]chan string), deadlines: make(map[uint64]time.Time), running: make(map[uint64]gateRequest)}
 }
 
 // rejectionReason returns the reason why the upstream accepts no request now, or "".
