--- /dev/null
+++ b/app/meshnode/cluster_test.go
@@ -0,0 +1,277 @@
+package meshnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/app/consensus"
+	"github.com/rattanfield/rattanfield/app/meshcontrol"
+	"github.com/rattanfield/rattanfield/core/plan"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+const (
+	clusterDomains = 3
+	// restartTime is how long an upstream of the cluster is away after it has ended.
+	restartTime      = 300 * time.Millisecond
+	announceInterval = 200 * time.Millisecond
+	runTime          = 20 * time.Millisecond // of an ordinary request
+)
+
+// cluster is a mesh in this process: control hosts, and nodes with one upstream each.
+type cluster struct {
+	t       *testing.T
+	seeds   []string
+	nodes   []*clusterNode
+	arrived func(path, id string) // called with each request that an upstream begins to run; it may be nil
+}
+
+// clusterNode is a node with its upstream.
+type clusterNode struct {
+	cluster *cluster
+	host    string // IP
+	domain  string
+	entry   string
+	address string // of the upstream
+	process atomic.Pointer[Process]
+	stop    func() // ends the process of the node at once
+
+	mu       sync.Mutex
+	server   *http.Server
+	instance string
+	born     int64
+	starts   int
+}
+
+// Ports of the processes of a cluster. Each process has a loopback address of its own.
+const (
+	portEntry = 17101 + iota
+	portGate
+	portPeer
+	portMetrics
+	portUpstream
+)
+
+var loopbackHosts atomic.Int32 // used by the tests of this process
+
+// newHost returns a loopback address that no other process of a cluster has.
+func newHost() string {
+	n := loopbackHosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, 200+n/200, 1+n%200)
+}
+
+func at(host string, port int) string { return fmt.Sprint(host, ":", port) }
+
+// newCluster starts a control host in each failure domain, the nodes and their upstreams, and waits until all nodes serve.
+func newCluster(t *testing.T, nodes int, arrived func(path, id string)) *cluster {
+	c := &cluster{t: t, arrived: arrived}
+	var ips []string
+	for range clusterDomains {
+		ips = append(ips, newHost())
+		c.seeds = append(c.seeds, at(ips[len(ips)-1], portPeer))
+	}
+	var hosts [clusterDomains]atomic.Pointer[consensus.Host]
+	for i, address := range c.seeds {
+		dir := t.TempDir()
+		c.run(func(ctx context.Context) error {
+			return meshcontrol.Run(ctx, meshcontrol.Options{
+				PeerAddress: address, MetricsAddress: at(ips[i], portMetrics), FailureDomain: fmt.Sprint("d", i), Region: "r", DataDir: dir,
+				Founders: c.seeds, Seeds: func() []string { return c.seeds },
+				ExtraHandlers: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
+					hosts[i].Store(p.Host)
+					return map[string]fasthttp.RequestHandler{}
+				},
+			}, log.NewNopLogger())
+		})
+	}
+	eventually(t, "the plan is accepted", func() bool {
+		h := hosts[0].Load()
+		return h != nil && h.Submit(t.Context(), clusterPlan(t)).GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED
+	})
+	for i := range nodes {
+		n := &clusterNode{cluster: c, host: newHost(), domain: fmt.Sprint("d", i%clusterDomains)}
+		n.entry, n.address = at(n.host, portEntry), at(n.host, portUpstream)
+		c.nodes = append(c.nodes, n)
+		n.startNode()
+		n.startUpstream()
+	}
+	c.run(func(ctx context.Context) error { c.announceAll(ctx); return nil })
+	for _, n := range c.nodes {
+		eventually(t, "the node serves", func() bool { return n.get("/r/first", "first", time.Second) == http.StatusOK })
+	}
+	return c
+}
+
+// run runs f until the test or the returned function ends it.
+func (c *cluster) run(f func(ctx context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := f(ctx); err != nil && ctx.Err() == nil {
+			c.t.Error(err)
+		}
+	}()
+	stop = func() { cancel(); <-done }
+	c.t.Cleanup(stop)
+	return stop
+}
+
+func clusterPlan(t *testing.T) *pb.Command {
+	p := &pb.Plan{
+		Number: 1, Services: []*pb.PlanService{{Name: "a"}},
+		Routes: []*pb.PlanRoute{
+			{Name: "read", Host: "h", PathPrefix: "/r/", Idempotent: true, TimeoutMs: 1500, GoalMs: 500, MaxAttempts: 2, Targets: []*pb.PlanTarget{{Service: "a", Weight: 1}}},
+			{Name: "write", Host: "h", PathPrefix: "/w/", TimeoutMs: 1500, GoalMs: 500, MaxAttempts: 2, Targets: []*pb.PlanTarget{{Service: "a", Weight: 1}}},
+		},
+	}
+	payload, digest, err := plan.Encode(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &pb.Command{CommandId: "plan", Operator: "test", Command: &pb.Command_ReplacePlan{ReplacePlan: &pb.ReplacePlan{Number: 1, Payload: payload, Digest: digest}}}
+}
+
+// startNode starts the process of a node.
+func (n *clusterNode) startNode() {
+	n.stop = n.cluster.run(func(ctx context.Context) error {
+		return Run(ctx, Options{
+			EntryAddress: n.entry, GateAddress: at(n.host, portGate), PeerAddress: at(n.host, portPeer), MetricsAddress: at(n.host, portMetrics),
+			FailureDomain: n.domain, Region: "r", Service: "a",
+			Seeds: func() []string { return n.cluster.seeds }, Headers: testHeaders, DrainBound: 2 * time.Second, LostAfter: 5 * announceInterval,
+			RetryBudgetPercent: 20, RetryBudgetExtra: 60, RetryBudgetWindow: 10 * time.Second, StopBound: 700 * time.Millisecond, StopNotice: 10 * time.Millisecond,
+			ExtraHandlers: func(p *Process) map[string]fasthttp.RequestHandler { n.process.Store(p); return nil },
+		}, log.NewNopLogger())
+	})
+}
+
+// startUpstream starts the process of an upstream, with a new id.
+func (n *clusterNode) startUpstream() {
+	var l net.Listener
+	eventually(n.cluster.t, "the upstream listens", func() bool {
+		var err error
+		l, err = net.Listen("tcp", n.address)
+		return err == nil
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.starts++
+	n.instance, n.born = fmt.Sprint(n.address, "-", n.starts), time.Now().UnixMilli()
+	n.server = &http.Server{Handler: n.handler(n.instance), ReadHeaderTimeout: time.Minute}
+	go func(s *http.Server) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.cluster.t.Error(err)
+		}
+	}(n.server)
+	n.cluster.t.Cleanup(func() { _ = n.server.Close() })
+}
+
+// handler serves requests. Those for crashing paths end the process of the upstream.
+func (n *clusterNode) handler(instance string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(testHeaders.ID)
+		w.Header().Set(testHeaders.ID, id)
+		w.Header().Set(testHeaders.Signature, "s")
+		if r.Header.Get(testHeaders.ExpectInstance) != instance {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if n.cluster.arrived != nil {
+			n.cluster.arrived(r.URL.RequestURI(), id)
+		}
+		time.Sleep(runTime)
+		if isCrashing(r.URL.Path) {
+			n.endUpstream(instance)
+			return
+		}
+		_, _ = w.Write([]byte("ok"))
+	}
+}
+
+// isCrashing reports whether requests for a path end the upstreams that run them.
+func isCrashing(path string) bool { return path == "/r/crash" || path == "/w/crash" }
+
+// endUpstream ends the process of the upstream if it is still this one. Another one starts after restartTime.
+func (n *clusterNode) endUpstream(instance string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.instance != instance {
+		return
+	}
+	n.instance = ""
+	_ = n.server.Close()
+	time.AfterFunc(restartTime, func() {
+		if n.cluster.t.Context().Err() == nil {
+			n.startUpstream()
+		}
+	})
+}
+
+// announceAll sends the announcements of all upstreams until the context ends.
+func (c *cluster) announceAll(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for seq := uint64(1); ; seq++ {
+		for _, n := range c.nodes {
+			n.mu.Lock()
+			a := &pb.Announcement{
+				Instance: n.instance, Service: "a", Address: n.address, FailureDomain: "d", Version: "v1", Slots: 8, State: pb.UpstreamState_UPSTREAM_STATE_SERVING,
+				Seq: seq, BornUnixMs: n.born,
+			}
+			n.mu.Unlock()
+			if p := n.process.Load(); p != nil && a.GetInstance() != "" {
+				p.Announce(a)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// get sends a request to the entry of a node on a new connection and returns the status; 0 without a response.
+func (n *clusterNode) get(path, id string, limit time.Duration) int {
+	status, _ := n.send(http.MethodGet, path, id, limit)
+	return status
+}
+
+// send is get with a method; it also returns the body of the response.
+func (n *clusterNode) send(method, path, id string, limit time.Duration) (int, string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + n.entry + path)
+	req.Header.SetHost("h")
+	req.UseHostHeader = true
+	req.SetConnectionClose()
+	req.Header.Set(testHeaders.ID, id)
+	req.Header.Set(testHeaders.RemainingMs, fmt.Sprint(limit.Milliseconds()))
+	client := fasthttp.Client{NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1}
+	if err := client.DoTimeout(req, resp, limit+500*time.Millisecond); err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode(), string(resp.Body())
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
