core/suspects, app/proxy: stop requests that crash upstreams at all nodes

Cause: callers saw one request take a whole service down. No process on this path recorded which requests were in progress when an upstream ended, so every node sent each arrival on, and the entry repeated a lost one on the next upstream. Change: the requests in progress at the end of an upstream become suspects by fingerprint. A request that completes anywhere is cleared, because one that crashes upstreams never completes; popular ones are cleared at once by what the gate has seen complete. A suspect runs at one gate, chosen by rendezvous hash, beside no other suspect, so that the next crash has one cause. After two crashes it is rejected at once (503, crash-suspect, Retry-After) except for trials after 2 s, 10 min, 20 min and so on. Nodes report suspects to control hosts, which pass them on; calls between nodes carry the record, too, so that a node without control hosts learns. The table has at most 4096 records; the fewest crashes, then the oldest, are forgotten first. Losses by a known suspect are not counted for a rollout.

--- a/app/controlclient/apply.go
+++ b/app/controlclient/apply.go
@@ -55,7 +55,11 @@
 	if len(c.positions) > maxPositions {
 		clear(c.positions)
 	}
-	c.positions[c.host] = position{epoch: r.GetTableEpoch(), version: r.GetTableVersion()}
+	if c.positions[c.host].epoch != r.GetTableEpoch() {
+		c.suspectsAcked = 0 // the control host has started anew, and may have lost what this request brought
+	}
+	c.positions[c.host] = position{epoch: r.GetTableEpoch(), version: r.GetTableVersion(), suspects: r.GetSuspectsVersion()}
+	c.options.Suspects.Merge(r.GetSuspects())
 	if r.GetTableWhole() || len(r.GetRecords()) > 0 || len(c.records.absent) > 0 {
 		c.records.apply(r.GetTableWhole(), r.GetRecords(), now)
 		c.raiseEpoch(c.records.byNode[c.options.Node])
--- a/app/controlclient/client.go
+++ b/app/controlclient/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
+	"github.com/rattanfield/rattanfield/app/suspectlist"
 	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/nodetable"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -50,6 +51,8 @@
 	// Outcomes returns the outcomes that the local upstream had in the running rollout.
 	// It may be nil.
 	Outcomes func() []*pb.RouteOutcomes
+	// Suspects are the suspects of the node; nil stands for none.
+	Suspects *suspectlist.List
 	// OnChange is called with each new view and must not block. It may be nil.
 	OnChange func(*View)
 }
@@ -75,6 +78,8 @@
 	failures              int                    // consecutive failed polls
 	unconfirmed           int                    // consecutive responses without a quorum
 	ownDomainHostAnswered bool                   // whether the control host of this node's failure domain answered, even without a quorum
+	suspectsAcked         uint64                 // version up to which the current control host has the suspects of this node
+	suspectsSent          uint64                 // version that the current poll brings it up to
 	records               records
 	positions             map[string]position // by control host, so that returning to one does not transfer the whole table
 }
@@ -83,14 +88,17 @@
 // no longer exist.
 const maxPositions = 64
 
-// position is the epoch and version up to which a node has the table of a control host.
+// position is the epoch and the versions up to which a node has the table and the suspects of a control host.
 type position struct {
-	epoch   int64
-	version uint64
+	epoch             int64
+	version, suspects uint64
 }
 
 // New returns a Client, which polls control hosts while Run runs.
 func New(o Options, client *rpc.Client, logger log.Logger) *Client {
+	if o.Suspects == nil {
+		o.Suspects = suspectlist.New(func() {})
+	}
 	c := &Client{
 		options: o, logger: logger, recordChanged: make(chan struct{}, 1),
 		clients: rpc.NewCache(func(address string) rattanfieldv1connect.MeshServiceClient {
@@ -141,6 +149,9 @@
 	c.reportNow()
 }
 
+// SuspectsChanged tells that the control hosts need a change of the suspects of this node.
+func (c *Client) SuspectsChanged() { c.reportNow() }
+
 // reportNow ends the current poll, so that the next one carries the changed record.
 func (c *Client) reportNow() {
 	select {
@@ -183,8 +194,9 @@
 // request returns the request of the next poll.
 func (c *Client) request() *pb.MeshServiceSyncRequest {
 	v := c.view.Load()
+	at := c.positions[c.host]
 	r := &pb.MeshServiceSyncRequest{
-		HaveState: v.ChangeCount, TableEpoch: c.positions[c.host].epoch, TableVersion: c.positions[c.host].version, WaitMs: uint32(pollWait.Milliseconds()),
+		HaveState: v.ChangeCount, TableEpoch: at.epoch, TableVersion: at.version, SuspectsVersion: at.suspects, WaitMs: uint32(pollWait.Milliseconds()),
 	}
 	r.HavePlan = c.unreadablePlan
 	if v.Plan != nil {
@@ -204,6 +216,7 @@
 		}
 	}
 	r.Self = c.self
+	r.Suspects, c.suspectsSent = c.options.Suspects.OwnSince(c.suspectsAcked)
 	return r
 }
 
@@ -231,6 +244,7 @@
 		if r.err != nil {
 			return nil, r.err
 		}
+		c.suspectsAcked = c.suspectsSent
 		return r.response.Msg, nil
 	case <-c.recordChanged:
 		return nil, nil
--- a/app/controlclient/hosts.go
+++ b/app/controlclient/hosts.go
@@ -28,6 +28,7 @@
 		c.host, c.lastSwitch = next, time.Now()
 		c.pollDeadline.Reset()
 		c.raiseSeq()
+		c.suspectsAcked = 0
 	}
 }
 
--- a/app/controlserver/exchange.go
+++ b/app/controlserver/exchange.go
@@ -70,11 +70,10 @@
 
 // exchangeWith polls one control host for its records until the context ends.
 func (s *Server) exchangeWith(ctx context.Context, address string) {
-	var epoch int64
-	var version uint64
+	have := &pb.MeshServiceExchangeRequest{WaitMs: uint32(exchangeWait.Milliseconds())}
 	reachable := true
 	for ctx.Err() == nil {
-		r, err := s.poll(ctx, address, epoch, version)
+		r, err := s.poll(ctx, address, have)
 		if ctx.Err() != nil {
 			return
 		}
@@ -86,17 +85,16 @@
 			lifecycle.Pause(ctx, exchangeRetry/2+rand.N(exchangeRetry))
 			continue
 		}
-		epoch, version = r.GetTableEpoch(), r.GetTableVersion()
+		have.TableEpoch, have.TableVersion, have.SuspectsVersion = r.GetTableEpoch(), r.GetTableVersion(), r.GetSuspectsVersion()
 		s.merge(address, r.GetRecords())
+		s.mergeSuspects(r.GetSuspects(), false)
 	}
 }
 
-func (s *Server) poll(ctx context.Context, address string, epoch int64, version uint64) (*pb.MeshServiceExchangeResponse, error) {
+func (s *Server) poll(ctx context.Context, address string, have *pb.MeshServiceExchangeRequest) (*pb.MeshServiceExchangeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeWait+exchangeTimeout)
 	defer cancel()
-	r, err := s.clients.Get(address).Exchange(ctx, connect.NewRequest(&pb.MeshServiceExchangeRequest{
-		TableEpoch: epoch, TableVersion: version, WaitMs: uint32(exchangeWait.Milliseconds()),
-	}))
+	r, err := s.clients.Get(address).Exchange(ctx, connect.NewRequest(have))
 	if err != nil {
 		return nil, err
 	}
--- a/app/controlserver/serve.go
+++ b/app/controlserver/serve.go
@@ -36,6 +36,7 @@
 func (s service) Sync(ctx context.Context, req *connect.Request[pb.MeshServiceSyncRequest]) (*connect.Response[pb.MeshServiceSyncResponse], error) {
 	server, m := s.server, req.Msg
 	server.storeRecord(m.GetSelf())
+	server.mergeSuspects(m.GetSuspects(), true)
 	timer := time.NewTimer(min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := m.GetWaitMs() == 0; ; {
@@ -45,8 +46,10 @@
 		}
 		select {
 		case <-signals.planChanged:
+		case <-signals.suspectsChanged:
+			expired = signals.coalesce(ctx, timer.C, signals.suspectsWait)
 		case <-signals.changed:
-			expired = signals.coalesce(ctx, timer.C)
+			expired = signals.coalesce(ctx, timer.C, signals.wait)
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
@@ -57,15 +60,15 @@
 
 // pollSignals holds the channels that a poll waits on.
 type pollSignals struct {
-	changed, planChanged <-chan struct{}
-	wait                 time.Duration // time over which changes of the table are collected
+	changed, planChanged, suspectsChanged <-chan struct{}
+	wait, suspectsWait                    time.Duration // time over which changes of the table and of suspects are collected
 }
 
-// coalesce waits for further changes of the table. It ends early when the plan or a
-// rollout changes, or when the poll expires, which it reports: with a table of many records, it
-// would otherwise wait longer than the node does.
-func (s pollSignals) coalesce(ctx context.Context, expiry <-chan time.Time) (expired bool) {
-	timer := time.NewTimer(s.wait)
+// coalesce waits for further changes. It ends early when the plan or a
+// rollout changes, when suspects changed during a longer wait for the table, or when the poll expires, which it reports: with
+// a table of many records, it would otherwise wait longer than the node does.
+func (s pollSignals) coalesce(ctx context.Context, expiry <-chan time.Time, wait time.Duration) (expired bool) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -82,7 +85,11 @@
 func (s *Server) buildResponse(m *pb.MeshServiceSyncRequest) (*pb.MeshServiceSyncResponse, bool, pollSignals) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	signals := pollSignals{changed: s.changed, planChanged: s.planChanged, wait: coalesceTime + time.Duration(s.table.Len())*coalesceTimePerNode}
+	nodes := time.Duration(s.table.Len())
+	signals := pollSignals{
+		changed: s.changed, planChanged: s.planChanged, suspectsChanged: s.suspectsChanged,
+		wait: coalesceTime + nodes*coalesceTimePerNode, suspectsWait: coalesceTime + nodes*suspectsTimePerNode,
+	}
 	st := s.state.State()
 	out := &pb.MeshServiceSyncResponse{
 		Confirmed: s.state.ConfirmedAge() <= lease, StateIndex: st.PlanChanges, PlanSerial: st.Plan.GetSerial(),
@@ -93,32 +100,34 @@
 	}
 	hasChanges := out.GetStateIndex() > m.GetHaveState()
 	if m.GetNoTable() {
-		signals.changed = nil
+		signals.changed, signals.suspectsChanged = nil, nil
 		return out, hasChanges, signals
 	}
-	since := m.GetTableVersion()
+	since, suspectsSince := m.GetTableVersion(), m.GetSuspectsVersion()
 	if m.GetTableEpoch() != s.epoch {
-		since, out.TableWhole = 0, true
+		since, suspectsSince, out.TableWhole = 0, 0, true
 	}
-	out.TableEpoch, out.TableVersion = s.epoch, s.table.Version()
-	out.Records = s.table.Since(since)
-	return out, hasChanges || out.GetTableWhole() || len(out.GetRecords()) > 0, signals
+	out.TableEpoch, out.TableVersion, out.SuspectsVersion = s.epoch, s.table.Version(), s.suspects.Version()
+	out.Records, out.Suspects = s.table.Since(since), s.suspects.Since(time.Now(), suspectsSince)
+	return out, hasChanges || out.GetTableWhole() || len(out.GetRecords())+len(out.GetSuspects()) > 0, signals
 }
 
-// Exchange returns the records that this host received directly from nodes, and not
+// Exchange returns the records and suspects that this host received directly from nodes, and not
 // from other control hosts.
 func (s service) Exchange(ctx context.Context, req *connect.Request[pb.MeshServiceExchangeRequest]) (*connect.Response[pb.MeshServiceExchangeResponse], error) {
 	server, m := s.server, req.Msg
 	timer := time.NewTimer(min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := m.GetWaitMs() == 0; ; {
-		response, changed := server.ownRecords(m)
-		if expired || len(response.GetRecords()) > 0 {
+		response, changed, suspectsChanged := server.ownRecords(m)
+		if expired || len(response.GetRecords())+len(response.GetSuspects()) > 0 {
 			return connect.NewResponse(response), nil
 		}
 		select {
 		case <-changed:
 			lifecycle.Pause(ctx, coalesceTime)
+		case <-suspectsChanged:
+			lifecycle.Pause(ctx, coalesceTime)
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
@@ -127,19 +136,23 @@
 	}
 }
 
-// ownRecords returns the response to an exchange, and a channel that is closed at the
-// next change of the table. Its version combines the own versions of the node table and
+// ownRecords returns the response to an exchange, and channels that are closed at the
+// next change of the table and of suspects. Its version combines the own versions of the node table and
 // of the outcomes table.
-func (s *Server) ownRecords(m *pb.MeshServiceExchangeRequest) (*pb.MeshServiceExchangeResponse, <-chan struct{}) {
+func (s *Server) ownRecords(m *pb.MeshServiceExchangeRequest) (out *pb.MeshServiceExchangeResponse, changed, suspectsChanged <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tableSince, outcomesSince := unpackVersions(m.GetTableVersion())
+	suspectsSince := m.GetSuspectsVersion()
 	if m.GetTableEpoch() != s.epoch {
-		tableSince, outcomesSince = 0, 0
+		tableSince, outcomesSince, suspectsSince = 0, 0, 0
+	}
+	out = &pb.MeshServiceExchangeResponse{
+		TableEpoch: s.epoch, TableVersion: packVersions(s.table.OwnVersion(), s.outcomes.OwnVersion()), SuspectsVersion: s.suspects.OwnVersion(),
+		Records:  append(s.table.OwnSince(tableSince), s.outcomes.OwnSince(outcomesSince)...),
+		Suspects: s.suspects.OwnSince(time.Now(), suspectsSince),
 	}
-	out := &pb.MeshServiceExchangeResponse{TableEpoch: s.epoch, TableVersion: packVersions(s.table.OwnVersion(), s.outcomes.OwnVersion())}
-	out.Records = append(s.table.OwnSince(tableSince), s.outcomes.OwnSince(outcomesSince)...)
-	return out, s.changed
+	return out, s.changed, s.suspectsChanged
 }
 
 // versionBits is the number of bits of a combined version that hold the version of the
--- a/app/controlserver/server.go
+++ b/app/controlserver/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/nodetable"
+	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 	"github.com/rattanfield/rattanfield/ports"
@@ -33,6 +34,9 @@
 	// this wait.
 	coalesceTime        = 20 * time.Millisecond
 	coalesceTimePerNode = time.Millisecond
+	// suspectsTimePerNode is added to coalesceTime for changes of suspects. They are more urgent than those of the table and
+	// rare, but many upstreams may end at the same time.
+	suspectsTimePerNode = 100 * time.Microsecond
 	// maxWait is the longest long poll that a peer may ask for.
 	maxWait = 5 * time.Second
 )
@@ -61,6 +65,9 @@
 	outcomes    *nodetable.Table // outcomes table: records that contain only outcomes
 	changed     chan struct{}    // closed at the next change of the node table, or when a node reports changed outcomes
 	planChanged chan struct{}    // closed at the next change of the plan or a rollout
+
+	suspects        *suspects.Registry
+	suspectsChanged chan struct{} // closed at the next change of suspects
 }
 
 // New returns the server of the control host with this id.
@@ -71,6 +78,7 @@
 			return rattanfieldv1connect.NewMeshServiceClient(client.HTTP(), rpc.URL(address))
 		}),
 		table: nodetable.New(), outcomes: nodetable.New(), changed: make(chan struct{}), planChanged: make(chan struct{}),
+		suspects: suspects.New(), suspectsChanged: make(chan struct{}),
 	}
 }
 
@@ -164,6 +172,19 @@
 	}
 }
 
+// mergeSuspects stores suspects that a node or, unless direct, another control host sent.
+func (s *Server) mergeSuspects(records []*pb.SuspectRequest, direct bool) {
+	if len(records) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspects.Merge(time.Now(), records, direct) {
+		close(s.suspectsChanged)
+		s.suspectsChanged = make(chan struct{})
+	}
+}
+
 // Outcomes calls f for the outcomes that each node reported, with the time since they
 // were last confirmed. f must not block.
 func (s *Server) Outcomes(f func(r *pb.NodeRecord, age time.Duration)) {
--- a/app/meshnode/cluster_test.go
+++ b/app/meshnode/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/rattanfield/rattanfield/app/consensus"
 	"github.com/rattanfield/rattanfield/app/meshcontrol"
 	"github.com/rattanfield/rattanfield/core/plan"
+	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -27,14 +29,17 @@
 	restartTime      = 300 * time.Millisecond
 	announceInterval = 200 * time.Millisecond
 	runTime          = 20 * time.Millisecond // of an ordinary request
+	noResponse       = -1                    // status if no response came
 )
 
 // cluster is a mesh in this process: control hosts, and nodes with one upstream each.
 type cluster struct {
 	t       *testing.T
 	seeds   []string
+	mu      sync.Mutex // guards changes of nodes, which announceAll reads
 	nodes   []*clusterNode
-	arrived func(path, id string) // called with each request that an upstream begins to run; it may be nil
+	arrived func(path, id string)  // called with each request that an upstream begins to run; it may be nil
+	ends    func(path string) bool // whether a request ends its upstream
 }
 
 // clusterNode is a node with its upstream.
@@ -45,7 +50,6 @@
 	entry   string
 	address string // of the upstream
 	process atomic.Pointer[Process]
-	stop    func() // ends the process of the node at once
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -75,7 +79,7 @@
 
 // newCluster starts a control host in each failure domain, the nodes and their upstreams, and waits until all nodes serve.
 func newCluster(t *testing.T, nodes int, arrived func(path, id string)) *cluster {
-	c := &cluster{t: t, arrived: arrived}
+	c := &cluster{t: t, arrived: arrived, ends: isCrashing}
 	var ips []string
 	for range clusterDomains {
 		ips = append(ips, newHost())
@@ -99,22 +103,40 @@
 		h := hosts[0].Load()
 		return h != nil && h.Submit(t.Context(), clusterPlan(t)).GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED
 	})
-	for i := range nodes {
-		n := &clusterNode{cluster: c, host: newHost(), domain: fmt.Sprint("d", i%clusterDomains)}
-		n.entry, n.address = at(n.host, portEntry), at(n.host, portUpstream)
-		c.nodes = append(c.nodes, n)
-		n.startNode()
-		n.startUpstream()
+	for range nodes {
+		c.addNode()
 	}
 	c.run(func(ctx context.Context) error { c.announceAll(ctx); return nil })
 	for _, n := range c.nodes {
-		eventually(t, "the node serves", func() bool { return n.get("/r/first", "first", time.Second) == http.StatusOK })
+		eventually(t, "the node serves and knows all upstreams", func() bool {
+			p := n.process.Load()
+			return p != nil && len(p.control.View().Endpoints["a"]) == nodes && n.get("/r/first", "first", time.Second) == http.StatusOK
+		})
 	}
 	return c
 }
 
-// run runs f until the test or the returned function ends it.
-func (c *cluster) run(f func(ctx context.Context) error) (stop func()) {
+// addNode starts a node with its upstream.
+func (c *cluster) addNode() *clusterNode {
+	n := &clusterNode{cluster: c, host: newHost(), domain: fmt.Sprint("d", len(c.nodes)%clusterDomains)}
+	n.entry, n.address = at(n.host, portEntry), at(n.host, portUpstream)
+	n.startNode()
+	n.startUpstream()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+// awaitRejected waits until all nodes reject one request as a suspect.
+func (c *cluster) awaitRejected() {
+	for _, n := range c.nodes {
+		eventually(c.t, "the node rejects the suspect", func() bool { return n.process.Load().gate.Suspects().Count(suspects.Reject) == 1 })
+	}
+}
+
+// run runs f until the test ends.
+func (c *cluster) run(f func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -123,9 +145,7 @@
 			c.t.Error(err)
 		}
 	}()
-	stop = func() { cancel(); <-done }
-	c.t.Cleanup(stop)
-	return stop
+	c.t.Cleanup(func() { cancel(); <-done })
 }
 
 func clusterPlan(t *testing.T) *pb.Command {
@@ -145,7 +165,7 @@
 
 // startNode starts the process of a node.
 func (n *clusterNode) startNode() {
-	n.stop = n.cluster.run(func(ctx context.Context) error {
+	n.cluster.run(func(ctx context.Context) error {
 		return Run(ctx, Options{
 			EntryAddress: n.entry, GateAddress: at(n.host, portGate), PeerAddress: at(n.host, portPeer), MetricsAddress: at(n.host, portMetrics),
 			FailureDomain: n.domain, Region: "r", Service: "a",
@@ -191,7 +211,7 @@
 			n.cluster.arrived(r.URL.RequestURI(), id)
 		}
 		time.Sleep(runTime)
-		if isCrashing(r.URL.Path) {
+		if n.cluster.ends(r.URL.Path) {
 			n.endUpstream(instance)
 			return
 		}
@@ -223,7 +243,10 @@
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for seq := uint64(1); ; seq++ {
-		for _, n := range c.nodes {
+		c.mu.Lock()
+		nodes := slices.Clone(c.nodes)
+		c.mu.Unlock()
+		for _, n := range nodes {
 			n.mu.Lock()
 			a := &pb.Announcement{
 				Instance: n.instance, Service: "a", Address: n.address, FailureDomain: "d", Version: "v1", Slots: 8, State: pb.UpstreamState_UPSTREAM_STATE_SERVING,
@@ -242,17 +265,17 @@
 	}
 }
 
-// get sends a request to the entry of a node on a new connection and returns the status; 0 without a response.
+// get sends a request to the entry of a node on a new connection and returns the status.
 func (n *clusterNode) get(path, id string, limit time.Duration) int {
-	status, _ := n.send(http.MethodGet, path, id, limit)
-	return status
+	resp := n.send(http.MethodGet, path, id, limit)
+	defer fasthttp.ReleaseResponse(resp)
+	return resp.StatusCode()
 }
 
-// send is get with a method; it also returns the body of the response.
-func (n *clusterNode) send(method, path, id string, limit time.Duration) (int, string) {
+// send is get with a method, and returns the whole response, with the status noResponse if none came.
+func (n *clusterNode) send(method, path, id string, limit time.Duration) *fasthttp.Response {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + n.entry + path)
 	req.Header.SetHost("h")
@@ -262,9 +285,9 @@
 	req.Header.Set(testHeaders.RemainingMs, fmt.Sprint(limit.Milliseconds()))
 	client := fasthttp.Client{NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1}
 	if err := client.DoTimeout(req, resp, limit+500*time.Millisecond); err != nil {
-		return 0, ""
+		resp.SetStatusCode(noResponse)
 	}
-	return resp.StatusCode(), string(resp.Body())
+	return resp
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
--- a/app/meshnode/crash_test.go
+++ b/app/meshnode/crash_test.go
@@ -4,10 +4,15 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -58,7 +63,7 @@
 			end := begin.Add(crashesUntilKnown*100*time.Millisecond + contactTime + 2*time.Second)
 			served, sent := c.sendOrdinary(end, 2*time.Second)
 			for i := 0; time.Now().Before(end); i++ { // it comes again at any node, with a new id
-				go c.nodes[i%len(c.nodes)].send(method, path, fmt.Sprint("crash-", i), time.Second)
+				go c.nodes[i%len(c.nodes)].request(method, path, fmt.Sprint("crash-", i))
 				time.Sleep(100 * time.Millisecond)
 			}
 			all, late := seen.late()
@@ -101,3 +106,94 @@
 	}
 	return count(&ok), count(&n)
 }
+
+// request sends a request and returns the status of the response, its body, which is the reason of a rejection, and how
+// long the client is asked to wait.
+func (n *clusterNode) request(method, path, id string) (status int, reason string, wait time.Duration) {
+	resp := n.send(method, path, id, 1400*time.Millisecond)
+	defer fasthttp.ReleaseResponse(resp)
+	if s := resp.Header.Peek(fasthttp.HeaderRetryAfter); len(s) > 0 {
+		seconds, err := strconv.ParseFloat(string(s), 64)
+		if err != nil {
+			n.cluster.t.Error(err)
+		}
+		wait = time.Duration(seconds * float64(time.Second))
+	}
+	return resp.StatusCode(), strings.TrimSpace(string(resp.Body())), wait
+}
+
+// Guards against a node that has just started and does not know the requests that crash upstreams, against an entry that
+// sends such a request on after the second upstream has ended, and against callers that are not told when to come back.
+func TestStartedNodeKnowsCrashingRequests(t *testing.T) {
+	is := is.New(t)
+	var seen crashes
+	c := newCluster(t, 4, seen.arrived)
+	status, reason, _ := c.nodes[0].request(http.MethodGet, "/r/crash", "crash-1")
+	is.Equal(status, http.StatusBadGateway) // it has run
+	is.Equal(reason, "upstream-ended")
+	all, _ := seen.late()
+	is.Equal(all, 2) // its own retry included
+	c.awaitRejected()
+	eventually(t, "a trial ends a third upstream", func() bool { // from then on no other trial follows for minutes
+		c.nodes[2].request(http.MethodGet, "/r/crash", "crash-trial")
+		all, _ := seen.late()
+		return all == 3
+	})
+	c.awaitRejected()
+	n := c.addNode()
+	eventually(t, "the node is ready", func() bool { p := n.process.Load(); return p != nil && p.Ready() })
+	for _, at := range c.nodes {
+		status, reason, wait := at.request(http.MethodGet, "/r/crash", "crash-2")
+		is.Equal(status, http.StatusServiceUnavailable) // it has not run
+		is.Equal(reason, "crash-suspect")
+		is.True(wait > time.Minute)
+	}
+	all, _ = seen.late()
+	is.Equal(all, 3)
+}
+
+// Guards against popular requests that are rejected because they are in progress whenever an upstream ends.
+func TestPopularRequestsAreServedBesideCrashes(t *testing.T) {
+	c := newCluster(t, 6, nil)
+	const runs = 5 * time.Second
+	end := time.Now().Add(runs)
+	served, sent := c.sendOrdinary(end, runs)
+	for i := 0; time.Now().Before(end.Add(-restartTime)); i++ {
+		time.Sleep(500 * time.Millisecond)
+		n := c.nodes[i%len(c.nodes)]
+		n.mu.Lock()
+		instance := n.instance
+		n.mu.Unlock()
+		n.endUpstream(instance)
+	}
+	ok, n := served(), sent()
+	t.Logf("%d of %d requests served", ok, n)
+	if ok*1000 < n*999 {
+		t.Errorf("%d of %d requests served beside upstreams that end on their own", ok, n)
+	}
+}
+
+// Guards against a rare request that is rejected for long because it was in progress at two crashes that it did not cause.
+func TestBystanderOfTwoCrashesIsServed(t *testing.T) {
+	is := is.New(t)
+	var ends atomic.Int32
+	c := newCluster(t, 4, nil)
+	c.ends = func(path string) bool { return path == "/r/rare" && ends.Add(1) <= 2 }
+	status, _, _ := c.nodes[0].request(http.MethodGet, "/r/rare", "rare-1")
+	is.Equal(status, http.StatusBadGateway)
+	c.awaitRejected()
+	eventually(t, "a client that waits as told is served", func() bool {
+		status, _, wait := c.nodes[1].request(http.MethodGet, "/r/rare", "rare-2")
+		is.True(wait < 5*time.Second)
+		time.Sleep(wait)
+		return status == http.StatusOK
+	})
+	eventually(t, "all nodes know that it is cleared", func() bool {
+		for _, n := range c.nodes {
+			if status, _, _ := n.request(http.MethodGet, "/r/rare", "rare-4"); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,7 +26,9 @@
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/proxy"
+	"github.com/rattanfield/rattanfield/app/suspectlist"
 	"github.com/rattanfield/rattanfield/core/drain"
+	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
 )
@@ -113,14 +116,19 @@
 	Entry   *proxy.Entry
 }
 
-func newComponents(o Options, client *rpc.Client, p pools, m *proxy.Metrics, logger log.Logger) components {
+func newComponents(o Options, client *rpc.Client, p pools, m *proxy.Metrics, set *metrics.Set, logger log.Logger) components {
 	var gate *proxy.Gate
-	control := controlclient.New(controlclient.Options{
+	var control *controlclient.Client
+	list := suspectlist.New(func() { control.SuspectsChanged() })
+	for _, h := range []suspects.Handling{suspects.Isolate, suspects.Reject} {
+		set.NewGauge(fmt.Sprintf(`rattanfield_suspects{handling=%q}`, h), func() float64 { return float64(list.Count(h)) })
+	}
+	control = controlclient.New(controlclient.Options{
 		Node: o.GateAddress, FailureDomain: o.FailureDomain, Region: o.Region, Seeds: o.Seeds,
-		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() },
+		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list,
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
-		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report,
+		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
 	}, control, p.upstream, m, logger)
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
--- a/app/proxy/ended.go
+++ b/app/proxy/ended.go
@@ -16,7 +16,7 @@
 // was in progress if its connection ended with the process; one that was given up may still be running.
 const (
 	lostMemory    = 2 * time.Second
-	givenUpMemory = 300 * time.Millisecond
+	givenUpMemory = time.Second
 )
 
 // maxUnanswered bounds the requests that unanswered keeps.
@@ -110,8 +110,21 @@
 	}
 	u.ended = true
 	g.metrics.countUpstreamEnd()
+	fingerprints := make([]uint64, 0, len(requests))
+	for _, r := range requests {
+		fingerprints = append(fingerprints, r.fingerprint)
+	}
+	counted := g.suspects.Ended(processName(a), a.GetService(), fingerprints)
+	for _, f := range counted {
+		u.endedBySuspect = u.endedBySuspect || len(g.suspects.Decide(f).Crashes) > 1
+	}
 	_ = g.logger.Log("event", "upstream ended", "instance", a.GetInstance(), "service", a.GetService(), "version", a.GetVersion(),
-		"evidence", evidence, "in_progress", len(requests), "requests", describeRequests(requests))
+		"evidence", evidence, "in_progress", len(requests), "requests", describeRequests(requests), "suspects", len(counted), "known", u.endedBySuspect)
+}
+
+// processName identifies the process of an upstream: instances may start again with the id that they had.
+func processName(a *pb.Announcement) string {
+	return a.GetInstance() + "/" + strconv.FormatInt(a.GetBornUnixMs(), 36)
 }
 
 // superseded reports whether a completed rollout has replaced the version of an upstream, which is then stopped at once.
@@ -133,7 +146,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		b.WriteString(r.id + "/" + strconv.FormatUint(r.fingerprint, 16))
+		b.WriteString(r.id + "/" + formatFingerprint(r.fingerprint))
 	}
 	return b.String()
 }
--- a/app/proxy/ended_test.go
+++ b/app/proxy/ended_test.go
@@ -94,4 +94,3 @@
 		})
 	}
 }
-
--- a/app/proxy/fingerprint.go
+++ b/app/proxy/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 )
@@ -31,3 +32,5 @@
 	var sum [sha256.Size]byte
 	return binary.LittleEndian.Uint64(h.Sum(sum[:0]))
 }
+
+func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/rattanfield/rattanfield/core/admission"
 	"github.com/rattanfield/rattanfield/core/drain"
 	"github.com/rattanfield/rattanfield/core/placement"
+	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -39,6 +41,10 @@
 	savedFailure *fasthttp.Response // failure response of an upstream, returned if the retry fails
 	savedLease   *body.Lease        // memory of savedFailure
 	lastReason   string             // why the last attempt was not answered
+
+	suspicion        suspects.Decision // at the last attempt
+	fingerprintValue uint64            // see fingerprint
+	hasFingerprint   bool
 }
 
 // match finds the route and the time limit of the request. It returns the reason if the request is
@@ -113,6 +119,10 @@
 
 // forward sends the request to gates, unless its service is known to be overloaded.
 func (f *forwarding) forward(ctx context.Context) {
+	if reason := f.checkSuspect(); reason != "" {
+		f.reject(reason)
+		return
+	}
 	key := throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only}
 	if !f.entry.offer(key) {
 		f.lastReason = reasonOverload
@@ -181,6 +191,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list, stopping := e.candidates(f.view, f.service, f.versions, now)
+	if f.suspicion.Handling == suspects.Isolate {
+		list, stopping = f.isolate(list, now), f.isolate(stopping, now)
+	}
 	i, full := e.picker.Pick(now, list, ask)
 	if i < 0 { // a gate that stops still serves what fits its remaining time
 		list = stopping
@@ -204,6 +217,12 @@
 	return gate, version, true
 }
 
+// isolate reduces the candidates to the one on which an isolated request may run. The caller must hold the mutex of the entry.
+func (f *forwarding) isolate(list []placement.Candidate, now time.Time) []placement.Candidate {
+	unavailable := f.entry.picker.UnavailableGates(now)
+	return isolatedGate(list, f.fingerprint(), func(gate string) bool { return f.isTried(gate) || slices.Contains(unavailable, gate) })
+}
+
 func (f *forwarding) isTried(gate string) bool {
 	for _, t := range f.tried {
 		if t == gate {
@@ -229,6 +248,9 @@
 	h.Set(hopVersion, version)
 	h.Set(hopRemainingMs, formatMs(f.deadline.Sub(start)))
 	h.Set(hopGoalMs, strconv.FormatInt(max(0, f.goal.Sub(start).Milliseconds()), 10))
+	if len(f.suspicion.Crashes) > 0 {
+		setSuspect(h, e.gate.suspects.Record(f.fingerprint()))
+	}
 	o := f.send(ctx, gate, start)
 	a := f.classify(o)
 	a.latency = time.Since(start)
@@ -307,6 +329,9 @@
 		return attempt{ran: ranUnknown, reason: reasonLost}
 	}
 	h := &f.x.Response.Header
+	if record := h.Peek(hopSuspect); len(record) > 0 {
+		f.entry.gate.learnSuspect(f.fingerprint(), record)
+	}
 	a := attempt{ran: string(h.Peek(hopRan)), reason: string(h.Peek(hopReason))}
 	switch a.ran {
 	case ranYes:
@@ -332,7 +357,7 @@
 func (f *forwarding) shouldRetry(a attempt) bool {
 	now := time.Now()
 	f.deadline = limitByStop(f.entry.gate.stop.Load(), f.deadline)
-	if f.deadline.Sub(now) < minRemaining {
+	if f.deadline.Sub(now) < minRemaining || a.reason == reasonCrashSuspect || f.checkSuspect() != "" {
 		return false
 	}
 	if a.ran == ranNo && a.reason != reasonUpstreamNotRun {
@@ -405,6 +430,8 @@
 		status = fasthttp.StatusBadGateway
 	case reason == reasonNoPlan:
 		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(retryAfterNoPlan))
+	case reason == reasonCrashSuspect:
+		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(f.suspectRetryAfter()))
 	case f.entry.closed(reason):
 		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(f.entry.successorRetryAfter()))
 	default:
@@ -439,5 +466,5 @@
 	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "status", status, "host", hostOf(&f.x.Request),
 		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
 		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes,
-		"may_have_run", f.mayHaveRun, "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
+		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
 }
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -14,6 +14,7 @@
 	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/app/suspectlist"
 	"github.com/rattanfield/rattanfield/core/admission"
 	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/drain"
@@ -36,6 +37,8 @@
 	Publish func(*pb.Announcement)
 	// Report sends the condition of that upstream to other nodes.
 	Report func(condition.Condition)
+	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
+	Suspects *suspectlist.List
 	// LostAfter is the time without an announcement after which an upstream is considered gone.
 	LostAfter time.Duration
 }
@@ -62,6 +65,8 @@
 	logger   log.Logger
 	metrics  *Metrics
 	outcomes outcomes
+	suspects *suspectlist.List
+	isolated chan struct{} // holds a value while a suspect waits for a slot or runs
 	nextID   atomic.Uint64
 
 	stop      atomic.Pointer[drain.Stop] // nil unless the node stops
@@ -77,7 +82,10 @@
 
 // NewGate returns a gate without an upstream. Announce adds one.
 func NewGate(o GateOptions, mesh Mesh, pool *meshhttp.Pool, m *Metrics, logger log.Logger) *Gate {
-	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger}
+	if o.Suspects == nil {
+		o.Suspects = suspectlist.New(func() {})
+	}
+	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1)}
 }
 
 // Outcomes returns the outcomes of the local upstream in the running rollout of
@@ -92,6 +100,9 @@
 	return g.outcomes.snapshot(g.mesh.View().Rollouts[u.announcement.GetService()])
 }
 
+// Suspects returns the suspects of the node.
+func (g *Gate) Suspects() *suspectlist.List { return g.suspects }
+
 // Handle decides whether the request of an entry runs and, if so, sends it to the upstream.
 func (g *Gate) Handle(ctx context.Context, x *meshhttp.Exchange) { g.handle(ctx, x, false) }
 
@@ -104,6 +115,12 @@
 	}
 	req.deadline, req.nested = limitByStop(g.stop.Load(), req.deadline), nested
 	req.fingerprint = fingerprint(req.service, &x.Request)
+	release, reason := g.isolate(ctx, x, req)
+	if reason != "" {
+		g.reject(x, req, ranNo, reason, "")
+		return
+	}
+	defer release()
 	u, id, reason := g.admit(ctx, req)
 	if reason != "" {
 		g.reject(x, req, ranNo, reason, "")
@@ -251,8 +268,12 @@
 		u.notify(u.queue.Clear(), reasonNoUpstream)
 		g.noticeEnd(u, "refused or replaced", u.unanswered.recent(time.Now())) // what is in u.running may not have been sent
 	}
+	bySuspect := u.endedBySuspect
 	g.mu.Unlock()
-	if knownRun || (unknownOrError && o.Failure != meshhttp.Cancelled) {
+	if knownRun && g.suspects.Completed(req.fingerprint) {
+		_ = g.logger.Log("event", "suspect cleared", "request", req.id, "fingerprint", formatFingerprint(req.fingerprint), "instance", a.GetInstance())
+	}
+	if knownRun || (unknownOrError && o.Failure != meshhttp.Cancelled && !(ended && bySuspect)) {
 		r := g.mesh.View().Rollouts[a.GetService()]
 		isError := (knownRun || errors.Is(o.Err, errRefusalStatus)) && status >= fasthttp.StatusInternalServerError && status != fasthttp.StatusGatewayTimeout
 		g.outcomes.add(r, a.GetInstance(), req.route, unknownOrError, isError, latency)
@@ -337,6 +358,7 @@
 	h.Set(hopRan, ran)
 	h.Set(hopReason, reason)
 	h.Set(g.options.Headers.ID, req.id)
+	setSuspect(h, g.suspects.Record(req.fingerprint))
 	g.mu.Lock()
 	u := g.activeUpstream
 	if u != nil {
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -33,7 +33,8 @@
 	hopGoalDurationMs = hopPrefix + "Budget-Ms" // time that the route allows until the goal, whatever part of it has passed
 	hopRan            = hopPrefix + "Ran"
 	hopReason         = hopPrefix + "Reason"
-	hopLoad           = hopPrefix + "Load" // running,queued,slots,service time in microseconds
+	hopLoad           = hopPrefix + "Load"    // running,queued,slots,service time in microseconds
+	hopSuspect        = hopPrefix + "Suspect" // pb.SuspectRequest in base64, in requests and responses
 )
 
 // Values of hopRan.
@@ -60,6 +61,7 @@
 	reasonUnreachable    = "unreachable"
 	reasonLost           = "lost"
 	reasonUpstreamEnded  = "upstream-ended" // the process of the upstream ended while it ran the request
+	reasonCrashSuspect   = "crash-suspect"  // upstreams ended while they ran the same request
 	reasonUnreadable     = "unreadable-answer"
 	reasonDeadline       = "deadline"
 	reasonCancelled      = "cancelled"
--- a/app/proxy/upstream.go
+++ b/app/proxy/upstream.go
@@ -22,8 +22,10 @@
 
 	running    map[uint64]gateRequest // requests that are being sent or have been sent, by queue id
 	unanswered unanswered
-	ended      bool          // the process ended without having left
-	endCheck   chan struct{} // closed when the check in progress ends; nil if there is none, see Gate.refuses
+	ended      bool // the process ended without having left
+	// endedBySuspect states that a request which other upstreams had ended under was in progress at its end.
+	endedBySuspect bool
+	endCheck       chan struct{} // closed when the check in progress ends; nil if there is none, see Gate.refuses
 }
 
 func newUpstream(a *pb.Announcement, now time.Time) *upstream {
--- a/app/suspectlist/suspectlist.go
+++ b/app/suspectlist/suspectlist.go
@@ -25,6 +25,13 @@
 // Len returns the number of records.
 func (l *List) Len() int { return int(l.records.Load()) }
 
+// Count returns the number of requests that are handled in a way.
+func (l *List) Count(h suspects.Handling) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.Count(time.Now(), h)
+}
+
 // update runs f with the registry, which returns whether others need a change.
 func (l *List) update(f func(now time.Time, r *suspects.Registry) bool) {
 	l.mu.Lock()
--- a/core/suspects/registry.go
+++ b/core/suspects/registry.go
@@ -151,6 +151,17 @@
 	return d
 }
 
+// Count returns the number of requests that are handled in a way.
+func (r *Registry) Count(now time.Time, h Handling) int {
+	n := 0
+	for f := range r.records {
+		if r.Decide(now, f).Handling == h {
+			n++
+		}
+	}
+	return n
+}
+
 // Ended records that an upstream ended while these requests were in progress, and returns the fingerprints of those that it
 // counts for. If some of them were suspects already and have not completed on this host recently, it counts for no others.
 func (r *Registry) Ended(now time.Time, upstream, service string, inProgress []uint64) (counted []uint64) {
