app/soak: send requests that crash upstreams

Change: every 8 to 16 s of a schedule, a request that ends the upstreams which run it comes for 6 s at random nodes.

--- a/app/soak/link.go
+++ b/app/soak/link.go
@@ -15,6 +15,7 @@
 	target   string
 
 	mu      sync.Mutex
+	closed  bool
 	conns   map[*linkConn]struct{}
 	delay   time.Duration // of each read chunk, in both directions
 	release chan struct{} // data from the target is held until it is closed; nil: it passes
@@ -41,16 +42,20 @@
 		return nil, eris.Wrap(err, "link")
 	}
 	k := &link{listener: l, target: target, conns: make(map[*linkConn]struct{})}
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
-func (k *link) address() string { return k.listener.Addr().String() }
+func (k *link) address() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listener.Addr().String()
+}
 
 // accept serves connections until the listener is closed.
-func (k *link) accept() {
+func (k *link) accept(l net.Listener) {
 	for {
-		c, err := k.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // the listener is closed
 		}
@@ -174,8 +179,44 @@
 	}
 }
 
+// down refuses connections for the given length, after it has reset the open ones. It returns at once while another call is
+// in effect.
+func (k *link) down(length time.Duration) {
+	k.mu.Lock()
+	address, err := k.listener.Addr().String(), k.listener.Close()
+	k.mu.Unlock()
+	if err != nil {
+		return
+	}
+	k.reset()
+	time.Sleep(length)
+	for !k.listenAgain(address) {
+		time.Sleep(listenRetry)
+	}
+}
+
+const listenRetry = 20 * time.Millisecond
+
+// listenAgain reports whether the link listens again, or never will because it is closed.
+func (k *link) listenAgain(address string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return true
+	}
+	l, err := net.Listen("tcp", address)
+	if err == nil {
+		k.listener = l
+		go k.accept(l)
+	}
+	return err == nil
+}
+
 // close stops the listener and resets the open connections.
 func (k *link) close() {
+	k.mu.Lock()
+	k.closed = true
 	_ = k.listener.Close()
+	k.mu.Unlock()
 	k.reset()
 }
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -63,6 +63,7 @@
 	entryLinks []*link // from callers to the entry of each node
 	checks     *checks
 	losses     *losses
+	crashes    *crashes
 	ready      *readiness
 	delays     timerDelays
 	faults     sync.WaitGroup
@@ -72,7 +73,7 @@
 // observations. The error tells why a run could not be carried out; violated
 // guarantees are no error.
 func Run(ctx context.Context, o Options) (Result, error) {
-	r := &run{options: o, checks: newChecks(), losses: newLosses()}
+	r := &run{options: o, checks: newChecks(), losses: newLosses(), crashes: &crashes{at: make(map[string][]time.Time)}}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return Result{}, err
@@ -108,6 +109,7 @@
 	lost, stops := r.losses.judge()
 	stops.Delay = time.Duration(r.delays.longest.Load())
 	r.checks.addViolations(lost)
+	r.checks.addViolations(r.crashes.violations())
 	for _, p := range append(append([]*process{}, r.nodes...), r.controls...) {
 		p.mu.Lock()
 		r.checks.addViolations(p.selfEnds)
@@ -155,6 +157,10 @@
 			now := time.Now()
 			r.losses.recordExecution(id, execution{node: i, began: now, until: now.Add(work)})
 			r.checks.recordRun(id)
+		}, func(path string) func() {
+			from := time.Now()
+			r.crashes.record(path)
+			return func() { r.losses.recordDisturbance(i, Crash, from) }
 		})
 		if err != nil {
 			return err
@@ -335,6 +341,8 @@
 		r.upstreams[e.Target].replace(e.Length > time.Second)
 	case Leave:
 		r.upstreams[e.Target].leave()
+	case Crash:
+		r.sendCrashing(e)
 	default:
 		r.disturbLink(e)
 	}
--- a/app/soak/upstream.go
+++ b/app/soak/upstream.go
@@ -27,8 +27,9 @@
 // each other at one address.
 type upstream struct {
 	ip, domain string
-	seed       uint64                              // of the work times
-	record     func(id string, work time.Duration) // called when a request begins to run
+	seed       uint64                               // of the work times
+	record     func(id string, work time.Duration)  // called when a request begins to run
+	crashed    func(path string) (restarted func()) // called when a crashing request begins to run
 
 	mu             sync.Mutex
 	instance       string
@@ -36,6 +37,7 @@
 	seq            uint64 // of the last announcement
 	instanceNumber int    // distinguishes the instance ids
 	draining       bool
+	down           bool // it has crashed and announces nothing
 	stop           chan struct{}
 	listener       net.Listener
 	link           *link // listens at the address of the application and forwards to listener
@@ -43,8 +45,8 @@
 
 // startUpstream starts an upstream that announces itself to the node with the given IP
 // address.
-func startUpstream(ip, domain string, seed uint64, record func(id string, work time.Duration)) (*upstream, error) {
-	u := &upstream{ip: ip, domain: domain, seed: seed, record: record, stop: make(chan struct{})}
+func startUpstream(ip, domain string, seed uint64, record func(id string, work time.Duration), crashed func(path string) (restarted func())) (*upstream, error) {
+	u := &upstream{ip: ip, domain: domain, seed: seed, record: record, crashed: crashed, stop: make(chan struct{})}
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, eris.Wrap(err, "upstream")
@@ -75,7 +77,7 @@
 		u.instanceNumber++
 	}
 	u.instance = fmt.Sprintf("i-%s-%d", u.ip, u.instanceNumber)
-	u.born, u.seq, u.draining = max(time.Now().UnixMilli(), u.born+1), 0, false
+	u.born, u.seq, u.draining, u.down = max(time.Now().UnixMilli(), u.born+1), 0, false, false
 }
 
 // leave drains the process and replaces it after 3 s, which is longer than the drain
@@ -88,8 +90,27 @@
 	time.AfterFunc(3*time.Second, func() { u.replace(false) })
 }
 
+// downTime is how long an upstream is away after a crash.
+const downTime = 2500 * time.Millisecond
+
+// end ends the process after its work and replaces it by a new one after downTime.
+func (u *upstream) end(work time.Duration) {
+	time.Sleep(work)
+	u.mu.Lock()
+	u.down = true
+	u.mu.Unlock()
+	u.link.down(downTime)
+	u.replace(false)
+}
+
 // run runs a request for its work time, or until its deadline if that comes first.
 func (u *upstream) run(s platformtest.ReceivedRequest) (string, int) {
+	if isCrashing(s.Path) {
+		restarted := u.crashed(s.Path)
+		u.end(workTime(u.seed, s))
+		restarted()
+		return "", http.StatusInternalServerError // not seen by anybody
+	}
 	work := workTime(u.seed, s)
 	u.record(s.ID, work)
 	if s.Remaining > 0 && work > s.Remaining {
@@ -129,6 +150,10 @@
 // sendAnnouncement sends one announcement to the node.
 func (u *upstream) sendAnnouncement() {
 	u.mu.Lock()
+	if u.down {
+		u.mu.Unlock()
+		return
+	}
 	u.seq++
 	a := platformtest.Announcement{Service: service, Zone: u.domain, Version: "v1", Slots: slots, Seq: u.seq, Born: u.born}
 	instance, draining := u.instance, u.draining
