core/rollout: test that a crashing request does not revert a good version

Change: a test; the judge is unchanged, because losses without an answer already count less than errors. Measured: 3 of 3 rates (2, 10 and 40 requests in 200 ms) stay in progress through three crashes. Conclusion: holds as it was.

--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -329,3 +330,29 @@
 	}
 	t.Fatal("a version that fails after the change of the leader was not reverted")
 }
+
+// Guards against a good version that is reverted because a request that crashes upstreams met it and not the old one: it ends
+// two upstreams of the new version within a second and a third one later, with what was in progress there.
+func TestCrashingRequestDoesNotRevert(t *testing.T) {
+	for _, perInterval := range []uint64{2, 10, 40} { // requests of the new version in 200 ms
+		t.Run(fmt.Sprint(perInterval), func(t *testing.T) {
+			is := is.New(t)
+			j := NewJudge(DefaultBound)
+			route := Route{}
+			for i := range 60 {
+				lost := uint64(0)
+				switch i {
+				case 10, 13, 38: // upstreams with 9 slots that are half used
+					lost = min(4, perInterval)
+				}
+				route.New.Requests += perInterval
+				route.New.Failed += lost
+				route.New.Time += time.Duration(perInterval) * 60 * time.Millisecond
+				route.Old.Requests += 40
+				route.Old.Time += 40 * 60 * time.Millisecond
+				d := j.Decide(Input{Elapsed: 2*time.Second + time.Duration(i)*200*time.Millisecond, Duration: duration, UpstreamCounts: countsOf(route), Ready: true})
+				is.Equal(d.Phase, pb.RolloutPhase_ROLLOUT_PHASE_RUNNING)
+			}
+		})
+	}
+}
