app/proxy: let requests lost together share one check of the upstream

Cause: each request whose connection was lost opened a connection of its own to see whether the upstream had ended, one after the other. An upstream that resets connections because it is full would get more of them, and the last of the requests wait for all checks. Found by reading; TestLostAnswersMakeNoSuspects could not show it, as its requests had no host and were never sent, which is corrected. Change: the result of a check that ended after the loss is used.

--- a/app/proxy/ended.go
+++ b/app/proxy/ended.go
@@ -68,6 +68,7 @@
 	if f != meshhttp.ConnectionLost && f != meshhttp.InvalidResponse {
 		return false
 	}
+	lost := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for u.endCheck != nil {
@@ -77,7 +78,7 @@
 		g.mu.Lock()
 	}
 	switch {
-	case u.ended, !u.closesAt.IsZero():
+	case u.ended, !u.closesAt.IsZero(), u.aliveAt.After(lost):
 	case g.activeUpstream != u:
 		g.noticeEnd(u, "replaced", u.inProgress(time.Now()))
 	case g.refuses(ctx, u):
@@ -98,6 +99,9 @@
 	g.mu.Lock()
 	close(check)
 	u.endCheck = nil
+	if !refused {
+		u.aliveAt = time.Now()
+	}
 	return refused
 }
 
--- a/app/proxy/ended_test.go
+++ b/app/proxy/ended_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +56,17 @@
 	return l.Addr().String()
 }
 
+// gateExchange returns a request of an entry to a gate.
+func gateExchange(id string) *meshhttp.Exchange {
+	x := &meshhttp.Exchange{Received: time.Now()}
+	x.Request.Header.SetHost("h")
+	x.Request.Header.SetRequestURI("/read/1")
+	for name, value := range map[string]string{testHeaders.ID: id, hopService: "a", hopRemainingMs: "2000", hopPriority: "1"} {
+		x.Request.Header.Set(name, value)
+	}
+	return x
+}
+
 // Guards against lost answers and reset connections that are taken for the end of an upstream, and against ends that no log
 // line tells from them.
 func TestEndOfUpstreamIsTold(t *testing.T) {
@@ -80,12 +93,7 @@
 				a.State, a.Seq = pb.UpstreamState_UPSTREAM_STATE_LEAVING, 2
 				g.Announce(a)
 			}
-			x := &meshhttp.Exchange{Received: time.Now()}
-			x.Request.Header.SetHost("h")
-			x.Request.Header.SetRequestURI("/read/1")
-			for name, value := range map[string]string{testHeaders.ID: "id-1", hopService: "a", hopRemainingMs: "1000", hopPriority: "1"} {
-				x.Request.Header.Set(name, value)
-			}
+			x := gateExchange("id-1")
 			g.Handle(t.Context(), x)
 			is.Equal(string(x.Response.Header.Peek(hopRan)), ranUnknown)
 			is.Equal(string(x.Response.Header.Peek(hopReason)), c.reason)
@@ -94,3 +102,48 @@
 		})
 	}
 }
+
+// Guards against one connection per lost request: an upstream that resets connections because it is full would get more of
+// them.
+func TestLostRequestsShareOneCheck(t *testing.T) {
+	is := is.New(t)
+	const requests = 8
+	l := listen(t)
+	var accepted, arrived atomic.Int32
+	breakOff := make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				var b [4096]byte
+				if n, _ := c.Read(b[:]); n == 0 {
+					return // a connection of a check
+				}
+				if arrived.Add(1) == 1 {
+					time.AfterFunc(200*time.Millisecond, func() { close(breakOff) })
+				}
+				<-breakOff
+				_ = c.Close()
+			}()
+		}
+	}()
+	g := NewGate(GateOptions{Headers: testHeaders, DrainBound: testDrain, LostAfter: testLost, Publish: func(*pb.Announcement) {}},
+		newMesh(), newTestPool(), NewMetrics(metrics.NewSet()), log.NewNopLogger())
+	g.Announce(&pb.Announcement{Instance: "i", Service: "a", Address: l.Addr().String(), Version: "v1", Slots: 8 * requests, State: pb.UpstreamState_UPSTREAM_STATE_SERVING, Seq: 1, BornUnixMs: 1})
+	var group sync.WaitGroup
+	for i := range requests {
+		group.Go(func() {
+			x := gateExchange(fmt.Sprint("id-", i))
+			g.Handle(t.Context(), x)
+		})
+	}
+	group.Wait()
+	checks := accepted.Load() - arrived.Load()
+	t.Logf("%d requests lost, %d checks", arrived.Load(), checks)
+	is.True(checks > 0)
+	is.True(checks <= max(1, arrived.Load()/2)) // some may be lost after the first check has ended
+}
--- a/app/proxy/suspect_test.go
+++ b/app/proxy/suspect_test.go
@@ -181,12 +181,9 @@
 	}()
 	g.Announce(&pb.Announcement{Instance: "i", Service: "a", Address: l.Addr().String(), Version: "v1", Slots: 2, State: pb.UpstreamState_UPSTREAM_STATE_SERVING, Seq: 1, BornUnixMs: 1})
 	for range 6 {
-		x := &meshhttp.Exchange{Received: time.Now()}
-		x.Request.Header.SetRequestURI("/read/1")
-		for name, value := range map[string]string{testHeaders.ID: "id-1", hopService: "a", hopRemainingMs: "1000", hopPriority: "1"} {
-			x.Request.Header.Set(name, value)
-		}
+		x := gateExchange("id-1")
 		g.Handle(t.Context(), x)
+		is.Equal(string(x.Response.Header.Peek(hopReason)), reasonLost)
 	}
 	is.Equal(list.Len(), 0)
 }
--- a/app/proxy/upstream.go
+++ b/app/proxy/upstream.go
@@ -25,6 +25,7 @@
 	ended      bool // the process ended without having left
 	// endedBySuspect states that a request which other upstreams had ended under was in progress at its end.
 	endedBySuspect bool
+	aliveAt        time.Time     // end of the last check that found it alive
 	endCheck       chan struct{} // closed when the check in progress ends; nil if there is none, see Gate.refuses
 }
 
