core/suspects: settle full records, and do not delay suspects behind the table

Cause: found by reading the change. A record with eight crashes reported a change for each older crash that it dropped at once, so that two nodes with different crashes would wake all polls with every message. Change: a crash that is not kept is no change; the collection of table changes ends when suspects change.

--- a/app/controlserver/serve.go
+++ b/app/controlserver/serve.go
@@ -47,9 +47,9 @@
 		select {
 		case <-signals.planChanged:
 		case <-signals.suspectsChanged:
-			expired = signals.coalesce(ctx, timer.C, signals.suspectsWait)
+			expired = signals.coalesce(ctx, timer.C, signals.suspectsWait, nil)
 		case <-signals.changed:
-			expired = signals.coalesce(ctx, timer.C, signals.wait)
+			expired = signals.coalesce(ctx, timer.C, signals.wait, signals.suspectsChanged)
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
@@ -64,15 +64,15 @@
 	wait, suspectsWait                    time.Duration // time over which changes of the table and of suspects are collected
 }
 
-// coalesce waits for further changes. It ends early when the plan or a
-// rollout changes, when suspects changed during a longer wait for the table, or when the poll expires, which it reports: with
-// a table of many records, it would otherwise wait longer than the node does.
-func (s pollSignals) coalesce(ctx context.Context, expiry <-chan time.Time, wait time.Duration) (expired bool) {
+// coalesce waits for further changes. It ends early when the plan or a rollout changes, when urgent is closed, or when the
+// poll expires, which it reports: with a table of many records, it would otherwise wait longer than the node does.
+func (s pollSignals) coalesce(ctx context.Context, expiry <-chan time.Time, wait time.Duration, urgent <-chan struct{}) (expired bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-s.planChanged:
+	case <-urgent:
 	case <-expiry:
 		return true
 	case <-ctx.Done():
--- a/core/suspects/registry.go
+++ b/core/suspects/registry.go
@@ -262,7 +262,7 @@
 	return cleared
 }
 
-// add adds a crash to the record of a request and reports whether it was new.
+// add adds a crash to the record of a request and reports whether it is new and kept.
 func (r *Registry) add(now time.Time, fingerprint uint64, service string, c crash) bool {
 	rec := r.live(now, fingerprint)
 	if rec == nil {
@@ -279,7 +279,9 @@
 	slices.SortStableFunc(rec.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 	if len(rec.crashes) > maxCrashes {
 		drop := max(0, slices.IndexFunc(rec.crashes, func(c crash) bool { return c.refuted }))
+		kept := rec.crashes[drop].upstream != c.upstream
 		rec.crashes = slices.Delete(rec.crashes, drop, drop+1)
+		return kept
 	}
 	return true
 }
--- a/core/suspects/suspects_test.go
+++ b/core/suspects/suspects_test.go
@@ -194,6 +194,24 @@
 	})
 }
 
+// Guards against nodes that send each other the record of a request with many crashes again and again, because each drops
+// what the other one has.
+func TestFullRecordsSettle(t *testing.T) {
+	is := is.New(t)
+	a, b := New(), New()
+	for i := range maxCrashes {
+		a.Ended(sec(float64(i)), fmt.Sprint("a", i), "s", []uint64{crasher})
+		b.Ended(sec(float64(i)+0.5), fmt.Sprint("b", i), "s", []uint64{crasher})
+	}
+	now := sec(maxCrashes)
+	messages := append(a.Since(now, 0), b.Since(now, 0)...)
+	a.Merge(now, messages, false)
+	b.Merge(now, messages, false)
+	is.True(!a.Merge(now, messages, false))
+	is.True(!b.Merge(now, messages, false))
+	is.Equal(a.Decide(now, crasher), b.Decide(now, crasher))
+}
+
 // Guards against times of day in records: nodes whose clocks differ by hours decide alike.
 func TestClocksMayDiffer(t *testing.T) {
 	is := is.New(t)
