app/proxy: do not clear a suspect because an upstream failed it

Cause: any response of an upstream cleared a request of the crashes that it was in progress at. An upstream that fails part of its requests, while others crash under the same one, made each trial of a crashing request start its record anew: two more upstreams per trial. Change: a response of 500 or above, at the gate and at the entry, no longer counts as completed. 4xx responses still do. A request that only ever fails stays isolated until its crashes are forgotten, and is not rejected for failing. Measured: TestFailureClearsNoSuspect for 500, 502 and 504: suspects left 0 of 1 -> 1 of 1.

--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -257,7 +257,7 @@
 	if a.ran != ranNo {
 		f.sends++
 	}
-	if a.ran == ranYes {
+	if a.ran == ranYes && completed(a.status) {
 		e.gate.suspects.Completed(f.fingerprint())
 	}
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -270,7 +270,7 @@
 	}
 	bySuspect := u.endedBySuspect
 	g.mu.Unlock()
-	if knownRun && g.suspects.Completed(req.fingerprint) {
+	if knownRun && completed(status) && g.suspects.Completed(req.fingerprint) {
 		_ = g.logger.Log("event", "suspect cleared", "request", req.id, "fingerprint", formatFingerprint(req.fingerprint), "instance", a.GetInstance())
 	}
 	if knownRun || (unknownOrError && o.Failure != meshhttp.Cancelled && !(ended && bySuspect)) {
--- a/app/proxy/suspect.go
+++ b/app/proxy/suspect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
@@ -46,6 +47,10 @@
 	return release, ""
 }
 
+// completed reports whether a response with this status shows that its request does not crash upstreams. One that states a
+// failure does not: the upstream may have failed before the part of the work that crashes it.
+func completed(status int) bool { return status < fasthttp.StatusInternalServerError }
+
 // learnSuspect applies the record of a suspect that another node has sent with its request or response.
 func (g *Gate) learnSuspect(fingerprint uint64, header []byte) {
 	if len(header) == 0 {
--- a/app/proxy/suspect_test.go
+++ b/app/proxy/suspect_test.go
@@ -155,6 +155,27 @@
 	is.Equal(n.gate.Suspects().Count(suspects.Isolate), 0) // both are cleared
 }
 
+// Guards against a crashing request that is cleared because an upstream fails it before the part that crashes.
+func TestFailureClearsNoSuspect(t *testing.T) {
+	for status, left := range map[int]int{
+		fasthttp.StatusInternalServerError: 1, fasthttp.StatusBadGateway: 1, fasthttp.StatusGatewayTimeout: 1,
+		fasthttp.StatusOK: 0, fasthttp.StatusNotFound: 0,
+	} {
+		t.Run(fasthttp.StatusMessage(status), func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh()
+			n := newNode(t, m, "i1", respond(status))
+			e := newTestEntry(m)
+			for _, list := range []*suspectlist.List{n.gate.Suspects(), e.gate.Suspects()} {
+				list.Ended("earlier", "a", []uint64{newFingerprint("/read/1")})
+			}
+			is.Equal(send(e, "/read/1").Response.StatusCode(), status)
+			is.Equal(n.gate.Suspects().Count(suspects.Isolate), left)
+			is.Equal(e.gate.Suspects().Count(suspects.Isolate), left)
+		})
+	}
+}
+
 // Guards against lost answers and reset connections of an upstream that runs on, which make no request a suspect.
 func TestLostAnswersMakeNoSuspects(t *testing.T) {
 	is := is.New(t)
--- a/app/suspectlist/suspectlist.go
+++ b/app/suspectlist/suspectlist.go
@@ -63,7 +63,7 @@
 	return counted
 }
 
-// Completed records that the upstream of this host has answered a request. It reports whether that cleared a suspect.
+// Completed records that an upstream has answered a request, other than with a failure. It reports whether that cleared a suspect.
 func (l *List) Completed(fingerprint uint64) (cleared bool) {
 	l.update(func(now time.Time, r *suspects.Registry) bool {
 		cleared = r.Completed(now, fingerprint)
--- a/core/suspects/registry.go
+++ b/core/suspects/registry.go
@@ -245,7 +245,7 @@
 	return ok && now.Sub(at) < popularTime && (rec == nil || at.After(rec.last()))
 }
 
-// Completed records that an upstream has answered a request. It reports whether that cleared a suspect.
+// Completed records that an upstream has answered a request, other than with a failure. It reports whether that cleared a suspect.
 func (r *Registry) Completed(now time.Time, fingerprint uint64) (cleared bool) {
 	r.completed.add(now, fingerprint)
 	rec := r.live(now, fingerprint)
