app/proxy: pass over more than three gates without an upstream

Change: gates that answer within 100 ms that they have no upstream no longer count towards the two reroutes; there may be eight of them. They cost no capacity and no upstream sees the request. Rejections for lack of capacity and slow answers count as before. The line of the entry says why no attempt followed (not_retried) and how many gates had no upstream (without_upstream).

--- a/app/proxy/answers_test.go
+++ b/app/proxy/answers_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
@@ -326,3 +328,24 @@
 	is.Equal(string(r.Header.Peek(hopRan)), ranYes)
 	is.Equal(string(r.Header.Peek(testHeaders.ID)), "1")
 }
+
+// Guards against a request that is rejected because the first gates it is sent to have lost their upstreams, while others
+// have one.
+func TestGatesWithoutUpstreamArePassedOver(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	for i := range 5 {
+		g := NewGate(GateOptions{Headers: testHeaders, DrainBound: testDrain, LostAfter: testLost, Publish: func(*pb.Announcement) {}}, m, newTestPool(), NewMetrics(metrics.NewSet()), log.NewNopLogger())
+		l := listen(t)
+		serveOn(l, g.Handle)
+		m.change(func(v *controlclient.View) {
+			v.Endpoints["a"] = append(v.Endpoints["a"], &controlclient.Endpoint{Gate: l.Addr().String(), Instance: fmt.Sprint("gone-", i), Version: "v1", Slots: 2, Link: ports.LinkDomain})
+		})
+	}
+	n := newNode(t, m, "i1", succeed)
+	for range 20 {
+		e := newTestEntry(m) // has no experience with the gates
+		is.Equal(send(e, "/write/1").Response.StatusCode(), fasthttp.StatusOK)
+	}
+	is.Equal(n.upstream.count(), 20)
+}
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -45,8 +45,12 @@
 	retryBudgetBurst = 3
 	extraShare       = 0.4
 	// maxReroutes is the maximum number of times that a request is rerouted, outside the retry
-	// budget, from a gate that did not run it or was unreachable.
+	// budget, from a gate that did not run it or was unreachable. Gates that have no upstream are not counted.
 	maxReroutes = 2
+	// maxGatesWithoutUpstream is the maximum number of gates that may answer within quickRejection that they have no upstream.
+	// They cost no capacity, and many upstreams may end together.
+	maxGatesWithoutUpstream = 8
+	quickRejection          = 100 * time.Millisecond // more than a round trip between regions
 	// reroutePercent is the share of requests, in percent, that may be rerouted because a gate
 	// rejected them for lack of capacity, and rerouteBurst the number that may accumulate. When
 	// the whole service is overloaded, asking further gates only adds load.
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -34,13 +34,15 @@
 	waited    time.Duration // time that the client spent on earlier attempts
 	out       *fasthttp.Request
 
-	sends        int                // attempts that may have reached an upstream
-	reroutes     int                // attempts that no upstream received, because the gate did not run them or was unreachable
-	tried        []string           // gate addresses
-	mayHaveRun   bool               // an attempt had an unknown outcome; not set by a response of an upstream
-	savedFailure *fasthttp.Response // failure response of an upstream, returned if the retry fails
-	savedLease   *body.Lease        // memory of savedFailure
-	lastReason   string             // why the last attempt was not answered
+	sends           int                // attempts that may have reached an upstream
+	reroutes        int                // attempts that no upstream received, because the gate did not run them or was unreachable, except those in withoutUpstream
+	withoutUpstream int                // gates that had no upstream
+	tried           []string           // gate addresses
+	mayHaveRun      bool               // an attempt had an unknown outcome; not set by a response of an upstream
+	savedFailure    *fasthttp.Response // failure response of an upstream, returned if the retry fails
+	savedLease      *body.Lease        // memory of savedFailure
+	lastReason      string             // why the last attempt was not answered
+	notRetried      string             // why no further attempt followed
 
 	suspicion        suspects.Decision // at the last attempt
 	fingerprintValue uint64            // see fingerprint
@@ -355,27 +357,44 @@
 	return a.status >= fasthttp.StatusInternalServerError && f.route.GetIdempotent()
 }
 
+// retryObstacle returns why no further attempt may follow one, or "".
+func (f *forwarding) retryObstacle(a attempt, now time.Time) string {
+	switch {
+	case f.deadline.Sub(now) < minRemaining:
+		return "time"
+	case a.reason == reasonCrashSuspect || f.checkSuspect() != "":
+		return "suspect"
+	case a.ran == ranNo && a.reason == reasonNoUpstream && a.latency < quickRejection:
+		if f.withoutUpstream++; f.withoutUpstream >= maxGatesWithoutUpstream {
+			return "reroutes"
+		}
+	case a.ran == ranNo && a.reason != reasonUpstreamNotRun:
+		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted
+		if f.reroutes++; f.reroutes > maxReroutes || (noCapacity && !f.entry.takeReroute(f.service)) {
+			return "reroutes"
+		}
+	case a.ran != ranNo && !f.route.GetIdempotent():
+		return "not-idempotent"
+	case a.reason == reasonDeadline || a.reason == reasonCancelled:
+		return a.reason
+	case f.sends >= max(1, int(f.route.GetMaxAttempts())):
+		return "attempts"
+	case !f.entry.takeRetry(f.service, now):
+		return "budget"
+	}
+	return ""
+}
+
 // shouldRetry decides whether another attempt follows. If one follows a response
 // of an upstream, the response is kept in savedFailure.
 func (f *forwarding) shouldRetry(a attempt) bool {
 	now := time.Now()
 	f.deadline = limitByStop(f.entry.gate.stop.Load(), f.deadline)
-	if f.deadline.Sub(now) < minRemaining || a.reason == reasonCrashSuspect || f.checkSuspect() != "" {
+	if f.notRetried = f.retryObstacle(a, now); f.notRetried != "" {
 		return false
 	}
 	if a.ran == ranNo && a.reason != reasonUpstreamNotRun {
-		f.reroutes++
-		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted
-		return f.reroutes <= maxReroutes && (!noCapacity || f.entry.takeReroute(f.service))
-	}
-	if a.ran != ranNo && !f.route.GetIdempotent() {
-		return false
-	}
-	if f.sends >= max(1, int(f.route.GetMaxAttempts())) || a.reason == reasonDeadline || a.reason == reasonCancelled {
-		return false
-	}
-	if !f.entry.takeRetry(f.service, now) {
-		return false
+		return true
 	}
 	f.entry.metrics.count("entry", "repeated")
 	if a.ran == ranYes {
@@ -468,6 +487,6 @@
 	}
 	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "status", status, "host", hostOf(&f.x.Request),
 		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
-		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes,
+		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes, "without_upstream", f.withoutUpstream, "not_retried", f.notRetried,
 		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
 }
