adapters/body, meshhttp: bound the memory of large request bodies

What callers saw: three uploads within the limits to one node, and every request in progress on that host ended with a closed connection. The server read each body whole, with a limit for each and none for all. Change: bodies of more than 64 KiB are read with a lease of a quarter of the memory at the entry and of another one at the gate. What does not fit is rejected as not run (503, memory) before it is read; gates tell entries so, also for other requests that they could not read.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -5,14 +5,15 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"slices"
 	"sync"
 
 	"github.com/valyala/fasthttp"
 )
 
-// ErrTooLarge is returned when a body of more than 64 KiB exceeds a quarter of the limit of the Memory, or
+// ErrTooLarge is returned when a body of more than 64 KiB exceeds the share of the Memory that one body may use, or
 // when other bodies leave too little of it.
-var ErrTooLarge = errors.New("the body of the response is larger than the memory for it")
+var ErrTooLarge = errors.New("the body is larger than the memory for it")
 
 // blockPool holds read buffers of 16 KiB. Bodies are read block by block, so that memory is allocated for bytes received, not for the stated length.
 var blockPool = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
@@ -39,11 +40,7 @@
 		if !l.allows(length) {
 			return ErrTooLarge
 		}
-		n, err := appendBody(r, io.LimitReader(br, length), length, l)
-		if err == nil && n < length {
-			return io.ErrUnexpectedEOF
-		}
-		return err
+		return appendFixed(r, br, length, l)
 	case length == -1:
 		if _, err := appendBody(r, httputil.NewChunkedReader(br), 0, l); err != nil {
 			return err
@@ -55,6 +52,74 @@
 	}
 }
 
+// CheckRequest reports whether a request whose header has been read can have the body whose length it states. The error is
+// fasthttp.ErrBodyTooLarge for one of more than limit bytes, and for one that never fits into the memory. It is ErrTooLarge if
+// too little of it is left at the moment.
+func CheckRequest(r *fasthttp.Request, limit int, l *Lease) error {
+	length := int64(r.Header.ContentLength())
+	switch {
+	case length > int64(limit) || !l.allows(length):
+		return fasthttp.ErrBodyTooLarge
+	case length > uncountedBytes && !l.fits(length):
+		return ErrTooLarge
+	}
+	return nil
+}
+
+// ReadRequest reads the body and the trailers of a request that CheckRequest has accepted, with a lease as in Read. It returns
+// the errors of CheckRequest for a body whose length is not stated. After an error the request has no body.
+func ReadRequest(br *bufio.Reader, r *fasthttp.Request, limit int, l *Lease) error {
+	err := readRequest(br, r, int64(limit), l)
+	if err != nil {
+		r.SwapBody(nil)
+		l.Release()
+	}
+	return err
+}
+
+func readRequest(br *bufio.Reader, r *fasthttp.Request, limit int64, l *Lease) error {
+	length := int64(r.Header.ContentLength())
+	switch {
+	case length > uncountedBytes:
+		return appendFixed(r, br, length, l)
+	case length == -1:
+		size, err := appendBody(r, &limitedReader{src: httputil.NewChunkedReader(br), left: limit}, 0, l)
+		switch {
+		case err != nil && !l.allows(size):
+			return fasthttp.ErrBodyTooLarge
+		case err != nil:
+			return err
+		case size == 0:
+			r.Header.SetContentLength(0)
+		}
+		return unexpected(r.Header.ReadTrailer(br))
+	default:
+		return r.ContinueReadBody(br, int(limit), false)
+	}
+}
+
+// unexpected turns the end of the input into an error that does not look like the regular end.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// limitedReader fails when more bytes are read than are left.
+type limitedReader struct {
+	src  io.Reader
+	left int64
+}
+
+func (l *limitedReader) Read(b []byte) (int, error) {
+	n, err := l.src.Read(b)
+	if l.left -= int64(n); l.left < 0 {
+		return 0, fasthttp.ErrBodyTooLarge
+	}
+	return n, err
+}
+
 // Discard removes the body of a response. The memory of a large one goes back to the runtime and not to the pool of the
 // HTTP library, whose buffers small bodies would hold without a lease.
 func Discard(r *fasthttp.Response) {
@@ -64,8 +129,23 @@
 	r.ResetBody()
 }
 
-// appendBody reads the body of a response. length is its stated length, 0: none.
-func appendBody(r *fasthttp.Response, src io.Reader, length int64, l *Lease) (size int64, err error) {
+// message is a request or a response.
+type message interface {
+	AppendBody(part []byte)
+	SwapBody(body []byte) (old []byte)
+}
+
+// appendFixed reads a body of a stated length.
+func appendFixed(r message, br *bufio.Reader, length int64, l *Lease) error {
+	n, err := appendBody(r, io.LimitReader(br, length), length, l)
+	if err == nil && n < length {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// appendBody reads the body of a message. length is its stated length, 0: none.
+func appendBody(r message, src io.Reader, length int64, l *Lease) (size int64, err error) {
 	block := blockPool.Get().(*[]byte)
 	defer blockPool.Put(block)
 	var large []byte // the whole body, once it has more than uncountedBytes
@@ -77,7 +157,7 @@
 			r.AppendBody((*block)[:n])
 		default:
 			if large == nil {
-				large = r.SwapBody(nil)
+				large = slices.Clip(r.SwapBody(nil)) // the rest of its capacity is not counted
 			}
 			var ok bool
 			if large, ok = l.extend(large, (*block)[:n], length); !ok {
@@ -97,8 +177,12 @@
 	}
 }
 
-// extend appends a part to a body and holds the memory for it, while the buffer grows that of the old one too. length is
-// the stated length of the whole body, 0: none. It returns false if there is no memory left.
+// wholeBufferShare is the part of a body of a stated length, as a divisor, after which its whole buffer is allocated. Until then
+// the buffer grows with the bytes received, so that a stated length alone holds no memory.
+const wholeBufferShare = 64
+
+// extend appends a part to a body and holds the memory for it. length is the stated length of the whole body, 0: none. It
+// returns false if there is no memory left.
 func (l *Lease) extend(b, part []byte, length int64) ([]byte, bool) {
 	size := int64(len(b) + len(part))
 	if size <= int64(cap(b)) {
@@ -107,11 +191,14 @@
 	if !l.allows(size) {
 		return nil, false
 	}
-	grown := max(size, min(max(4*uncountedBytes, 2*int64(cap(b))), max(length, l.memory.limit/largestShare)))
+	grown := max(size, min(max(4*uncountedBytes, 2*int64(cap(b))), max(length, l.memory.largest)))
 	if length > 0 {
 		grown = min(grown, length)
 	}
-	if !l.hold(int64(cap(b)) + grown) {
+	if size >= length/wholeBufferShare && length > 0 {
+		grown = length // one copy of a small part, instead of one of a half
+	}
+	if !l.hold(grown + l.memory.replaced(b)) {
 		return nil, false
 	}
 	out, ok := l.memory.allocate(grown)
--- a/adapters/body/body_test.go
+++ b/adapters/body/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -94,3 +95,77 @@
 	runtime.ReadMemStats(&after)
 	is.True(after.HeapAlloc < before.HeapAlloc+16<<20) // 64 reads allocate 2 MiB each
 }
+
+// request reads a request with a body, and returns it with the lease of the body.
+func request(t *testing.T, m *Memory, limit int, header, body string) (*fasthttp.Request, *Lease, error) {
+	br := bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: h\r\n" + header + "\r\n\r\n" + body))
+	r, l := &fasthttp.Request{}, m.Lease()
+	if err := r.Header.Read(br); err != nil {
+		t.Fatal(err)
+	}
+	if err := CheckRequest(r, limit, l); err != nil {
+		return nil, nil, err
+	}
+	err := ReadRequest(br, r, limit, l)
+	return r, l, err
+}
+
+func chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
+
+// Guards against request bodies that are cut or changed, and against memory that they hold and no lease accounts for.
+func TestRequestBodyIsReadWhole(t *testing.T) {
+	is := is.New(t)
+	m := NewRequestMemory(8 << 20)
+	for _, size := range []int{0, 1, uncountedBytes, uncountedBytes + 1, 300_000, 4 << 20} {
+		content := strings.Repeat("0123456789", size/10+1)[:size]
+		for header, raw := range map[string]string{
+			fmt.Sprint("Content-Length: ", size): content, "Transfer-Encoding: chunked": chunked(content),
+		} {
+			if size == 0 && header != "Content-Length: 0" {
+				raw = "0\r\n\r\n"
+			}
+			r, l, err := request(t, m, 4<<20, header, raw)
+			is.NoErr(err)
+			is.Equal(string(r.Body()), content)
+			is.True(m.Held() >= int64(len(r.Body())) || size <= uncountedBytes)
+			l.Release()
+			is.Equal(m.Held(), int64(0))
+			if _, _, err := request(t, m, 4<<20, header, raw[:max(0, len(raw)-1)]); size > 0 && err == nil {
+				t.Errorf("%s: no error without the last byte of %d", header, len(raw))
+			}
+			is.Equal(m.Held(), int64(0))
+		}
+	}
+}
+
+// Guards against bodies above the limit of the plan or of the memory, and against a length alone that holds memory: what
+// never fits and what does not fit now are told apart, before the body is read if its length is stated.
+func TestRequestBodyThatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	const limit, size = 1 << 20, 700_000
+	body := strings.Repeat("x", size)
+	stated, chunks := fmt.Sprint("Content-Length: ", size), "Transfer-Encoding: chunked"
+	for _, header := range []string{stated, chunks} {
+		m := NewRequestMemory(limit)
+		raw := body
+		if header == chunks {
+			raw = chunked(body)
+		}
+		_, _, err := request(t, m, size-1, header, raw)
+		is.Equal(err, fasthttp.ErrBodyTooLarge) // above the limit of the plan
+		_, _, err = request(t, NewRequestMemory(size-1), limit, header, raw)
+		is.Equal(err, fasthttp.ErrBodyTooLarge) // above the memory
+		_, l, err := request(t, m, limit, stated, body)
+		is.NoErr(err)
+		_, _, err = request(t, m, limit, header, raw)
+		is.Equal(err, ErrTooLarge) // another one holds the memory
+		_, _, err = request(t, m, limit, "Content-Length: 1", "x")
+		is.NoErr(err)
+		l.Release()
+		is.Equal(m.Held(), int64(0))
+	}
+	m := NewRequestMemory(limit)
+	_, _, err := request(t, m, limit, stated, "")
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.Equal(m.allocated.Load(), int64(0))
+}
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -96,17 +97,22 @@
 	if err := x.Request.Header.Read(c.br); err != nil {
 		return c.respondReadError(x, err)
 	}
+	x.requestLease = c.server.options.Memory.Lease()
+	if err := body.CheckRequest(&x.Request, limits.BodyBytes, x.requestLease); err != nil {
+		return c.respondReadError(x, err)
+	}
 	c.setRequestDeadline(x.Received.Add(bodyTimeout))
 	if x.Request.MayContinue() {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return c.respondReadError(x, err)
 		}
 	}
-	if err := x.Request.ContinueReadBody(c.br, limits.BodyBytes, false); err != nil {
+	if err := body.ReadRequest(c.br, &x.Request, limits.BodyBytes, x.requestLease); err != nil {
 		return c.respondReadError(x, err)
 	}
 	x.close = x.Request.Header.ConnectionClose()
 	if !c.beginRequest() {
+		x.release()
 		return nil
 	}
 	if admit := c.server.options.Admit; admit != nil && !admit(x) {
@@ -254,6 +260,8 @@
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, body.ErrTooLarge):
+		status = fasthttp.StatusServiceUnavailable
 	default:
 		var opErr *net.OpError
 		if errors.As(err, &opErr) {
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -54,14 +55,17 @@
 	// Lease holds the memory of the response body until the response is written; nil: none is held.
 	Lease *body.Lease
 
-	done  chan struct{} // closed when Response is complete
-	close bool          // the connection closes after the response
+	requestLease *body.Lease   // holds the memory of the request body until the response is written; nil: none is held
+	done         chan struct{} // closed when Response is complete
+	close        bool          // the connection closes after the response
 }
 
-// release returns the memory of the response body.
+// release returns the memory of the bodies.
 func (x *Exchange) release() {
-	if x.Lease != nil {
-		x.Lease.Release()
+	for _, l := range []*body.Lease{x.Lease, x.requestLease} {
+		if l != nil {
+			l.Release()
+		}
 	}
 }
 
@@ -77,6 +81,8 @@
 	Admit func(x *Exchange) bool
 	// OnReadError fills in the response to a request that could not be read; status is the HTTP status for err.
 	OnReadError func(x *Exchange, status int, err error)
+	// Memory holds large request bodies. Those that do not fit are read errors with status 503; nil: 2 GiB.
+	Memory *body.Memory
 	// ClosingResponse is a raw response that is written to an idle connection before it is closed; ""
 	// disables it. A client whose request crossed the close reads it as the response.
 	ClosingResponse string
@@ -96,6 +102,9 @@
 
 // NewServer returns a server that is started by Serve.
 func NewServer(o ServerOptions) *Server {
+	if o.Memory == nil {
+		o.Memory = body.NewRequestMemory(math.MaxInt32)
+	}
 	return &Server{options: o, conns: make(map[*conn]struct{})}
 }
 
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -61,7 +61,8 @@
 	confirmTimeout = 3 * time.Second
 	// defaultMemory is the memory of a node in the deployment that the system is designed for.
 	defaultMemory = 128 << 20
-	// bodyMemoryDivisor divides the memory to give the limit for large response bodies.
+	// bodyMemoryDivisor divides the memory to give the limit for large response bodies, for large request bodies in the entry
+	// and for those in the gate. The last two are separate, so that entries full of requests do not keep gates from running them.
 	bodyMemoryDivisor = 4
 	gateIdleTimeout   = 60 * time.Second // above the idle limit of clients (see meshhttp)
 )
@@ -96,6 +97,9 @@
 	return dig.RootCause(c.Invoke(func(p *Process) error { return p.run(ctx) }))
 }
 
+// bodyMemory returns the limit in bytes of each Memory for large bodies.
+func (o Options) bodyMemory() int { return cmp.Or(o.Memory, defaultMemory) / bodyMemoryDivisor }
+
 func newClient(o Options) *rpc.Client {
 	return rpc.NewClient(rpc.Options{LocalIP: lifecycle.HostIP(o.PeerAddress)})
 }
@@ -105,7 +109,7 @@
 
 func newPools(o Options) pools {
 	ip := lifecycle.HostIP(o.PeerAddress)
-	m := body.NewMemory(cmp.Or(o.Memory, defaultMemory) / bodyMemoryDivisor)
+	m := body.NewMemory(o.bodyMemory())
 	return pools{gates: meshhttp.NewPool(ip, m), upstream: meshhttp.NewPool(ip, m)}
 }
 
@@ -138,13 +142,19 @@
 	return components{Control: control, Gate: gate, Entry: entry}
 }
 
-// newProcess returns a process that does not run yet. Both servers use the RejectUnreadable of the
-// entry, so its metric counts unreadable requests to the gate for the side "entry" too.
+// newProcess returns a process that does not run yet.
 func newProcess(o Options, client *rpc.Client, control *controlclient.Client, g *proxy.Gate, e *proxy.Entry, set *metrics.Set, logger log.Logger) *Process {
 	p := &Process{options: o, logger: logger, client: client, control: control, gate: g, entry: e, set: set, started: time.Now()}
-	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{Handler: e.Handle, Limits: p.limits, Admit: e.Admit, OnReadError: e.RejectUnreadable})
+	requestMemory := func(side string) *body.Memory {
+		m := body.NewRequestMemory(o.bodyMemory())
+		set.NewGauge(fmt.Sprintf(`rattanfield_request_body_bytes{side=%q}`, side), func() float64 { return float64(m.Held()) })
+		return m
+	}
+	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{
+		Handler: e.Handle, Limits: p.limits, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
+	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
-		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, OnReadError: e.RejectUnreadable, ClosingResponse: proxy.ClosingResponse,
+		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
 	})
 	return p
 }
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -168,10 +168,19 @@
 
 // RejectUnreadable fills in the response to a request that could not be read.
 func (e *Entry) RejectUnreadable(x *meshhttp.Exchange, status int, err error) {
+	reason, id := "unreadable", x.Request.Header.Peek(e.options.Headers.ID)
 	x.Response.Reset()
 	x.Response.SetStatusCode(status)
-	_ = e.logger.Log("event", "request not readable", "status", status, "err", err, "client", x.Remote)
-	e.metrics.count("entry", "unreadable")
+	if status == fasthttp.StatusServiceUnavailable {
+		reason = reasonMemory
+		x.Response.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(e.randomRetryAfter()))
+		x.Response.SetBodyString(reason + "\n")
+	}
+	if len(id) > 0 {
+		x.Response.Header.SetBytesV(e.options.Headers.ID, id)
+	}
+	_ = e.logger.Log("event", "request not readable", "request", id, "status", status, "err", err, "client", x.Remote)
+	e.metrics.count("entry", reason)
 }
 
 // versions is the set of upstream versions that a request may run on.
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -369,7 +369,7 @@
 			return "reroutes"
 		}
 	case a.ran == ranNo && a.reason != reasonUpstreamNotRun:
-		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted
+		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted || a.reason == reasonMemory
 		if f.reroutes++; f.reroutes > maxReroutes || (noCapacity && !f.entry.takeReroute(f.service)) {
 			return "reroutes"
 		}
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -129,6 +129,15 @@
 	g.run(ctx, x, req, u, id)
 }
 
+// RejectUnreadable fills in the response to a request that could not be read, and so has not run.
+func (g *Gate) RejectUnreadable(x *meshhttp.Exchange, status int, err error) {
+	reason := reasonBadRequest
+	if status == fasthttp.StatusServiceUnavailable {
+		reason = reasonMemory
+	}
+	g.reject(x, gateRequest{id: string(x.Request.Header.Peek(g.options.Headers.ID)), received: x.Received}, ranNo, reason, err.Error())
+}
+
 // admit waits for a slot. It returns the upstream and the queue id of the request,
 // or the reason why the request does not run.
 func (g *Gate) admit(ctx context.Context, req gateRequest) (*upstream, uint64, string) {
