app/consensus, core/raft: bound the log by bytes

What operators saw: after hundreds of changes of a grown configuration control hosts exceed their memory and end, one after the other, and exceed it again after their start. The log kept up to 4,096 entries and 1,024 more, whatever their size; an entry of a configuration with 4,000 routes has 77 KB compressed. New gauge rattanfield_log_bytes.

--- a/app/consensus/applyloop.go
+++ b/app/consensus/applyloop.go
@@ -18,7 +18,7 @@
 
 // applyLoop applies committed entries to the state machine and takes snapshots of it.
 func (h *Host) applyLoop(ctx context.Context) error {
-	snapshotAt := h.view.Load().Index
+	snapshotAt, size := h.view.Load().Index, 0 // size is the number of bytes applied since the last snapshot
 	for {
 		select {
 		case <-ctx.Done():
@@ -27,8 +27,12 @@
 			if err := h.applyJob(j); err != nil {
 				return err
 			}
-			if h.view.Load().Index-snapshotAt >= h.options.SnapshotEntries && h.takeSnapshot() {
-				snapshotAt = h.view.Load().Index
+			for _, e := range j.entries {
+				size += len(e.GetPayload())
+			}
+			due := h.view.Load().Index-snapshotAt >= h.options.SnapshotEntries || size >= h.options.SnapshotBytes
+			if due && h.takeSnapshot() {
+				snapshotAt, size = h.view.Load().Index, 0
 			}
 		}
 	}
--- a/app/consensus/host_test.go
+++ b/app/consensus/host_test.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/raft"
@@ -32,18 +33,23 @@
 
 // submitNext submits a change on top of the host's applied revision until it is accepted.
 func (c *cluster) submitNext(id, service string) *pb.CommandResult {
+	c.t.Helper()
+	return c.submitAt(func(revision uint64) *pb.Command { return putService(id, revision, service, "v1") })
+}
+
+// submitAt submits a command for the present revision until it is accepted.
+func (c *cluster) submitAt(command func(revision uint64) *pb.Command) *pb.CommandResult {
 	c.t.Helper()
 	for range 100 {
 		l := c.leader()
 		if l.ConfirmRead(background) != nil {
 			continue
 		}
-		cmd := putService(id, l.State().Configuration.GetRevision(), service, "v1")
-		if r := l.Submit(background, cmd); r.GetOutcome() == accepted {
+		if r := l.Submit(background, command(l.State().Configuration.GetRevision())); r.GetOutcome() == accepted {
 			return r
 		}
 	}
-	c.t.Fatalf("%s is not accepted", id)
+	c.t.Fatal("the command is not accepted")
 	return nil
 }
 
@@ -164,6 +170,54 @@
 	is.True(c.leader().Status().Commit > changes)
 }
 
+// Guards against hosts that exceed their memory and their disk after hundreds of large changes: a snapshot that is due by the
+// number of entries alone comes too late.
+func TestLogIsBoundedByBytes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const snapshotBytes, keepBytes, segmentBytes, services, changes = 64 << 10, 32 << 10, 16 << 10, 100, 300
+	c := newCluster(t, "kingston", "kingston", "montego-bay")
+	c.tune = func(o *Options) {
+		o.SnapshotBytes, o.KeepBytes, o.SegmentBytes = snapshotBytes, keepBytes, segmentBytes
+	}
+	c.startAll()
+	largest, sent := 0, 0
+	for i := range changes {
+		c.submitAt(func(revision uint64) *pb.Command {
+			command := putService(fmt.Sprint("c", i), revision, "s0", "v1")
+			change := command.GetSubmitConfiguration()
+			for s := range services - 1 {
+				change.Changes = append(change.Changes, putService("", 0, fmt.Sprint("s", s+1), fmt.Sprint("v", i)).GetSubmitConfiguration().GetChanges()...)
+			}
+			sent += proto.Size(command)
+			return command
+		})
+		for _, h := range c.running() {
+			largest = max(largest, h.Status().LogBytes)
+		}
+	}
+	t.Logf("up to %d bytes in the log, %d in all", largest, sent)
+	is.True(sent > 4*(snapshotBytes+keepBytes))
+	is.True(largest <= 2*(snapshotBytes+keepBytes))
+	c.waitEqual()
+	for _, m := range c.members {
+		c.kill(m.GetId())
+		size := int64(0)
+		files, err := os.ReadDir(filepath.Join(c.dir, m.GetId()))
+		is.NoErr(err)
+		for _, f := range files {
+			info, err := f.Info()
+			is.NoErr(err)
+			size += info.Size()
+		}
+		t.Logf("%d bytes on disk", size)
+		is.True(size <= 4*(snapshotBytes+keepBytes+segmentBytes))
+	}
+	c.startAll()
+	is.NoErr(c.leader().ConfirmRead(background))
+	is.Equal(c.leader().State().Configuration.GetRevision(), uint64(emptyRevision+changes))
+}
+
 // Guards against wrong outcomes, and responses that claim to be confirmed, on
 // hosts without a quorum.
 func TestWithoutQuorum(t *testing.T) {
--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -17,7 +17,9 @@
 	DefaultHeartbeatInterval = 200 * time.Millisecond
 	DefaultSubmitTimeout     = 5 * time.Second
 	DefaultSnapshotEntries   = 4096
+	DefaultSnapshotBytes     = 16 << 20
 	DefaultKeepEntries       = 1024
+	DefaultKeepBytes         = 8 << 20
 )
 
 // Options holds the settings of a Host.
@@ -37,8 +39,10 @@
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	SubmitTimeout     time.Duration // upper bound of Submit and ConfirmRead
-	SnapshotEntries   uint64        // applied entries between snapshots
+	SnapshotEntries   uint64        // applied entries after which a snapshot is taken
+	SnapshotBytes     int           // bytes of their payloads after which one is taken sooner
 	KeepEntries       uint64        // entries kept before a snapshot, for members that lag behind
+	KeepBytes         int           // bytes of their payloads that are kept at most
 	SegmentBytes      int64
 	Seed              uint64  // 0: random
 	FS                disk.FS // nil: the file system of the operating system
@@ -56,7 +60,9 @@
 	setDefault(&o.HeartbeatInterval, DefaultHeartbeatInterval)
 	setDefault(&o.SubmitTimeout, DefaultSubmitTimeout)
 	setDefault(&o.SnapshotEntries, DefaultSnapshotEntries)
+	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
 	setDefault(&o.KeepEntries, DefaultKeepEntries)
+	setDefault(&o.KeepBytes, DefaultKeepBytes)
 	return o, nil
 }
 
--- a/app/consensus/steploop.go
+++ b/app/consensus/steploop.go
@@ -133,17 +133,13 @@
 // compact stores an encoded state as a snapshot and compacts the log. The apply
 // loop schedules it in the step loop.
 func (h *Host) compact(index uint64, data []byte) {
-	h.node.Compact(index, data, h.options.KeepEntries)
+	h.node.Compact(index, data, raft.Keep{Entries: h.options.KeepEntries, Bytes: h.options.KeepBytes})
 	s := h.node.Snapshot()
 	if s.Index != index {
 		return
 	}
-	keep := uint64(0)
-	if index > h.options.KeepEntries {
-		keep = index - h.options.KeepEntries
-	}
 	// If the ring is full, this snapshot is not written; the next one replaces it.
-	h.diskJobs.TryPush(diskJob{save: &s, keepFrom: keep})
+	h.diskJobs.TryPush(diskJob{save: &s, keepFrom: h.node.FirstIndex()})
 }
 
 // deliver puts a message from a peer into the inbox. If the inbox is full, the message is lost.
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -114,6 +114,7 @@
 	}
 	// The serial is the number of plans accepted so far; plan numbers may have gaps.
 	set.NewGauge("rattanfield_plan_serial", func() float64 { return float64(host.State().Plan.GetSerial()) })
+	set.NewGauge("rattanfield_log_bytes", func() float64 { return float64(host.Status().LogBytes) })
 	set.NewGauge("rattanfield_confirmed_age_seconds", func() float64 { return host.ConfirmedAge().Seconds() })
 	return &Process{
 		options: o, Host: host, Server: s, decider: d, client: client, set: set, logger: logger,
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -12,6 +12,7 @@
 	offset     uint64 // index before entries[0]
 	offsetTerm uint64
 	entries    []*pb.Entry
+	bytes      int    // of the payloads in entries
 	unsaved    uint64 // first index that no Ready has contained yet
 	stable     uint64 // highest index known to be synced
 	commit     uint64
@@ -22,7 +23,7 @@
 	l := &raftLog{snapshot: s.Snapshot, offset: s.Snapshot.Index, offsetTerm: s.Snapshot.Term}
 	for _, e := range s.Entries {
 		if e.GetIndex() == l.last()+1 {
-			l.entries = append(l.entries, e)
+			l.append(e)
 		}
 	}
 	l.commit, l.applied = s.Snapshot.Index, s.Snapshot.Index
@@ -78,7 +79,18 @@
 	return selected[:len(selected):len(selected)]
 }
 
-func (l *raftLog) append(entries ...*pb.Entry) { l.entries = append(l.entries, entries...) }
+func (l *raftLog) append(entries ...*pb.Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += payloadBytes(entries)
+}
+
+func payloadBytes(entries []*pb.Entry) int {
+	sum := 0
+	for _, e := range entries {
+		sum += len(e.GetPayload())
+	}
+	return sum
+}
 
 // merge adds entries of the leader that follow a matching index. It returns the
 // first index that changed, or 0 if the log already held all of them.
@@ -99,6 +111,7 @@
 	if from > l.last() {
 		return
 	}
+	l.bytes -= payloadBytes(l.entries[from-l.offset-1:])
 	// Slices returned earlier share the array, so the remaining entries are copied.
 	l.entries = slices.Clone(l.entries[:from-l.offset-1])
 	l.unsaved = min(l.unsaved, from)
@@ -132,15 +145,22 @@
 	}
 }
 
-// compact sets the newest snapshot and removes the entries up to upTo, but none
-// after the snapshot.
-func (l *raftLog) compact(s Snapshot, upTo uint64) {
+// compact sets the newest snapshot and removes the entries that it covers, except for the newest ones within keep.
+func (l *raftLog) compact(s Snapshot, keep Keep) {
 	l.snapshot = s
-	upTo = min(upTo, s.Index)
+	upTo, size := s.Index, 0
+	for upTo > l.offset && s.Index-upTo < keep.Entries {
+		size += len(l.entries[upTo-l.offset-1].GetPayload())
+		if keep.Bytes > 0 && size > keep.Bytes {
+			break
+		}
+		upTo--
+	}
 	if upTo <= l.offset {
 		return
 	}
 	term, _ := l.term(upTo)
+	l.bytes -= payloadBytes(l.entries[:upTo-l.offset])
 	l.entries = slices.Clone(l.entries[upTo-l.offset:])
 	l.offset, l.offsetTerm = upTo, term
 }
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -192,23 +192,22 @@
 }
 
 // Compact stores a snapshot of the applied state at an index and removes the
-// entries it covers, except for the newest keep ones: members that lag behind
+// entries it covers, except for the newest ones within keep: members that lag behind
 // by less than that need no snapshot. A call with an index that is older than
 // the newest snapshot or not applied yet has no effect.
-func (n *Node) Compact(index uint64, data []byte, keep uint64) {
+func (n *Node) Compact(index uint64, data []byte, keep Keep) {
 	if index <= n.log.snapshot.Index || index > n.log.applied {
 		return
 	}
 	term, _ := n.log.term(index)
 	s := Snapshot{Index: index, Term: term, Members: n.membersAt(index), Data: data}
-	upTo := uint64(0)
-	if index > keep {
-		upTo = index - keep
-	}
-	n.log.compact(s, upTo)
+	n.log.compact(s, keep)
 	n.compactMemberSets(index)
 }
 
+// FirstIndex returns the index of the first entry that the log holds, or would hold if it is empty.
+func (n *Node) FirstIndex() uint64 { return n.log.offset + 1 }
+
 // Snapshot returns the newest snapshot.
 func (n *Node) Snapshot() Snapshot { return n.log.snapshot }
 
@@ -245,7 +244,7 @@
 func (n *Node) Status() Status {
 	s := Status{
 		ID: n.config.ID, Role: n.role, Term: n.state.Term, Leader: n.leaderID, Commit: n.log.commit,
-		Last: n.log.last(), Incarnation: n.state.Incarnation, Eligible: n.eligible(), Members: n.members(),
+		Last: n.log.last(), LogBytes: n.log.bytes, Incarnation: n.state.Incarnation, Eligible: n.eligible(), Members: n.members(),
 	}
 	if n.role == Leader {
 		s.Progress = n.leading.status()
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -198,6 +198,7 @@
 // check verifies the guarantees of the log against the state of one host.
 func (s *sim) check(h *simHost) {
 	n := h.node
+	s.require(n.log.bytes == payloadBytes(n.log.entries), "%s counts %d bytes of a log of %d", h.id, n.log.bytes, payloadBytes(n.log.entries))
 	if h.diskDamaged && n.eligible() {
 		h.diskDamaged = false
 	}
@@ -331,7 +332,7 @@
 	if h.applied == 0 {
 		return
 	}
-	h.node.Compact(h.applied, binary.BigEndian.AppendUint64(nil, h.digest), keep)
+	h.node.Compact(h.applied, binary.BigEndian.AppendUint64(nil, h.digest), Keep{Entries: keep, Bytes: int(keep) * 40})
 	if snap := h.node.Snapshot(); snap.Index > h.disk.snap.Index && len(h.pending) == 0 {
 		h.disk.install(snap)
 	}
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -58,6 +58,12 @@
 	Incarnation []byte // random id of the disk
 }
 
+// Keep bounds the entries that a compaction keeps before a snapshot.
+type Keep struct {
+	Entries uint64
+	Bytes   int // of their payloads; 0: no limit
+}
+
 // Snapshot is the encoded state of the state machine at one log index.
 type Snapshot struct {
 	Index, Term uint64
@@ -108,6 +114,7 @@
 	Leader      string
 	Commit      uint64
 	Last        uint64
+	LogBytes    int    // payloads that the log holds
 	Incarnation []byte // id of the disk
 	Eligible    bool   // may lead, and its own vote counts
 	Members     []*pb.Member
