cmd/rattanfield-platform: collect garbage of control hosts by their memory limit

Nodes had a limit for it, control hosts had none. Change: both roles collect sooner above 60% of limits.memory_mb.

--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -67,10 +67,10 @@
 	}()
 	w := platform.NewWatcher(s, role)
 	go w.Run(ctx, reload, logger)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * collectAbovePercent / 100)
+	}
 	if role == platform.RoleNode {
-		if s.MemoryMB > 0 {
-			debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * collectAbovePercent / 100)
-		}
 		err = meshnode.Run(ctx, nodeOptions(s, w), logger)
 	} else {
 		err = meshcontrol.Run(ctx, controlOptions(s, w, logger), logger)
@@ -109,8 +109,8 @@
 // announcement after which a node considers its upstream lost.
 const maxMissedAnnouncements = 3
 
-// collectAbovePercent is the part of a node's memory, in percent, above which garbage is collected sooner than usual. The rest
-// is room for what is allocated until a collection ends.
+// collectAbovePercent is the part of the memory of a process, in percent, above which garbage is collected sooner than usual.
+// The rest is room for what is allocated until a collection ends.
 const collectAbovePercent = 60
 
 // nodeOptions converts the settings to the options of a node.
