--- a/app/control/admin.go
+++ b/app/control/admin.go
@@ -39,6 +39,7 @@
 	})
 	set.NewGauge("rattanfield_revision", func() float64 { return float64(read().Revision) })
 	set.NewGauge("rattanfield_applied_index", func() float64 { return float64(read().AppliedIndex) })
+	set.NewGauge("rattanfield_log_bytes", func() float64 { return float64(host.Status().LogBytes) })
 	set.NewGauge("rattanfield_confirmed_age_seconds", func() float64 { return host.ConfirmedAge().Seconds() })
 	set.NewGauge("rattanfield_is_leader", func() float64 {
 		if host.IsLeader() {
