adapters/meshhttp: test requests behind chunked bodies

Cause: chunked request bodies are read by another reader since their memory is bounded; no test sent a request behind one. Change: TestRequestsBehindChunkedBodies, with trailers, bodies of 0 to 2 MiB and a request behind each.

--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -342,3 +342,27 @@
 	o, _ := call(t, newTestPool(), l.Addr().String(), "1")
 	is.Equal(o.Failure, ConnectionLost)
 }
+
+// Guards against the rest of a chunked body that is read as the next request, for small bodies and for those that count
+// towards the memory of the server.
+func TestRequestsBehindChunkedBodies(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, func(_ context.Context, x *Exchange) {
+		x.Response.SetBodyString(fmt.Sprint(string(x.Request.Header.RequestURI()), " ", len(x.Request.Body())))
+	}, "")
+	c, r := dial(t, address)
+	sizes := []int{0, 1, 64 << 10, 64<<10 + 1, 1 << 20}
+	go func() {
+		for i, size := range sizes {
+			chunks := strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)), min(2, size))
+			_, _ = fmt.Fprintf(c, "POST /%d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\nX-Sum: 1\r\n\r\n", i, chunks)
+		}
+		_, _ = io.WriteString(c, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+	}()
+	for i, size := range sizes {
+		got, _ := readBody(t, r)
+		is.Equal(got, fmt.Sprintf("/%d %d", i, min(2, size)*size))
+	}
+	got, _ := readBody(t, r)
+	is.Equal(got, "/last 0")
+}
