app/soak: excuse the requests on a crashed upstream at once

The check knows that, but the crash was recorded only once the upstream was back, 2.5 s later; the run was judged before. Change: the crash is recorded when it happens as well. Measured: TestCrashExcusesBeforeTheUpstreamIsBack failed before, passes. Conclusion: a fault of the check, not of the product.

--- a/app/soak/losses_test.go
+++ b/app/soak/losses_test.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// Guards against violations for requests on an upstream that has crashed and is not back when the run ends.
+func TestCrashExcusesBeforeTheUpstreamIsBack(t *testing.T) {
+	r := &run{losses: newLosses(), crashes: &crashes{at: make(map[string][]time.Time)}}
+	sent := time.Now().Add(-time.Millisecond)
+	r.upstreamCrashed(1, "/read/crash-1")
+	if !r.losses.isDisturbed([]int{0, 1}, sent, time.Now().Add(time.Millisecond)) {
+		t.Error("the crash is no disturbance of the node")
+	}
+}
+
 // Guards against violations for what the users' rules allow.
 func TestAllowedLossesAreExcused(t *testing.T) {
 	for name, c := range map[string]lossCase{
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -157,11 +157,7 @@
 			now := time.Now()
 			r.losses.recordExecution(id, execution{node: i, began: now, until: now.Add(work)})
 			r.checks.recordRun(id)
-		}, func(path string) func() {
-			from := time.Now()
-			r.crashes.record(path)
-			return func() { r.losses.recordDisturbance(i, Crash, from) }
-		})
+		}, func(path string) func() { return r.upstreamCrashed(i, path) })
 		if err != nil {
 			return err
 		}
@@ -175,6 +171,15 @@
 	return nil
 }
 
+// upstreamCrashed records the end of an upstream by a request. It returns the function to call once the upstream is back.
+func (r *run) upstreamCrashed(node int, path string) (restarted func()) {
+	from := time.Now()
+	r.crashes.record(path)
+	record := func() { r.losses.recordDisturbance(node, Crash, from) }
+	record() // the run may end before the upstream is back
+	return record
+}
+
 // awaitServing waits until each node is ready and answers a request. It reports false when
 // that takes longer than settleTime.
 func (r *run) awaitServing(ctx context.Context) bool {
