--- a/app/meshnode/upload_test.go
+++ b/app/meshnode/upload_test.go
@@ -56,7 +56,7 @@
 	}
 	body := strings.Repeat("x", memory/bodyMemoryDivisor/3)
 	var group sync.WaitGroup
-	var served, rejected, most atomic.Int32
+	var served, rejected, mostHeld atomic.Int32
 	done := make(chan struct{})
 	for i := range uploads {
 		group.Go(func() {
@@ -80,7 +80,7 @@
 				return
 			case <-time.After(5 * time.Millisecond):
 			}
-			most.Store(max(most.Load(), int32(held())))
+			mostHeld.Store(max(mostHeld.Load(), int32(held())))
 			if status := n.request(fmt.Sprint("/page-", i), time.Second); status != http.StatusOK {
 				t.Errorf("an ordinary request was answered with %d", status)
 			}
@@ -89,11 +89,11 @@
 	group.Wait()
 	close(done)
 	ordinary.Wait()
-	t.Logf("%d uploads served, %d rejected, up to %d bytes held", served.Load(), rejected.Load(), most.Load())
+	t.Logf("%d uploads served, %d rejected, up to %d bytes held", served.Load(), rejected.Load(), mostHeld.Load())
 	is.Equal(served.Load(), ran.Load()) // what was rejected has not run
 	is.True(served.Load() > 0)
 	is.True(rejected.Load() > 0)
-	is.True(most.Load() <= 2*memory/bodyMemoryDivisor)
+	is.True(mostHeld.Load() <= 2*memory/bodyMemoryDivisor)
 	eventually(t, "the memory is released", func() bool { return held() == 0 })
 	status, _, _ := n.upload("upload-last", body)
 	is.Equal(status, http.StatusOK)
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -357,7 +357,7 @@
 	return a.status >= fasthttp.StatusInternalServerError && f.route.GetIdempotent()
 }
 
-// retryObstacle returns why no further attempt may follow one, or "".
+// retryObstacle returns why no further attempt may follow one, or "". It counts the attempt towards the limit that applies.
 func (f *forwarding) retryObstacle(a attempt, now time.Time) string {
 	switch {
 	case f.deadline.Sub(now) < minRemaining:
