adapters/meshhttp: keep the connections of a test backend open

Cause: TestLargeResponseHoldsMemoryUntilReleased failed once with the race detector: "connection lost" instead of an answer. Its backend closes each connection after one response without saying so, and the pool uses the connection again if the close has not arrived yet. Not a fault of the pool: such a request may have run, and is not repeated there. Change: the backend answers eight requests on a connection. The test is about memory, and its bounds are as before.

--- a/adapters/meshhttp/endless_test.go
+++ b/adapters/meshhttp/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -134,7 +135,8 @@
 func TestLargeResponseHoldsMemoryUntilReleased(t *testing.T) {
 	is := is.New(t)
 	p := NewPool(nil, body.NewMemory(4<<20))
-	address := backend(t, rawResponse("1", strings.Repeat("x", 1<<20)))
+	// The backend keeps its connections open: one that it closes may be used again before the close has arrived.
+	address := backend(t, slices.Repeat([]string{rawResponse("1", strings.Repeat("x", 1<<20))}, 8)...)
 	var leases []*body.Lease
 	send := func() Failure {
 		request := fasthttp.AcquireRequest()
