adapters/response: reject responses whose status line is not valid

Cause: an upstream's response with status 000 reached the client as a signed 200. The HTTP library stores 000 as 0, which its accessor reports as 200. It also accepts 600 to 999, any version such as HTTP/2.0, and control bytes in the reason. HTTP/1.2 was read as HTTP/1.0, so that chunks became part of the body. The client of adapters/httpproxy read over a 101 and passed 001 and 099 on. Change: package response checks the bytes of the status line before the library parses them, and both HTTP clients of the mesh read headers through it. Status codes outside 100 to 599 are invalid (RFC 9110, section 15), as are versions other than HTTP/1 (a response has the major version of its request, section 6.2); the proxy answers 502. A minor version above 1 is read as HTTP/1.1 (section 2.5). A request whose response is rejected may have run: 502 without Retry-After.

--- a/adapters/httpproxy/exchange.go
+++ b/adapters/httpproxy/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/response"
 )
 
 // exchangeError describes why a request got no valid response.
@@ -30,12 +30,11 @@
 func (e *exchangeError) Unwrap() error { return e.err }
 
 var (
-	errNoLength       = errors.New("response states no length")
-	errWrongCallID    = errors.New("response carries another call id")
-	errTooManyConns   = errors.New("all connections are in use")
-	errClosing        = errors.New("destination closes the connection")
-	errCancelled      = errors.New("caller has gone")
-	errTooManyInterim = fmt.Errorf("more than %d interim responses", maxInterimResponses)
+	errNoLength     = errors.New("response states no length")
+	errWrongCallID  = errors.New("response carries another call id")
+	errTooManyConns = errors.New("all connections are in use")
+	errClosing      = errors.New("destination closes the connection")
+	errCancelled    = errors.New("caller has gone")
 )
 
 // cancelPollInterval is the interval at which a wait checks whether the caller is still
@@ -117,17 +116,9 @@
 func (c *clientConn) readResponse(x *exchange, writeErr error) (bool, *exchangeError) {
 	x.response.Reset()
 	x.response.SkipBody = x.request.Header.IsHead()
-	if err := x.response.Header.Read(c.br); err != nil {
+	if err := response.ReadHeader(c.br, &x.response.Header); err != nil {
 		return false, c.lost(err, ReasonUpstreamLost)
 	}
-	for interim := 0; isInterim(x.response.StatusCode()); interim++ {
-		if interim == maxInterimResponses {
-			return false, c.lost(errTooManyInterim, ReasonUpstreamLost)
-		}
-		if err := x.response.Header.Read(c.br); err != nil {
-			return false, c.lost(err, ReasonUpstreamLost)
-		}
-	}
 	// The id is checked before the body is read, so that no part of another call's response is passed on.
 	if failure := c.checkID(x); failure != nil {
 		return false, failure
@@ -184,10 +175,6 @@
 	return errors.Is(err, io.EOF)
 }
 
-func isInterim(status int) bool {
-	return status >= fasthttp.StatusContinue && status < fasthttp.StatusOK
-}
-
 func (c *clientConn) readBody(x *exchange) *exchangeError {
 	length := x.response.Header.ContentLength()
 	status := x.response.StatusCode()
--- a/adapters/httpproxy/headers.go
+++ b/adapters/httpproxy/headers.go
@@ -36,13 +36,12 @@
 
 // Bounds of a call, so that one caller cannot exhaust the memory of a node.
 const (
-	maxHeaderCount      = 64
-	maxHeaderBytes      = 16 << 10
-	maxCallIDLength     = 64
-	maxLabelLength      = 64 // tenant, class, version
-	maxKeyLength        = 256
-	maxBodyBytes        = 8 << 20 // upper bound; a service may state a smaller limit
-	maxInterimResponses = 8       // interim (1xx) responses before the final one
+	maxHeaderCount  = 64
+	maxHeaderBytes  = 16 << 10
+	maxCallIDLength = 64
+	maxLabelLength  = 64 // tenant, class, version
+	maxKeyLength    = 256
+	maxBodyBytes    = 8 << 20 // upper bound; a service may state a smaller limit
 	// responseMemory bounds the memory of all large responses of a pool while they are read. One
 	// response may use a quarter of it.
 	responseMemory = 4 * maxBodyBytes
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -85,9 +86,8 @@
 	// freshIdleLimit is the maximum idle time of a connection that is reused for a Call with RecentlyUsedOnly set.
 	freshIdleLimit = 2 * time.Second
 	// asyncBodyBytes is the body size from which a request is written concurrently with reading its response.
-	asyncBodyBytes      = 32 << 10
-	maxStaleResponses   = 2 // late responses to earlier requests that are skipped per call
-	maxInterimResponses = 8 // interim (1xx) responses accepted before the final one
+	asyncBodyBytes    = 32 << 10
+	maxStaleResponses = 2 // late responses to earlier requests that are skipped per call
 	// closeWait is the time to wait for the end of the connection behind a response that announces
 	// it: several round trips between regions.
 	closeWait         = 400 * time.Millisecond
@@ -314,9 +314,6 @@
 	// errEndUnknown marks a response whose header may have been ended early, so that the length and
 	// the id are missing.
 	errEndUnknown = fmt.Errorf("%w: it has neither a length nor an id", errInvalidResponse)
-	// errSwitchedProtocols ends a call because no request asks for another protocol.
-	errSwitchedProtocols = fmt.Errorf("%w: it switches protocols", errInvalidResponse)
-	errTooManyInterim    = fmt.Errorf("%w: more than %d interim responses", errInvalidResponse, maxInterimResponses)
 )
 
 func (c *clientConn) classify(err error) Failure {
@@ -409,8 +406,9 @@
 	r := call.Response
 	body.Discard(r) // of an earlier attempt, or of a response that was skipped
 	l.Release()
-	if err := c.readHeader(r); err != nil {
-		return err
+	r.Reset()
+	if err := response.ReadHeader(c.br, &r.Header); err != nil {
+		return c.parseError(err)
 	}
 	r.SkipBody = call.Request.Header.IsHead()
 	status := r.StatusCode()
@@ -430,33 +428,13 @@
 	return nil
 }
 
-// readHeader reads the header of the final response. The read buffer of the connection bounds the header size.
-func (c *clientConn) readHeader(r *fasthttp.Response) error {
-	for range maxInterimResponses + 1 {
-		r.Reset()
-		if _, err := c.br.Peek(1); err != nil {
-			return err
-		}
-		if err := r.Header.Read(c.br); err != nil {
-			return c.parseError(err)
-		}
-		switch n := r.StatusCode(); {
-		case n >= fasthttp.StatusOK:
-			return nil
-		case n == fasthttp.StatusSwitchingProtocols:
-			return errSwitchedProtocols
-		}
-	}
-	return errTooManyInterim
-}
-
 // parseError returns connection errors unchanged and marks all others as invalid HTTP.
 func (c *clientConn) parseError(err error) error {
 	var opErr *net.OpError
-	if isTimeout(err) || errors.As(err, &opErr) {
+	if err == io.EOF || isTimeout(err) || errors.As(err, &opErr) {
 		return err
 	}
-	return errors.Join(errInvalidResponse, err)
+	return fmt.Errorf("%w: %w", errInvalidResponse, err)
 }
 
 // updateIdleLimit sets the idle limit from the timeout in the Keep-Alive header, less keepAliveMargin.
--- /dev/null
+++ b/adapters/response/lines.go
@@ -0,0 +1,84 @@
+package response
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// lines checks the lines of a header while they arrive, up to the empty line behind them.
+type lines struct {
+	checked  int  // bytes of the lines that were checked
+	fields   bool // the status line was checked
+	complete bool // the empty line was reached
+}
+
+// check checks the complete lines at the start of b that were not checked before. It replaces a minor
+// version of HTTP/1 above 1 by 1, because a client reads such a response like one of the highest
+// version that it knows (RFC 9110, section 2.5).
+func (l *lines) check(b []byte) error {
+	for !l.complete {
+		n := bytes.IndexByte(b[l.checked:], '\n')
+		if n < 0 {
+			return nil
+		}
+		line := bytes.TrimSuffix(b[l.checked:l.checked+n], []byte("\r"))
+		l.checked += n + 1
+		if err := l.checkLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *lines) checkLine(line []byte) error {
+	switch {
+	case len(line) == 0:
+		l.complete = l.fields // empty lines before the status line are skipped (RFC 9112, section 2.2)
+		return nil
+	case !l.fields:
+		l.fields = true
+		return checkStatusLine(line)
+	default:
+		return nil // the HTTP library checks the fields
+	}
+}
+
+const (
+	versionPrefix = "HTTP/1."
+	// minStatus and maxStatus bound the valid status codes (RFC 9110, section 15).
+	minStatus = "100"
+	maxStatus = "599"
+
+	switchingProtocols = "101"
+)
+
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	minor, isHTTP1 := bytes.CutPrefix(version, []byte(versionPrefix))
+	if !isHTTP1 || len(minor) != 1 || !isDigit(minor[0]) {
+		return fmt.Errorf("version %q is not HTTP/1", clip(version))
+	}
+	if minor[0] > '1' {
+		minor[0] = '1'
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if len(code) != len(minStatus) || bytes.ContainsFunc(code, func(r rune) bool { return r < '0' || r > '9' }) ||
+		string(code) < minStatus || string(code) > maxStatus {
+		return fmt.Errorf("status code %q is not within %s to %s", clip(code), minStatus, maxStatus)
+	}
+	if string(code) == switchingProtocols {
+		return errors.New("the response switches protocols, for which no request asks")
+	}
+	if i := bytes.IndexFunc(reason, isControl); i >= 0 {
+		return fmt.Errorf("control byte %#x in the status line", reason[i])
+	}
+	return nil
+}
+
+// clip bounds the bytes of a response in an error.
+func clip(b []byte) []byte { return b[:min(len(b), 64)] }
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
--- /dev/null
+++ b/adapters/response/response.go
@@ -0,0 +1,54 @@
+package response
+
+import (
+	"bufio"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxInterim is the number of interim (1xx) responses accepted before the final one.
+const maxInterim = 8
+
+var errTooManyInterim = fmt.Errorf("more than %d interim responses", maxInterim)
+
+// ReadHeader reads the header of the final response and skips interim responses before it. The buffer
+// of br bounds the size of each header. An error of the connection is returned unchanged if no byte of a
+// header was read, and wrapped otherwise.
+func ReadHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterim + 1 {
+		if err := readOne(br, h); err != nil {
+			return err
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errTooManyInterim
+}
+
+func readOne(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	if err := peek(br, &lines{}); err != nil {
+		return err
+	}
+	return h.Read(br)
+}
+
+// peek checks lines without consuming them and returns nil once they are complete.
+func peek(br *bufio.Reader, l *lines) error {
+	for n := 1; ; n = br.Buffered() + 1 {
+		_, readErr := br.Peek(n)
+		b, _ := br.Peek(br.Buffered())
+		if err := l.check(b); err != nil {
+			return err
+		}
+		switch {
+		case l.complete:
+			return nil
+		case readErr != nil && len(b) == 0:
+			return readErr
+		case readErr != nil:
+			return fmt.Errorf("the header ends after %d bytes: %w", len(b), readErr)
+		}
+	}
+}
