adapters/response: reject responses with invalid field names

Cause: a response with a blank in the name of a field, or before its colon, reached the client. The HTTP library trims the blank before the colon: `Content-Length : 5` before a body of 17 bytes gave the client a signed 200 with 5 bytes, and `Transfer-Encoding : chunked` was taken for the framing. A blank within a name was passed on. Other bytes that a name may not have were rejected already; the tests cover them. Change: package response checks that each name is a token that the colon follows at once (RFC 9112, section 5.1: a proxy may not pass on the blank), in headers of interim, late and final responses and in trailers. adapters/body reads the trailers of responses through it. Every byte that a name may have is still passed on.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/response"
 )
 
 // ErrTooLarge is returned when a body of more than 64 KiB exceeds the share of the Memory that one body may use, or
@@ -45,7 +47,7 @@
 		if _, err := appendBody(r, httputil.NewChunkedReader(br), 0, l); err != nil {
 			return err
 		}
-		return r.Header.ReadTrailer(br)
+		return unexpected(response.ReadTrailer(br, &r.Header))
 	default: // no length: the body ends with the connection
 		_, err := appendBody(r, br, 0, l)
 		return err
--- a/adapters/response/lines.go
+++ b/adapters/response/lines.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 )
 
-// lines checks the lines of a header while they arrive, up to the empty line behind them.
+// lines checks the lines of a header or of trailers while they arrive, up to the empty line behind
+// them. The zero value checks a header.
 type lines struct {
 	checked  int  // bytes of the lines that were checked
-	fields   bool // the status line was checked
+	fields   bool // the status line was checked, or there is none
 	complete bool // the empty line was reached
 }
 
@@ -39,8 +41,10 @@
 	case !l.fields:
 		l.fields = true
 		return checkStatusLine(line)
+	case line[0] == ' ' || line[0] == '\t':
+		return nil // continues the value of the line before
 	default:
-		return nil // the HTTP library checks the fields
+		return checkField(line)
 	}
 }
 
@@ -76,9 +80,31 @@
 	return nil
 }
 
+// checkField checks the name of a field. The HTTP library checks the value.
+func checkField(line []byte) error {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	switch {
+	case !hasColon:
+		return fmt.Errorf("field line %q has no colon", clip(line))
+	case len(name) == 0 || bytes.IndexFunc(name, isNoTokenByte) >= 0:
+		return fmt.Errorf("field name %q is not a token", clip(name))
+	}
+	return nil
+}
+
 // clip bounds the bytes of a response in an error.
 func clip(b []byte) []byte { return b[:min(len(b), 64)] }
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+// isNoTokenByte reports whether a field name may not have a byte (RFC 9110, section 5.6.2). Bytes that
+// are not ASCII are at least 0x80 as runes as well.
+func isNoTokenByte(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
--- a/adapters/response/response.go
+++ b/adapters/response/response.go
@@ -34,6 +34,15 @@
 	return h.Read(br)
 }
 
+// ReadTrailer reads the trailers behind the last chunk of a response and the empty line that ends them,
+// with errors as in ReadHeader.
+func ReadTrailer(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	if err := peek(br, &lines{fields: true}); err != nil {
+		return err
+	}
+	return h.ReadTrailer(br)
+}
+
 // peek checks lines without consuming them and returns nil once they are complete.
 func peek(br *bufio.Reader, l *lines) error {
 	for n := 1; ; n = br.Buffered() + 1 {
--- a/adapters/response/responsetest/responsetest.go
+++ b/adapters/response/responsetest/responsetest.go
@@ -35,7 +35,14 @@
 func Invalid() []Form {
 	out := []Form{
 		{Name: "status 000 without a length", Raw: "HTTP/1.1 000 Unknown\r\n" + fields + "\r\n" + Payload},
+		{Name: "name in an interim response", Raw: "HTTP/1.1 103 Early Hints\r\nLi nk: </a>\r\n\r\n" + framed("HTTP/1.1 200 OK")},
 		{Name: "status of an interim response", Raw: "HTTP/1.1 000 Continue\r\n\r\n" + framed("HTTP/1.1 200 OK")},
+		{Name: "blank in the name of a trailer", Raw: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked("X Sum: 1\r\n")},
+		{Name: "blank behind the name of a trailer", Raw: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked("X-Sum : 1\r\n")},
+		{Name: "control byte in the name of a trailer", Raw: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked("X\x01Sum: 1\r\n")},
+		{Name: "length behind a blank", Raw: "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 5\r\n\r\n" + Payload},
+		{Name: "chunks behind a blank", Raw: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n" + chunked("")},
+		{Name: "blank before the first name", Raw: "HTTP/1.1 200 OK\r\n X-Other: 1\r\n" + fields + length() + "\r\n" + Payload},
 		{Name: "switching protocols", Raw: "HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" + framed("HTTP/1.1 200 OK")},
 	}
 	for _, line := range []string{
@@ -46,6 +53,19 @@
 	} {
 		out = append(out, Form{Name: fmt.Sprintf("status line %q", line), Raw: framed(line)})
 	}
+	for _, line := range []string{
+		"X-Other : 1", "X-Other  : 1", "X-Other\t: 1", ": 1", "X-Other", "X-Other=1",
+		"Content-Length : 5", "Content Length: 5", "Transfer-Encoding : chunked",
+		"X-Other: a\x00b", "X-Other: a\rb", "X-Other: a\x01b", "X-Other: a\x7fb", "X-Other: a\r\n b\x00",
+	} {
+		out = append(out, Form{Name: fmt.Sprintf("field line %q", line), Raw: framed("HTTP/1.1 200 OK", "X-First: 1", line)})
+	}
+	for c := range 256 {
+		if strings.IndexByte(tokenBytes, byte(c)) < 0 && c != '\n' && c != ':' {
+			line := "X" + string([]byte{byte(c)}) + "Other: 1"
+			out = append(out, Form{Name: fmt.Sprintf("field line %q", line), Raw: framed("HTTP/1.1 200 OK", "X-First: 1", line)})
+		}
+	}
 	return out
 }
 
@@ -64,6 +84,7 @@
 		form("later minor version", framed("HTTP/1.2 200 OK"), 200),
 		form("later minor version with chunks", "HTTP/1.9 200 OK\r\n"+fields+"Transfer-Encoding: chunked\r\n\r\n"+chunked(""), 200),
 		form("interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+framed("HTTP/1.1 200 OK"), 200),
+		form("chunks and trailers", "HTTP/1.1 200 OK\r\n"+fields+"Transfer-Encoding: chunked\r\n\r\n"+chunked("X-Sum: 1\r\n"+tokenBytes+": 1\r\n"), 200),
 		form("empty lines before", "\r\n\n"+framed("HTTP/1.1 200 OK"), 200),
 		form("line feeds", "HTTP/1.1 200 OK\nX-Other: 1\n"+fields+length()+"\r\n"+Payload, 200),
 		form("no blank before the value", framed("HTTP/1.1 200 OK", "X-Other:1"), 200),
@@ -71,6 +92,9 @@
 		form("colons, blanks, tabs and 8-bit bytes in a value", framed("HTTP/1.1 200 OK", "X-Other: \t: a \tb : \x80\xff "), 200),
 		form("folded line", framed("HTTP/1.1 200 OK", "X-Other: a\r\n b c\r\n\td"), 200),
 	}
+	for _, c := range tokenBytes {
+		out = append(out, form(fmt.Sprintf("name with %q", c), framed("HTTP/1.1 200 OK", "X"+string(c)+": 1", string(c)+": 1"), 200))
+	}
 	return out
 }
 
@@ -82,6 +106,9 @@
 	}
 }
 
+// tokenBytes are the bytes that a field name may have (RFC 9110, section 5.6.2).
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
 func length() string { return fmt.Sprintf("Content-Length: %d\r\n", len(Payload)) }
 
 // framed returns a response with the payload and its length.
