adapters/response: reject HTTP/1.0 responses with Transfer-Encoding

Cause: an HTTP/1.0 response with `Transfer-Encoding: chunked` reached the client with the chunk sizes as part of the body. The HTTP library ignores the field in such a response, and the body then seems to end with the connection. Change: such a response is invalid: its framing is faulty (RFC 9112, section 6.1), and the proxy answers 502.

--- a/adapters/response/lines.go
+++ b/adapters/response/lines.go
@@ -13,6 +13,7 @@
 	checked  int  // bytes of the lines that were checked
 	fields   bool // the status line was checked, or there is none
 	complete bool // the empty line was reached
+	http10   bool
 }
 
 // check checks the complete lines at the start of b that were not checked before. It replaces a minor
@@ -40,11 +41,11 @@
 		return nil
 	case !l.fields:
 		l.fields = true
-		return checkStatusLine(line)
+		return l.checkStatusLine(line)
 	case line[0] == ' ' || line[0] == '\t':
 		return nil // continues the value of the line before
 	default:
-		return checkField(line)
+		return l.checkField(line)
 	}
 }
 
@@ -57,12 +58,13 @@
 	switchingProtocols = "101"
 )
 
-func checkStatusLine(line []byte) error {
+func (l *lines) checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	minor, isHTTP1 := bytes.CutPrefix(version, []byte(versionPrefix))
 	if !isHTTP1 || len(minor) != 1 || !isDigit(minor[0]) {
 		return fmt.Errorf("version %q is not HTTP/1", clip(version))
 	}
+	l.http10 = minor[0] == '0'
 	if minor[0] > '1' {
 		minor[0] = '1'
 	}
@@ -81,13 +83,16 @@
 }
 
 // checkField checks the name of a field. The HTTP library checks the value.
-func checkField(line []byte) error {
+func (l *lines) checkField(line []byte) error {
 	name, _, hasColon := bytes.Cut(line, []byte(":"))
 	switch {
 	case !hasColon:
 		return fmt.Errorf("field line %q has no colon", clip(line))
 	case len(name) == 0 || bytes.IndexFunc(name, isNoTokenByte) >= 0:
 		return fmt.Errorf("field name %q is not a token", clip(name))
+	case l.http10 && strings.EqualFold(string(name), "Transfer-Encoding"):
+		// The library would ignore it and pass the chunks on as the body (RFC 9112, section 6.1).
+		return errors.New("an HTTP/1.0 response has Transfer-Encoding")
 	}
 	return nil
 }
--- a/adapters/response/responsetest/responsetest.go
+++ b/adapters/response/responsetest/responsetest.go
@@ -35,6 +35,7 @@
 func Invalid() []Form {
 	out := []Form{
 		{Name: "status 000 without a length", Raw: "HTTP/1.1 000 Unknown\r\n" + fields + "\r\n" + Payload},
+		{Name: "HTTP/1.0 with chunks", Raw: "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked("")},
 		{Name: "name in an interim response", Raw: "HTTP/1.1 103 Early Hints\r\nLi nk: </a>\r\n\r\n" + framed("HTTP/1.1 200 OK")},
 		{Name: "status of an interim response", Raw: "HTTP/1.1 000 Continue\r\n\r\n" + framed("HTTP/1.1 200 OK")},
 		{Name: "blank in the name of a trailer", Raw: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked("X Sum: 1\r\n")},
