adapters/meshhttp: do not take a reset for the end of a response

Cause: an upstream that answered a long upload at once without a length, sent a part of the body and reset the connection gave the client that part as a complete, signed response. Reproduced with resets at once and after half of the upload, without a byte of the body, with a 500, and with a close while bytes of the upload were unread. The goroutine that writes the request takes the error of the socket (the kernel reports it once), and the read then returns the end of the stream. The write error was dropped: it only kept the connection out of the pool. Change: if the body of a response ends with the connection, the result of the write counts. A write that failed because of the connection means a lost connection (502, may have run). Responses with a length or in chunks are not affected. Early responses whose upload is read to its end, or not read, still reach the client.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,6 +122,7 @@
 	lastID    string // id of the last request
 	written   int
 	confirmed bool // see Outcome.Unconfirmed
+	unframed  bool // the body of the last response ended with the connection
 }
 
 // Write writes to the connection and counts the bytes written.
@@ -266,7 +268,7 @@
 		return false, NotSent, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
-	c.written = 0
+	c.written, c.unframed = 0, false
 	// The pool has checked used connections.
 	unsolicited := call.IDRequired && !c.used && socket.Peek(c.nc) == socket.Readable
 	writeDone := make(chan error, 1)
@@ -277,15 +279,14 @@
 	}
 	keep, err = c.receive(call, l)
 	c.confirmed = c.confirmed && !unsolicited
+	writeErr := c.finishWrite(writeDone, err == nil && c.unframed)
+	if err == nil && c.unframed && connFailed(writeErr) {
+		// The write took the error of the connection, for example a reset, and the read then found an end.
+		err = fmt.Errorf("%w: %v", errLostWhileWriting, writeErr)
+	}
 	if !stop() && err != nil {
 		return false, Cancelled, context.Cause(ctx)
 	}
-	var writeErr error
-	select {
-	case writeErr = <-writeDone:
-	default: // the response ended or failed before the request body was fully sent: its rest must not mix with the next request
-		return false, c.classify(err), err
-	}
 	if err != nil && writeErr != nil && c.written == 0 {
 		return false, NotSent, writeErr
 	}
@@ -300,6 +301,36 @@
 	return keep, c.classify(err), err
 }
 
+// errLostWhileWriting ends a response whose body would end with the connection, because the connection failed.
+var errLostWhileWriting = errors.New("the connection failed while the request was written, so the response may be incomplete")
+
+// finishWrite returns the result of the write of the request. The write is interrupted if it goes on, because the rest of the
+// request must not mix with the next one. With endOfBody, it first gets closeWait: a destination that has closed the connection
+// resets it within that time, and one that has closed only its own side has sent the whole response.
+func (c *clientConn) finishWrite(done <-chan error, endOfBody bool) error {
+	if endOfBody {
+		timer := time.NewTimer(closeWait)
+		defer timer.Stop()
+		select {
+		case err := <-done:
+			return err
+		case <-timer.C:
+		}
+	}
+	select {
+	case err := <-done:
+		return err
+	default:
+	}
+	_ = c.nc.SetWriteDeadline(time.Unix(1, 0))
+	return <-done
+}
+
+// connFailed reports whether a write failed because of the connection, and not by its deadline or by finishWrite.
+func connFailed(writeErr error) bool {
+	return writeErr != nil && !errors.Is(writeErr, os.ErrDeadlineExceeded)
+}
+
 func (c *clientConn) send(call *Call) error {
 	bw := bufio.NewWriterSize(c, min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes))
 	if err := call.Request.Write(bw); err != nil {
@@ -423,6 +454,7 @@
 		return c.parseError(err)
 	}
 	if unframed {
+		c.unframed = true
 		r.SetConnectionClose()
 	}
 	return nil
--- /dev/null
+++ b/adapters/meshhttp/upload_test.go
@@ -0,0 +1,176 @@
+package meshhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// uploadBytes is a body that no socket buffer holds.
+const uploadBytes = 24 << 20
+
+// earlyBackend accepts connections and passes each to answer once the header of a request was read from it.
+func earlyBackend(t *testing.T, answer func(c *net.TCPConn, r *bufio.Reader)) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				var header fasthttp.RequestHeader
+				if header.Read(r) == nil {
+					answer(c.(*net.TCPConn), r)
+				}
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func write(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+func reset(c *net.TCPConn) { _ = c.SetLinger(0) } // the close that follows sends a reset
+
+func upload(p *Pool, address string, size int) (Outcome, *fasthttp.Response) {
+	c := newCall("1", true)
+	c.Request.Header.SetMethod(fasthttp.MethodPost)
+	c.Request.SetBody(make([]byte, size))
+	return p.Do(context.Background(), address, c), c.Response
+}
+
+// Guards against a part of a response that is taken for all of it because the connection was reset
+// while the request was being written: the write takes the error of the socket, and the read then
+// finds what looks like the end of the body.
+func TestResetDuringUploadIsNoEndOfResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"
+	for name, answer := range map[string]func(c *net.TCPConn, r *bufio.Reader){
+		"reset": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, head+"part of it")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		},
+		"reset at once": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, head+"part of it")
+			reset(c)
+		},
+		"no byte of the body": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, head)
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		},
+		"failure": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, "HTTP/1.1 500 Internal Server Error\r\nX-Id: 1\r\n\r\npart of it")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		},
+		"HTTP/1.0": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\npart of it")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		},
+		"half of the upload read": func(c *net.TCPConn, r *bufio.Reader) {
+			write(c, head+"part of it")
+			_, _ = io.CopyN(io.Discard, r, uploadBytes/2)
+			reset(c)
+		},
+		"close with unread bytes": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, head+"part of it")
+			time.Sleep(20 * time.Millisecond)
+		},
+		"close while bytes arrive": func(c *net.TCPConn, r *bufio.Reader) {
+			write(c, head+"part of it")
+			_, _ = io.CopyN(io.Discard, r, uploadBytes/2)
+		},
+		"end, then reset": func(c *net.TCPConn, r *bufio.Reader) {
+			write(c, head+"part of it")
+			_ = c.CloseWrite()
+			_, _ = io.CopyN(io.Discard, r, uploadBytes/2)
+			reset(c)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{uploadBytes, asyncBodyBytes - 1} {
+				if size < uploadBytes && (name == "half of the upload read" || name == "close while bytes arrive" || name == "end, then reset") {
+					continue // the whole request fits into the socket buffers
+				}
+				for range 8 {
+					o, resp := upload(newTestPool(), earlyBackend(t, answer), size)
+					if o.Failure != ConnectionLost {
+						t.Fatalf("upload of %d bytes: %v (%v), status %d, body %q", size, o.Failure, o.Err, resp.StatusCode(), resp.Body())
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against the loss of a complete response that came before the request was written: one that
+// has a length, and one without a length whose end the destination sends in order.
+func TestResponseBeforeEndOfUpload(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"
+	framed := rawResponse("1", "all of it")
+	for name, answer := range map[string]func(c *net.TCPConn, r *bufio.Reader){
+		"end, then the upload is read": func(c *net.TCPConn, r *bufio.Reader) {
+			write(c, unframed+"all of it")
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, r)
+		},
+		"end, then the upload is read slowly": func(c *net.TCPConn, r *bufio.Reader) {
+			write(c, unframed+"all of it")
+			_ = c.CloseWrite()
+			for {
+				if _, err := io.CopyN(io.Discard, r, uploadBytes/8); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		},
+		"end, then nothing is read": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, unframed+"all of it")
+			_ = c.CloseWrite()
+			<-t.Context().Done()
+		},
+		"end in the middle of the upload": func(c *net.TCPConn, r *bufio.Reader) {
+			_, _ = io.CopyN(io.Discard, r, uploadBytes/2)
+			write(c, unframed+"all of it")
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, r)
+		},
+		"length, then the upload is read": func(c *net.TCPConn, r *bufio.Reader) {
+			write(c, framed)
+			_, _ = io.Copy(io.Discard, r)
+		},
+		"length, then reset": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, framed)
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		},
+		"chunks, then reset": func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range 4 {
+				o, resp := upload(newTestPool(), earlyBackend(t, answer), uploadBytes)
+				if o.Failure != Answered || string(resp.Body()) != "all of it" {
+					t.Fatalf("try %d: %v (%v), body %q", i, o.Failure, o.Err, resp.Body())
+				}
+			}
+		})
+	}
+}
--- a/app/proxy/harness_test.go
+++ b/app/proxy/harness_test.go
@@ -177,8 +177,11 @@
 	}, m, gate, newTestPool(), NewMetrics(metrics.NewSet()), log.NewNopLogger())
 }
 
-func send(e *Entry, path string) *meshhttp.Exchange {
+func send(e *Entry, path string) *meshhttp.Exchange { return sendBody(e, path, nil) }
+
+func sendBody(e *Entry, path string, body []byte) *meshhttp.Exchange {
 	x := &meshhttp.Exchange{Received: time.Now()}
+	x.Request.SetBody(body)
 	x.Request.Header.SetHost("h")
 	x.Request.Header.SetRequestURI(path)
 	x.Request.Header.Set(testHeaders.ID, "id-1")
--- a/app/proxy/invalid_test.go
+++ b/app/proxy/invalid_test.go
@@ -1,12 +1,18 @@
 package proxy
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/response/responsetest"
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
 // Guards against a response of an upstream, or of a gate, that reaches the client although it is no
@@ -49,3 +55,40 @@
 		})
 	}
 }
+
+// Guards against a part of a response that reaches the client as all of it, which comes about by an
+// upstream that answers an upload at once without a length and then resets the connection.
+func TestEarlyResponseWithResetIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	for range 8 {
+		l := listen(t)
+		var runs atomic.Int32
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					var h fasthttp.RequestHeader
+					if h.Read(bufio.NewReader(c)) == nil {
+						runs.Add(1)
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nT-Id: id-1\r\n"+isSigned+"\r\n\r\npart of it")
+						time.Sleep(20 * time.Millisecond)
+						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+					_ = c.Close()
+				}()
+			}
+		}()
+		m := newMesh()
+		n := newNode(t, m, "i1", succeed)
+		n.upstream.address = l.Addr().String()
+		a := n.announcement("i2", 2, pb.UpstreamState_UPSTREAM_STATE_SERVING)
+		a.BornUnixMs = 2
+		n.gate.Announce(a)
+		x := sendBody(newTestEntry(m), "/write/1", make([]byte, 24<<20))
+		is.Equal(x.Response.StatusCode(), fasthttp.StatusBadGateway)
+		is.Equal(runs.Load(), int32(1))
+	}
+}
