adapters/meshhttp, httpproxy: do not confirm a closing response after a reset

Cause: found while checking what else relies on the end of a connection. A rejection without an id, or a closing response, is proof that a request did not run if the connection ends right behind it. If the connection was reset while the request was written, the write took the error and the read found that end, so that the request was reported as not run although its destination may have run it. Change: after a failed write such a response proves nothing (may have run). socket.WriteFailed tells failed writes from interrupted ones.

--- a/adapters/httpproxy/exchange.go
+++ b/adapters/httpproxy/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/response"
+	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
 // exchangeError describes why a request got no valid response.
@@ -120,7 +121,7 @@
 		return false, c.lost(err, ReasonUpstreamLost)
 	}
 	// The id is checked before the body is read, so that no part of another call's response is passed on.
-	if failure := c.checkID(x); failure != nil {
+	if failure := c.checkID(x, writeErr); failure != nil {
 		return false, failure
 	}
 	if failure := c.readBody(x); failure != nil {
@@ -134,11 +135,12 @@
 // checkID returns an error if the response that is read is not that of the call. A response with
 // several ids consists of parts of several responses, so all must be equal. Once an upstream has
 // repeated the id of a call on the connection, a response without one may be a copy of an earlier
-// response.
-func (c *clientConn) checkID(x *exchange) *exchangeError {
+// response. writeErr is the error of the write of the request: if the write took the error of the
+// connection, the read finds an end where there is none.
+func (c *clientConn) checkID(x *exchange, writeErr error) *exchangeError {
 	ids := x.response.Header.PeekAll(HeaderCallID)
 	if len(ids) == 1 && string(ids[0]) == closingCallID {
-		if !c.endsNow(x) {
+		if socket.WriteFailed(writeErr) || !c.endsNow(x) {
 			return responseMismatch() // the peer may read the call
 		}
 		return &exchangeError{reason: ReasonLeaving, err: errClosing}
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -123,6 +122,7 @@
 	written   int
 	confirmed bool // see Outcome.Unconfirmed
 	unframed  bool // the body of the last response ended with the connection
+	endRead   bool // the end of the connection was read during the call
 }
 
 // Write writes to the connection and counts the bytes written.
@@ -268,7 +268,7 @@
 		return false, NotSent, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
-	c.written, c.unframed = 0, false
+	c.written, c.unframed, c.endRead = 0, false, false
 	// The pool has checked used connections.
 	unsolicited := call.IDRequired && !c.used && socket.Peek(c.nc) == socket.Readable
 	writeDone := make(chan error, 1)
@@ -280,9 +280,12 @@
 	keep, err = c.receive(call, l)
 	c.confirmed = c.confirmed && !unsolicited
 	writeErr := c.finishWrite(writeDone, err == nil && c.unframed)
-	if err == nil && c.unframed && connFailed(writeErr) {
+	if c.endRead && socket.WriteFailed(writeErr) {
 		// The write took the error of the connection, for example a reset, and the read then found an end.
-		err = fmt.Errorf("%w: %v", errLostWhileWriting, writeErr)
+		c.confirmed = false
+		if err == nil && c.unframed {
+			err = fmt.Errorf("%w: %v", errLostWhileWriting, writeErr)
+		}
 	}
 	if !stop() && err != nil {
 		return false, Cancelled, context.Cause(ctx)
@@ -326,11 +329,6 @@
 	return <-done
 }
 
-// connFailed reports whether a write failed because of the connection, and not by its deadline or by finishWrite.
-func connFailed(writeErr error) bool {
-	return writeErr != nil && !errors.Is(writeErr, os.ErrDeadlineExceeded)
-}
-
 func (c *clientConn) send(call *Call) error {
 	bw := bufio.NewWriterSize(c, min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes))
 	if err := call.Request.Write(bw); err != nil {
@@ -430,7 +428,8 @@
 		return false
 	}
 	_, err := c.br.Peek(1)
-	return errors.Is(err, io.EOF)
+	c.endRead = errors.Is(err, io.EOF)
+	return c.endRead
 }
 
 func (c *clientConn) readResponse(call *Call, l *body.Lease) error {
@@ -454,7 +453,7 @@
 		return c.parseError(err)
 	}
 	if unframed {
-		c.unframed = true
+		c.unframed, c.endRead = true, true
 		r.SetConnectionClose()
 	}
 	return nil
--- a/adapters/meshhttp/upload_test.go
+++ b/adapters/meshhttp/upload_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 )
 
@@ -174,3 +175,21 @@
 		})
 	}
 }
+
+// Guards against a response that closes the connection and is taken as proof about a request because
+// a reset looks like the end of the connection.
+func TestResetDuringUploadConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	for range 8 {
+		address := earlyBackend(t, func(c *net.TCPConn, _ *bufio.Reader) {
+			write(c, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			reset(c)
+		})
+		c := newCall("1", false)
+		c.Request.SetBody(make([]byte, uploadBytes))
+		o := newTestPool().Do(context.Background(), address, c)
+		is.Equal(o.Failure, Answered)
+		is.True(o.Unconfirmed)
+	}
+}
--- a/adapters/socket/socket.go
+++ b/adapters/socket/socket.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -47,6 +48,13 @@
 	return state
 }
 
+// WriteFailed reports whether the error of a write comes from the connection and not from a write
+// deadline. The kernel reports such an error once: if a write got it, a concurrent read returns io.EOF
+// instead, which then does not mean that the peer has ended the stream.
+func WriteFailed(err error) bool {
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, which package syscall does not define.
 const tcpUserTimeout = 0x12
 
