app/proxy: log what was wrong with the response of a gate

Cause: the entry logged reason=unreadable-answer without what was wrong with the response, so a broken response of a gate could not be explained from the id of its request. The gate logs it for responses of upstreams. Change: the "not answered" line of the entry has the field detail.

--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -42,6 +42,7 @@
 	savedFailure    *fasthttp.Response // failure response of an upstream, returned if the retry fails
 	savedLease      *body.Lease        // memory of savedFailure
 	lastReason      string             // why the last attempt was not answered
+	lastDetail      string             // what was wrong with the connection or the response of the gate then
 	notRetried      string             // why no further attempt followed
 
 	suspicion        suspects.Decision // at the last attempt
@@ -161,7 +162,7 @@
 			f.passResponse(a)
 			return true
 		}
-		f.lastReason = a.reason
+		f.lastReason, f.lastDetail = a.reason, a.detail
 		if ctx.Err() != nil || !f.shouldRetry(a) {
 			if a.ran == ranYes {
 				f.passResponse(a)
@@ -237,6 +238,7 @@
 // attempt is the result of one attempt.
 type attempt struct {
 	ran, reason string
+	detail      string // what was wrong with the connection or the response of the gate
 	status      int
 	latency     time.Duration
 }
@@ -329,9 +331,9 @@
 	case meshhttp.Cancelled:
 		return attempt{ran: ranUnknown, reason: reasonCancelled}
 	case meshhttp.InvalidResponse:
-		return attempt{ran: ranUnknown, reason: reasonUnreadable}
+		return attempt{ran: ranUnknown, reason: reasonUnreadable, detail: o.Err.Error()}
 	case meshhttp.ConnectionLost:
-		return attempt{ran: ranUnknown, reason: reasonLost}
+		return attempt{ran: ranUnknown, reason: reasonLost, detail: o.Err.Error()}
 	}
 	h := &f.x.Response.Header
 	if record := h.Peek(hopSuspect); len(record) > 0 {
@@ -485,7 +487,7 @@
 	if f.view.Plan != nil {
 		serial, number = f.view.Plan.Serial, f.view.Plan.Plan.GetNumber()
 	}
-	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "status", status, "host", hostOf(&f.x.Request),
+	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "detail", f.lastDetail, "status", status, "host", hostOf(&f.x.Request),
 		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
 		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes, "without_upstream", f.withoutUpstream, "not_retried", f.notRetried,
 		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
--- a/app/proxy/invalid_test.go
+++ b/app/proxy/invalid_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
@@ -42,6 +45,28 @@
 	}
 }
 
+// Guards against an invalid response that operators can't explain from the log.
+func TestLogNamesWhatIsInvalid(t *testing.T) {
+	is := is.New(t)
+	raw := "HTTP/1.1 600 Unknown\r\n" + withID + "\r\nContent-Length: 0\r\n\r\n"
+	const want = `not valid HTTP: status code \"600\" is not within 100 to 599`
+	var out bytes.Buffer
+	n, _ := scriptedNode(t, newMesh(), "i1", raw)
+	n.gate.logger = log.NewLogfmtLogger(&out)
+	handleAtGate(n.gate, "1", "")
+	is.True(strings.Contains(out.String(), "request=1 "))
+	is.True(strings.Contains(out.String(), want)) // of an upstream, at the gate
+
+	m := newMesh()
+	scriptedGate(t, m, raw)
+	e := newTestEntry(m)
+	out.Reset()
+	e.logger = log.NewLogfmtLogger(&out)
+	send(e, "/write/1")
+	is.True(strings.Contains(out.String(), "request=id-1 "))
+	is.True(strings.Contains(out.String(), want)) // of a gate, at the entry
+}
+
 // Checks that unusual responses that are valid reach the client.
 func TestUnusualResponseIsPassedOn(t *testing.T) {
 	for _, form := range append(responsetest.Valid(), responsetest.Unframed()...) {
