app, platform/platformtest: check responses in the tools that judge answers

Cause: the load generator, the call benchmark, the soak, the demo and the simulated upstream read responses with HTTP clients that take status 000 for 200 and accept invalid field names, so what they report proved nothing about such responses. Change: response.Check wraps the connections of these clients with the check that the mesh uses; the client of the platform's checks reads with response.Read. Check leaves out trailers, which these clients do not read as part of an answer.

--- a/adapters/response/lines.go
+++ b/adapters/response/lines.go
@@ -14,6 +14,7 @@
 	fields   bool // the status line was checked, or there is none
 	complete bool // the empty line was reached
 	http10   bool
+	interim  bool // the status is 1xx
 }
 
 // check checks the complete lines at the start of b that were not checked before. It replaces a minor
@@ -76,6 +77,7 @@
 	if string(code) == switchingProtocols {
 		return errors.New("the response switches protocols, for which no request asks")
 	}
+	l.interim = code[0] == '1'
 	if i := bytes.IndexFunc(reason, isControl); i >= 0 {
 		return fmt.Errorf("control byte %#x in the status line", reason[i])
 	}
@@ -104,7 +106,7 @@
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
-// isNoTokenByte reports whether a field name may not have a byte (RFC 9110, section 5.6.2). Bytes that
+// isNoTokenByte reports whether a byte may not be in a field name (RFC 9110, section 5.6.2). Bytes that
 // are not ASCII are at least 0x80 as runes as well.
 func isNoTokenByte(r rune) bool {
 	switch {
--- a/adapters/response/response.go
+++ b/adapters/response/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 
 	"github.com/valyala/fasthttp"
 )
@@ -61,3 +62,30 @@
 		}
 	}
 }
+
+// Read reads a whole response to a request with the given method. It is for clients that read
+// responses of moderate size; their memory has no bound.
+func Read(br *bufio.Reader, r *fasthttp.Response, method string) error {
+	r.Reset()
+	if err := ReadHeader(br, &r.Header); err != nil {
+		return err
+	}
+	if status := r.StatusCode(); method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	if err := r.ReadBody(br, 0); err != nil {
+		return unexpected(err)
+	}
+	if r.Header.ContentLength() == -1 {
+		return unexpected(ReadTrailer(br, &r.Header))
+	}
+	return nil
+}
+
+// unexpected turns the end of the input into an error that does not look like the regular end.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/app/callbench/mesh.go
+++ b/app/callbench/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/httpproxy"
+	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/core/config"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/ports"
@@ -176,7 +177,7 @@
 func newCaller(address string) *caller {
 	return &caller{client: &fasthttp.HostClient{
 		Addr: address, MaxConns: 8192, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: time.Minute,
-		NoDefaultUserAgentHeader: true,
+		NoDefaultUserAgentHeader: true, Dial: response.Dial(fasthttp.Dial),
 	}}
 }
 
--- a/app/demo/admin.go
+++ b/app/demo/admin.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/simupstream"
 )
@@ -24,20 +25,22 @@
 	client *http.Client
 }
 
-func newAdmin() *admin { return &admin{client: &http.Client{Timeout: adminTimeout}} }
+func newAdmin() *admin {
+	return &admin{client: &http.Client{Timeout: adminTimeout, Transport: &http.Transport{DialContext: response.DialContext}}}
+}
 
 func (a *admin) get(ctx context.Context, url string) (int, []byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return 0, nil, err
 	}
-	response, err := a.client.Do(request)
+	reply, err := a.client.Do(request)
 	if err != nil {
 		return 0, nil, err
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, body, err
+	defer reply.Body.Close()
+	body, err := io.ReadAll(reply.Body)
+	return reply.StatusCode, body, err
 }
 
 // waitReady polls /readyz until it answers 200. When the context ends first, the
--- a/app/demo/demo_test.go
+++ b/app/demo/demo_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -149,3 +150,24 @@
 	is.NoErr(err)
 	is.Equal(remote, 12.0)
 }
+
+// Guards against a demo that takes an invalid response of an admin listener for an answer.
+func TestInvalidAdminResponseIsAnError(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4<<10))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n\r\n")
+			_ = c.Close()
+		}
+	}()
+	_, _, err = newAdmin().get(t.Context(), "http://"+l.Addr().String()+"/readyz")
+	is.True(err != nil)
+}
--- a/app/loadgen/client.go
+++ b/app/loadgen/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/app/simupstream"
 )
 
@@ -35,7 +36,7 @@
 			if err != nil {
 				return nil, dialError{err}
 			}
-			return c, nil
+			return response.Check(c), nil
 		},
 	}
 }
@@ -52,8 +53,8 @@
 // entry has read no request, so a request that was sent at the same time was not run.
 const closingCallID = "-"
 
-// response holds the values of an HTTP response that the caller evaluates.
-type response struct {
+// reply holds the values of an HTTP response that the caller evaluates.
+type reply struct {
 	status               int
 	ran, reason, version string
 	closing              bool  // see closingCallID
@@ -62,7 +63,7 @@
 
 // attempt sends a call to an address once. The body of a response with a status below 400
 // is verified.
-func (g *generator) attempt(address string, c call) (response, error) {
+func (g *generator) attempt(address string, c call) (reply, error) {
 	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(answer)
@@ -83,9 +84,9 @@
 		request.SetBody(simupstream.Body(c.token, c.route.BodyBytes))
 	}
 	if err := g.client.DoTimeout(request, answer, g.options.Timeout); err != nil {
-		return response{}, err
+		return reply{}, err
 	}
-	r := response{
+	r := reply{
 		status: answer.StatusCode(),
 		ran:    string(answer.Header.Peek(HeaderRan)), reason: string(answer.Header.Peek(HeaderReason)),
 		version: string(answer.Header.Peek(simupstream.HeaderVersion)),
--- a/app/loadgen/loadgen_test.go
+++ b/app/loadgen/loadgen_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -118,6 +119,15 @@
 			c.HijackSetNoResponse(true)
 			c.Hijack(func(net.Conn) {})
 		}
+	case "/status-000", "/blank":
+		status, field := "000", ""
+		if string(c.Path()) == "/blank" {
+			status, field = "200", "X Other: 1\r\n"
+		}
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(nc net.Conn) {
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 %s OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, HeaderRan, ranRun, simupstream.HeaderToken, token, field, len(body), body)
+		})
 	case "/unknown":
 		h.Set(HeaderRan, ranUnknown)
 		c.SetStatusCode(502)
@@ -155,6 +165,8 @@
 		{"foreign", Route{Method: "GET", Path: "/foreign"}, Counts{Corrupt: 20}, nil},
 		{"token", Route{Method: "GET", Path: "/token"}, Counts{Corrupt: 20}, nil},
 		{"short", Route{Method: "GET", Path: "/short"}, Counts{Corrupt: 20}, nil},
+		{"invalid status", Route{Method: "POST", Path: "/status-000"}, Counts{Lost: 20}, nil},
+		{"invalid field name", Route{Method: "POST", Path: "/blank"}, Counts{Lost: 20}, nil},
 		{"unknown without key", Route{Method: "POST", Path: "/unknown"}, Counts{Unknown: 20}, func(is *is.I, s *Summary) {
 			is.Equal(s.Resends, uint64(0)) // a repetition could run it twice
 		}},
--- a/app/simupstream/announce.go
+++ b/app/simupstream/announce.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/ports"
 )
 
@@ -38,9 +39,9 @@
 	if err != nil {
 		panic("simupstream: " + err.Error()) // cannot happen: the type holds only strings and numbers
 	}
-	client := &fasthttp.Client{Dial: func(address string) (net.Conn, error) {
+	client := &fasthttp.Client{Dial: response.Dial(func(address string) (net.Conn, error) {
 		return net.DialTimeout("tcp", address, announceTimeout)
-	}}
+	})}
 	return &Announcer{client: client, node: o.NodeAdmin, body: body, drain: o.Drain, StatusChanged: func(error) {}}
 }
 
@@ -82,18 +83,18 @@
 
 // post sends the announcement to a path of the node. Any status from 300 on is an error.
 func (a *Announcer) post(path string, timeout time.Duration) (status int, err error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request, reply := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
+	defer fasthttp.ReleaseResponse(reply)
 	request.SetRequestURI("http://" + a.node + path)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
 	request.SetBody(a.body)
-	if err := a.client.DoTimeout(request, response, timeout); err != nil {
+	if err := a.client.DoTimeout(request, reply, timeout); err != nil {
 		return 0, fmt.Errorf("%s at node %s: %w", path, a.node, err)
 	}
-	if status = response.StatusCode(); status >= fasthttp.StatusMultipleChoices {
-		return status, fmt.Errorf("%s at node %s: status %d: %s", path, a.node, status, response.Body())
+	if status = reply.StatusCode(); status >= fasthttp.StatusMultipleChoices {
+		return status, fmt.Errorf("%s at node %s: status %d: %s", path, a.node, status, reply.Body())
 	}
 	return status, nil
 }
--- a/app/soak/crash.go
+++ b/app/soak/crash.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
 
@@ -65,7 +63,7 @@
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(e.At)))
 	var sent sync.WaitGroup
 	for i, end := 0, time.Now().Add(e.Length); time.Now().Before(end); i++ {
-		c := &fasthttp.HostClient{Addr: platformtest.EntryAddress(r.nodes[random.IntN(len(r.nodes))].host.IP), MaxIdemponentCallAttempts: 1}
+		c := platformtest.NewClient(platformtest.EntryAddress(r.nodes[random.IntN(len(r.nodes))].host.IP))
 		sent.Go(func() {
 			platformtest.SendRequest(c, path, fmt.Sprintf("r-%s%v-%d", crashPrefix, e.At, i), clientTimeout)
 		})
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
@@ -185,7 +184,7 @@
 func (r *run) awaitServing(ctx context.Context) bool {
 	end := time.Now().Add(settleTime)
 	for i, p := range r.nodes {
-		c := &fasthttp.HostClient{Addr: platformtest.EntryAddress(p.host.IP)}
+		c := platformtest.NewClient(platformtest.EntryAddress(p.host.IP))
 		for n := 0; ; n++ {
 			if time.Now().After(end) || ctx.Err() != nil {
 				return false
@@ -204,7 +203,7 @@
 // requests may run at most once.
 func (r *run) client(ctx context.Context, n int) {
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(n)))
-	c := &fasthttp.HostClient{Addr: r.entryLinks[n%len(r.nodes)].address(), MaxIdemponentCallAttempts: 1}
+	c := platformtest.NewClient(r.entryLinks[n%len(r.nodes)].address())
 	for i := 0; ctx.Err() == nil; i++ {
 		id, path := fmt.Sprintf("r-%d-%d", n, i), platformtest.ReadPath
 		if random.IntN(2) == 0 {
