--- a/adapters/meshhttp/invalid_test.go
+++ b/adapters/meshhttp/invalid_test.go
@@ -1,8 +1,11 @@
 package meshhttp
 
 import (
+	"context"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/rattanfield/rattanfield/adapters/response/responsetest"
 )
 
@@ -48,3 +51,22 @@
 		})
 	}
 }
+
+// Guards against an invalid header of a response without a body.
+func TestInvalidHeaderWithoutBodyIsNeverAnswered(t *testing.T) {
+	for _, method := range []string{fasthttp.MethodHead, fasthttp.MethodGet} {
+		for raw, want := range map[string]Failure{
+			"HTTP/1.1 000 Unknown\r\nX-Id: 1\r\n\r\n":                           InvalidResponse,
+			"HTTP/1.1 204 No Content\r\nX-Id: 1\r\nX Other: 1\r\n\r\n":          InvalidResponse,
+			"HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\nX-Other : 1\r\n\r\n":       InvalidResponse,
+			"HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n":                        Answered,
+			"HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\n": Answered,
+		} {
+			c := newCall("1", true)
+			c.Request.Header.SetMethod(method)
+			if o := newTestPool().Do(context.Background(), backend(t, raw), c); o.Failure != want {
+				t.Errorf("%s, %q: %v, status %d", method, raw, o.Failure, c.Response.StatusCode())
+			}
+		}
+	}
+}
