adapters/response: name the checks of bytes alike

Cause: read as a newcomer: the two checks of character classes had unlike names, and a field and a function had no comment. Change: names and comments; no behaviour. Measured: tests of adapters and app/proxy pass.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -72,7 +72,7 @@
 	// has no id, and the connection carried an earlier request or response) or not the only one to
 	// this request (more bytes follow it; without IDRequired, only if they contain the id). Such a
 	// response is no proof that the request did not run. Without IDRequired, a response without an id
-	// that announces the end of the connection is confirmed only if the connection ends behind it.
+	// that announces the end of the connection is confirmed only if the connection ends in order behind it.
 	Unconfirmed bool
 }
 
--- a/adapters/response/lines.go
+++ b/adapters/response/lines.go
@@ -13,7 +13,7 @@
 	checked  int  // bytes of the lines that were checked
 	fields   bool // the status line was checked, or there is none
 	complete bool // the empty line was reached
-	http10   bool
+	http10   bool // the version is HTTP/1.0
 	interim  bool // the status is 1xx
 }
 
@@ -62,7 +62,7 @@
 func (l *lines) checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	minor, isHTTP1 := bytes.CutPrefix(version, []byte(versionPrefix))
-	if !isHTTP1 || len(minor) != 1 || !isDigit(minor[0]) {
+	if !isHTTP1 || len(minor) != 1 || isNotDigit(rune(minor[0])) {
 		return fmt.Errorf("version %q is not HTTP/1", clip(version))
 	}
 	l.http10 = minor[0] == '0'
@@ -70,7 +70,7 @@
 		minor[0] = '1'
 	}
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if len(code) != len(minStatus) || bytes.ContainsFunc(code, func(r rune) bool { return r < '0' || r > '9' }) ||
+	if len(code) != len(minStatus) || bytes.ContainsFunc(code, isNotDigit) ||
 		string(code) < minStatus || string(code) > maxStatus {
 		return fmt.Errorf("status code %q is not within %s to %s", clip(code), minStatus, maxStatus)
 	}
@@ -90,7 +90,7 @@
 	switch {
 	case !hasColon:
 		return fmt.Errorf("field line %q has no colon", clip(line))
-	case len(name) == 0 || bytes.IndexFunc(name, isNoTokenByte) >= 0:
+	case len(name) == 0 || bytes.IndexFunc(name, isNotToken) >= 0:
 		return fmt.Errorf("field name %q is not a token", clip(name))
 	case l.http10 && strings.EqualFold(string(name), "Transfer-Encoding"):
 		// The library would ignore it and pass the chunks on as the body (RFC 9112, section 6.1).
@@ -102,13 +102,12 @@
 // clip bounds the bytes of a response in an error.
 func clip(b []byte) []byte { return b[:min(len(b), 64)] }
 
-func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+func isNotDigit(r rune) bool { return r < '0' || r > '9' }
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
-// isNoTokenByte reports whether a byte may not be in a field name (RFC 9110, section 5.6.2). Bytes that
-// are not ASCII are at least 0x80 as runes as well.
-func isNoTokenByte(r rune) bool {
+// isNotToken reports whether a character may not be in a field name (RFC 9110, section 5.6.2).
+func isNotToken(r rune) bool {
 	switch {
 	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
 		return false
--- a/adapters/response/response.go
+++ b/adapters/response/response.go
@@ -28,6 +28,7 @@
 	return errTooManyInterim
 }
 
+// readOne reads one header, which may be that of an interim response.
 func readOne(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	if err := peek(br, &lines{}); err != nil {
 		return err
