adapters/response: turn the end before trailers into an error in one place

Change: ReadTrailer returns io.ErrUnexpectedEOF itself; the parameter of finishWrite says what it waits for.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -47,7 +47,7 @@
 		if _, err := appendBody(r, httputil.NewChunkedReader(br), 0, l); err != nil {
 			return err
 		}
-		return unexpected(response.ReadTrailer(br, &r.Header))
+		return response.ReadTrailer(br, &r.Header)
 	default: // no length: the body ends with the connection
 		_, err := appendBody(r, br, 0, l)
 		return err
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -88,8 +88,8 @@
 	// asyncBodyBytes is the body size from which a request is written concurrently with reading its response.
 	asyncBodyBytes    = 32 << 10
 	maxStaleResponses = 2 // late responses to earlier requests that are skipped per call
-	// closeWait is the time to wait for the end of the connection behind a response that announces
-	// it: several round trips between regions.
+	// closeWait is the time to wait for the end of the connection behind a response that announces it,
+	// and for a reset behind one whose body ended with the connection: several round trips between regions.
 	closeWait         = 400 * time.Millisecond
 	clientBufferBytes = 8 << 10
 )
@@ -308,10 +308,10 @@
 var errLostWhileWriting = errors.New("the connection failed while the request was written, so the response may be incomplete")
 
 // finishWrite returns the result of the write of the request. The write is interrupted if it goes on, because the rest of the
-// request must not mix with the next one. With endOfBody, it first gets closeWait: a destination that has closed the connection
+// request must not mix with the next one. With awaitReset, it first gets closeWait: a destination that has closed the connection
 // resets it within that time, and one that has closed only its own side has sent the whole response.
-func (c *clientConn) finishWrite(done <-chan error, endOfBody bool) error {
-	if endOfBody {
+func (c *clientConn) finishWrite(done <-chan error, awaitReset bool) error {
+	if awaitReset {
 		timer := time.NewTimer(closeWait)
 		defer timer.Stop()
 		select {
--- a/adapters/response/response.go
+++ b/adapters/response/response.go
@@ -36,13 +36,17 @@
 	return h.Read(br)
 }
 
-// ReadTrailer reads the trailers behind the last chunk of a response and the empty line that ends them,
-// with errors as in ReadHeader.
+// ReadTrailer reads the trailers behind the last chunk of a response and the empty line that ends them. It
+// returns io.ErrUnexpectedEOF if the connection ends before the first byte.
 func ReadTrailer(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
-	if err := peek(br, &lines{fields: true}); err != nil {
+	switch err := peek(br, &lines{fields: true}); err {
+	case nil:
+		return h.ReadTrailer(br)
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
 		return err
 	}
-	return h.ReadTrailer(br)
 }
 
 // peek checks lines without consuming them and returns nil once they are complete.
@@ -59,7 +63,7 @@
 		case readErr != nil && len(b) == 0:
 			return readErr
 		case readErr != nil:
-			return fmt.Errorf("the header ends after %d bytes: %w", len(b), readErr)
+			return fmt.Errorf("the lines end after %d bytes: %w", len(b), readErr)
 		}
 	}
 }
@@ -75,18 +79,10 @@
 		return nil
 	}
 	if err := r.ReadBody(br, 0); err != nil {
-		return unexpected(err)
+		return err
 	}
 	if r.Header.ContentLength() == -1 {
-		return unexpected(ReadTrailer(br, &r.Header))
+		return ReadTrailer(br, &r.Header)
 	}
 	return nil
 }
-
-// unexpected turns the end of the input into an error that does not look like the regular end.
-func unexpected(err error) error {
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
