--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -120,10 +120,8 @@
 	}
 }
 
-// Guards against a drain that loses a request which was already read, and against
-// connections that stay open afterwards.
-// backend starts a destination that sends the given raw responses on each connection, one per request that it reads.
-func backend(t *testing.T, responses ...string) string {
+// listenAndServe accepts connections until the test ends, serves each and closes it.
+func listenAndServe(t *testing.T, serve func(c *net.TCPConn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -137,22 +135,29 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for _, a := range responses {
-					var req fasthttp.Request
-					if req.Read(r) != nil {
-						return
-					}
-					if _, err := io.WriteString(c, a); err != nil {
-						return
-					}
-				}
+				serve(c.(*net.TCPConn))
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// backend starts a destination that sends the given raw responses on each connection, one per request that it reads.
+func backend(t *testing.T, responses ...string) string {
+	return listenAndServe(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		for _, a := range responses {
+			var req fasthttp.Request
+			if req.Read(r) != nil {
+				return
+			}
+			if _, err := io.WriteString(c, a); err != nil {
+				return
+			}
+		}
+	})
+}
+
 const idHeader = "X-Id"
 
 func call(t *testing.T, p *Pool, address, id string) (Outcome, *fasthttp.Response) {
