core/plan, core/state, platform: add organisations, allowed regions and evacuations

Change: messages, validation, wire format and the replicated state of evacuations; a table finds the organisation of a key; the entry rejects unknown keys with 401, replaces the key by the name of the organisation, and picks no upstream outside the allowed regions or in an evacuated failure domain.

--- a/app/controlclient/apply.go
+++ b/app/controlclient/apply.go
@@ -38,6 +38,8 @@
 		for _, o := range r.GetRollouts() {
 			next.Rollouts[o.GetService()] = o
 		}
+		next.Evacuated = evacuated(r.GetEvacuations())
+		c.logEvacuations(old, &next)
 	}
 	c.applyTable(r, &next, now)
 	c.view.Store(&next)
@@ -89,3 +91,28 @@
 		}
 	}
 }
+
+// evacuated returns the failure domains whose evacuation is active.
+func evacuated(orders []*pb.Evacuation) map[string]bool {
+	out := make(map[string]bool, len(orders))
+	for _, e := range orders {
+		if e.GetActive() {
+			out[e.GetFailureDomain()] = true
+		}
+	}
+	return out
+}
+
+// logEvacuations logs the failure domains whose evacuation started or ended.
+func (c *Client) logEvacuations(old, next *View) {
+	for domain := range next.Evacuated {
+		if !old.Evacuated[domain] {
+			_ = c.logger.Log("event", "evacuation in force", "domain", domain)
+		}
+	}
+	for domain := range old.Evacuated {
+		if !next.Evacuated[domain] {
+			_ = c.logger.Log("event", "evacuation ended", "domain", domain)
+		}
+	}
+}
--- a/app/controlclient/view.go
+++ b/app/controlclient/view.go
@@ -13,9 +13,10 @@
 // View is the state of the mesh as known to a node at one time. It is immutable.
 type View struct {
 	Plan *plan.Table // nil until the first plan is received
-	// ChangeCount counts the accepted changes of the plan and of rollouts.
+	// ChangeCount counts the accepted changes of the plan, of rollouts and of evacuations.
 	ChangeCount uint64
 	Rollouts    map[string]*pb.Rollout
+	Evacuated   map[string]bool        // failure domains whose upstreams get no requests
 	Endpoints   map[string][]*Endpoint // by service
 	// Nodes is the number of nodes that are not silent.
 	Nodes int
@@ -30,7 +31,9 @@
 	Version  string
 	Slots    int
 	Link     ports.Link
-	Leaving  bool
+	// FailureDomain and Region are those of the upstream's host.
+	FailureDomain, Region string
+	Leaving               bool
 	// StoppingSince is the time at which this node learned that the endpoint is leaving because its node
 	// stops; the zero time if it does not.
 	StoppingSince time.Time
@@ -131,7 +134,7 @@
 		}
 		e := &Endpoint{
 			Gate: n.GetNode(), Instance: n.GetInstance(), Version: n.GetVersion(), Slots: int(n.GetSlots()),
-			Link: r.link(n), Leaving: n.GetState() == pb.UpstreamState_UPSTREAM_STATE_LEAVING, Silent: n.GetSilent(), LearnedAt: now,
+			Link: r.link(n), FailureDomain: n.GetFailureDomain(), Region: n.GetRegion(), Leaving: n.GetState() == pb.UpstreamState_UPSTREAM_STATE_LEAVING, Silent: n.GetSilent(), LearnedAt: now,
 		}
 		e.Condition = condition.Condition{Slow: time.Duration(n.GetSlowMs()) * time.Millisecond, Failing: min(n.GetFailingPercent(), 100)}
 		if l := r.known[n.GetNode()+" "+n.GetInstance()]; l != nil {
--- a/app/controlserver/serve.go
+++ b/app/controlserver/serve.go
@@ -93,7 +93,7 @@
 	st := s.state.State()
 	out := &pb.MeshServiceSyncResponse{
 		Confirmed: s.state.ConfirmedAge() <= lease, StateIndex: st.PlanChanges, PlanSerial: st.Plan.GetSerial(),
-		Rollouts: st.Rollouts, ControlHosts: st.Members,
+		Rollouts: st.Rollouts, Evacuations: st.Evacuations, ControlHosts: st.Members,
 	}
 	if out.GetPlanSerial() > m.GetHavePlan() {
 		out.PlanPayload = st.Plan.GetPayload()
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -193,15 +193,16 @@
 	return (s.only == "" || s.only == version) && !slices.Contains(s.except, version)
 }
 
-// candidates returns the endpoints of a service that have one of the given versions and are not leaving and, besides,
+// candidates returns the endpoints of a service that have one of the given versions, lie in an allowed region and a failure
+// domain that is not evacuated, and are not leaving and, besides,
 // those that are leaving only because their nodes stop and that can be used while the first are busy. The latter are
 // among the first while they still admit requests as usual and few slots are left without them.
-func (e *Entry) candidates(v *controlclient.View, service string, in versions, now time.Time) (usable, stopping []placement.Candidate) {
+func (e *Entry) candidates(v *controlclient.View, service string, in versions, info *requestInfo, now time.Time) (usable, stopping []placement.Candidate) {
 	usable = make([]placement.Candidate, 0, len(v.Endpoints[service]))
 	var admitting []placement.Candidate // part of stopping
 	slots, admittingSlots := 0, 0
 	for _, p := range v.Endpoints[service] {
-		if !in.allow(p.Version) {
+		if !in.allow(p.Version) || v.Evacuated[p.FailureDomain] || !info.allowsRegion(p.Region) {
 			continue
 		}
 		c := placement.Candidate{
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -26,6 +26,7 @@
 	id    string
 
 	route     *pb.PlanRoute
+	info      requestInfo
 	service   string
 	versions  versions
 	deadline  time.Time
@@ -60,6 +61,9 @@
 	if f.route == nil {
 		return 0, reasonNoRoute
 	}
+	if f.info, reason = identify(&f.entry.options.Headers, f.view.Plan, f.route, &f.x.Request.Header); reason != "" {
+		return 0, reason
+	}
 	timeout = time.Duration(f.route.GetTimeoutMs()) * time.Millisecond
 	if v := f.x.Request.Header.Peek(f.entry.options.Headers.RemainingMs); len(v) > 0 {
 		remaining, ok := parseMs(v)
@@ -111,13 +115,30 @@
 	dropHopHeaders(h, h.All())
 	h.Del(f.entry.options.Headers.ExpectInstance)
 	h.Set(f.entry.options.Headers.Caller, f.entry.options.Service)
+	if f.view.Plan.HasOrganisations() {
+		f.setOrganisation(h)
+	}
 	h.Set(hopService, f.service)
 	h.Set(hopRoute, f.route.GetName())
-	h.Set(hopPriority, strconv.FormatUint(uint64(f.route.GetPriority()), 10))
+	h.Set(hopPriority, strconv.FormatUint(uint64(f.info.priority), 10))
 	h.Set(hopGoalDurationMs, strconv.FormatUint(uint64(f.route.GetGoalMs()), 10))
 	if f.route.GetIdempotent() {
 		h.Set(hopIdempotent, "1")
 	}
+	if f.info.nested {
+		h.Set(hopNested, "1")
+	}
+}
+
+// setOrganisation replaces the key by the name of the organisation, also where the client sent such a name.
+func (f *forwarding) setOrganisation(h *fasthttp.RequestHeader) {
+	names := &f.entry.options.Headers
+	delAny(h, names.Key)
+	delAny(h, names.Organisation)
+	if o := f.info.organisation; o != nil {
+		h.Set(names.Organisation, o.GetName())
+		h.Set(hopOrganisation, o.GetName())
+	}
 }
 
 // forward sends the request to gates, unless its service is known to be overloaded.
@@ -186,14 +207,14 @@
 	}
 	ask := placement.PickRequest{
 		Tried: f.isTried, Random: e.random.Float64, Service: f.service, TimeLeft: left,
-		Kilobytes: e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.route.GetPriority(),
+		Kilobytes: e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.info.priority,
 		MaxQueueWait: func(service time.Duration) time.Duration {
 			return admission.Request{Goal: f.goal, Deadline: f.deadline, GoalDuration: time.Duration(f.route.GetGoalMs()) * time.Millisecond}.MaxWait(now, service)
 		},
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list, stopping := e.candidates(f.view, f.service, f.versions, now)
+	list, stopping := e.candidates(f.view, f.service, f.versions, &f.info, now)
 	if f.suspicion.Handling == suspects.Isolate {
 		list, stopping = f.isolate(list, now), f.isolate(stopping, now)
 	}
@@ -446,6 +467,8 @@
 	switch {
 	case reason == reasonNoRoute:
 		status = fasthttp.StatusNotFound
+	case reason == reasonUnknownKey:
+		status = fasthttp.StatusUnauthorized
 	case reason == reasonBadRequest:
 		status = fasthttp.StatusBadRequest
 	case f.mayHaveRun && reason == reasonDeadline:
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -18,6 +18,9 @@
 	NotRun         string // in a response: the upstream did not run the request
 	Signature      string // in a response: proof that it comes from an upstream
 	Caller         string // service on the host of the caller
+	Key            string // key of the caller's organisation; never passed on
+	Organisation   string // name of the caller's organisation; set by the entry for the upstream
+	ColdMs         string // in a response of the health path: remaining slow start in milliseconds
 }
 
 // Headers between entry and gate. The entry removes them from client requests, so that a client cannot set them.
@@ -33,8 +36,10 @@
 	hopGoalDurationMs = hopPrefix + "Budget-Ms" // time that the route allows until the goal, whatever part of it has passed
 	hopRan            = hopPrefix + "Ran"
 	hopReason         = hopPrefix + "Reason"
-	hopLoad           = hopPrefix + "Load"    // running,queued,slots,service time in microseconds
-	hopSuspect        = hopPrefix + "Suspect" // pb.SuspectRequest in base64, in requests and responses
+	hopLoad           = hopPrefix + "Load"         // running,queued,slots,service time in microseconds
+	hopOrganisation   = hopPrefix + "Organisation" // name of the caller's organisation
+	hopNested         = hopPrefix + "Nested"       // set for a nested call of a request that an upstream runs
+	hopSuspect        = hopPrefix + "Suspect"      // pb.SuspectRequest in base64, in requests and responses
 )
 
 // Values of hopRan.
@@ -48,6 +53,7 @@
 const (
 	reasonNoPlan         = "no-plan"
 	reasonNoRoute        = "no-route"
+	reasonUnknownKey     = "unknown-key" // the request has no key, several, or one that no organisation holds
 	reasonBadRequest     = "bad-request"
 	reasonNoEndpoint     = "no-endpoint"
 	reasonBusy           = "busy"     // the queue of the gate is too long
@@ -161,3 +167,16 @@
 // response to that request, and so learns that the request did not run.
 const ClosingResponse = "HTTP/1.1 503 Service Unavailable\r\n" + hopRan + ": " + ranNo + "\r\n" + hopReason + ": " + reasonStopping +
 	"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// delAny removes all headers with a name in any case.
+func delAny(h *fasthttp.RequestHeader, name string) {
+	var names []string
+	for k := range h.All() {
+		if strings.EqualFold(string(k), name) {
+			names = append(names, string(k))
+		}
+	}
+	for _, n := range names {
+		h.Del(n)
+	}
+}
--- a/app/proxy/proxy_test.go
+++ b/app/proxy/proxy_test.go
@@ -296,7 +296,7 @@
 
 // usable returns the candidates of a service that are not leaving.
 func usable(v *controlclient.View, in versions) []placement.Candidate {
-	out, _ := newTestEntry(newMesh()).candidates(v, "a", in, time.Now())
+	out, _ := newTestEntry(newMesh()).candidates(v, "a", in, &requestInfo{}, time.Now())
 	return out
 }
 
--- a/app/proxy/stop_test.go
+++ b/app/proxy/stop_test.go
@@ -352,7 +352,7 @@
 		})
 	}
 	counts := func() (int, int) {
-		usable, stopping := e.candidates(m.View(), "a", versions{}, now)
+		usable, stopping := e.candidates(m.View(), "a", versions{}, &requestInfo{}, now)
 		return len(usable), len(stopping)
 	}
 	expect := func(usable, stopping int) {
--- a/core/plan/table.go
+++ b/core/plan/table.go
@@ -19,8 +19,9 @@
 	// Plan is the plan, with limits that a node can apply.
 	Plan *pb.Plan
 
-	byHost   map[string][]*pb.PlanRoute // longest prefix first
-	services map[string]*pb.PlanService
+	byHost        map[string][]*pb.PlanRoute // longest prefix first
+	services      map[string]*pb.PlanService
+	organisations organisations
 }
 
 // maxHeaderBytes bounds the limit for headers, because each connection has a buffer of that size.
@@ -31,6 +32,7 @@
 	t := &Table{
 		Serial: serial, Plan: withBoundedLimits(p),
 		byHost: make(map[string][]*pb.PlanRoute), services: make(map[string]*pb.PlanService, len(p.GetServices())),
+		organisations: newOrganisations(p.GetOrganisations()),
 	}
 	for _, s := range p.GetServices() {
 		t.services[s.GetName()] = s
@@ -56,6 +58,7 @@
 	limits.MaxHeaderBytes = maxHeaderBytes
 	return &pb.Plan{
 		Number: p.GetNumber(), Services: p.GetServices(), Routes: p.GetRoutes(), Limits: limits, BaseNumber: p.GetBaseNumber(),
+		Organisations: p.GetOrganisations(), HasOrganisations: p.GetHasOrganisations(),
 	}
 }
 
--- a/core/plan/validate.go
+++ b/core/plan/validate.go
@@ -19,7 +19,9 @@
 
 // Validate returns all problems of a plan. A plan with problems must not be proposed.
 func Validate(p *pb.Plan) []*pb.Problem {
-	v := validator{services: make(map[string]bool), hostPrefixes: make(map[string]bool)}
+	v := validator{
+		services: make(map[string]bool), hostPrefixes: make(map[string]bool), organisations: make(map[string]bool), keyOwners: make(map[string]string),
+	}
 	if n := proto.Size(p); n > maxBytes {
 		v.add("configuration", "has %d bytes, at most %d are allowed", n, maxBytes)
 		return v.problems // the checks below need memory in proportion to the size
@@ -36,11 +38,16 @@
 	for i, r := range p.GetRoutes() {
 		v.route(i, r)
 	}
+	for i, o := range p.GetOrganisations() {
+		v.organisation(i, o)
+	}
 	return v.problems
 }
 
 type validator struct {
-	services, hostPrefixes map[string]bool // names, and hosts with a path prefix, seen so far
+	services, hostPrefixes map[string]bool   // names, and hosts with a path prefix, seen so far
+	organisations          map[string]bool   // names seen so far
+	keyOwners              map[string]string // organisation by key
 	problems               []*pb.Problem
 }
 
@@ -92,3 +99,48 @@
 		v.add(subject, "the weights add up to 0")
 	}
 }
+
+// organisation checks an organisation. Problems name no key, because keys are secret.
+func (v *validator) organisation(i int, o *pb.Organisation) {
+	subject := "organisation/" + o.GetName()
+	switch {
+	case o.GetName() == "":
+		subject = fmt.Sprintf("organisation[%d]", i)
+		v.add(subject, "an organisation has no name")
+	case v.organisations[o.GetName()]:
+		v.add(subject, "is listed twice")
+	case !isHeaderValue(o.GetName()):
+		v.add(subject, "the name must have at most %d bytes, no control characters and no blank at its ends", maxHeaderValueBytes)
+	}
+	v.organisations[o.GetName()] = true
+	for n, key := range o.GetKeys() {
+		owner, taken := v.keyOwners[key]
+		switch {
+		case !isHeaderValue(key):
+			v.add(subject, "key %d must have 1 to %d bytes, no control characters and no blank at its ends", n, maxHeaderValueBytes)
+		case taken && owner == o.GetName():
+			v.add(subject, "key %d is listed twice", n)
+		case taken:
+			v.add(subject, "key %d is also held by organisation %q", n, owner)
+		}
+		v.keyOwners[key] = o.GetName()
+	}
+	for name, value := range map[string]float64{"rate": o.GetRequestsPerSecond(), "burst": o.GetBurst()} {
+		if !(value >= 0 && value <= maxQuota) {
+			v.add(subject, "the %s of the quota must be a number from 0 to %d", name, int64(maxQuota))
+		}
+	}
+}
+
+const (
+	// maxHeaderValueBytes bounds the names and keys of organisations, which are header values.
+	maxHeaderValueBytes = 256
+	// maxQuota bounds the rate and burst of a quota, far above what a site serves.
+	maxQuota = 1e9
+)
+
+// isHeaderValue reports whether a text arrives unchanged as the value of a header.
+func isHeaderValue(s string) bool {
+	return s != "" && len(s) <= maxHeaderValueBytes && strings.TrimSpace(s) == s &&
+		!strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f })
+}
--- /dev/null
+++ b/core/state/evacuation.go
@@ -0,0 +1,52 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+)
+
+// maxEvacuations bounds the failure domains with an order. A site has a few.
+const maxEvacuations = 256
+
+// changeEvacuation starts or withdraws the evacuation of a failure domain. An order that changes nothing is accepted: it
+// was sent again. One that was received before the newest order about the domain was known is rejected, because it would
+// undo that one.
+func (m *Machine) changeEvacuation(c *pb.Command, e *pb.ChangeEvacuation) *pb.CommandResult {
+	domain := e.GetFailureDomain()
+	if domain == "" {
+		return invalid(problem("evacuation", "the failure domain must be set"))
+	}
+	p := &m.plans
+	current := p.evacuations[domain]
+	if current.GetActive() == e.GetActive() {
+		return m.accepted()
+	}
+	if e.BaseSerial != nil && e.GetBaseSerial() != current.GetSerial() {
+		return &pb.CommandResult{
+			Outcome: pb.Outcome_OUTCOME_CONFLICT, Revision: m.Revision(),
+			Message: fmt.Sprintf("based on order %d about %s, the newest one is %d", e.GetBaseSerial(), domain, current.GetSerial()),
+		}
+	}
+	if current == nil && len(p.evacuations) >= maxEvacuations {
+		return invalid(problem("evacuation", "orders about %d failure domains are stored", maxEvacuations))
+	}
+	p.evacuationSerial++
+	p.evacuations[domain] = &pb.Evacuation{FailureDomain: domain, Active: e.GetActive(), Serial: p.evacuationSerial}
+	p.changes++
+	verb := "withdraw"
+	if e.GetActive() {
+		verb = "start"
+	}
+	m.record(c, false, verb+" evacuation of "+domain, "")
+	return m.accepted()
+}
+
+func (p *plans) sortedEvacuations() []*pb.Evacuation {
+	return slices.SortedFunc(maps.Values(p.evacuations), func(a, b *pb.Evacuation) int {
+		return cmp.Compare(a.GetFailureDomain(), b.GetFailureDomain())
+	})
+}
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -42,7 +42,7 @@
 		moves:         make(map[string]*pb.Move),
 		results:       make(map[string]*pb.CommandResult),
 		members:       members,
-		plans:         plans{rollouts: make(map[string]*pb.Rollout)},
+		plans:         plans{rollouts: make(map[string]*pb.Rollout), evacuations: make(map[string]*pb.Evacuation)},
 	}
 }
 
@@ -119,6 +119,8 @@
 		return m.startRollout(c, x.StartRollout)
 	case *pb.Command_StepRollout:
 		return m.stepRollout(c, x.StepRollout)
+	case *pb.Command_ChangeEvacuation:
+		return m.changeEvacuation(c, x.ChangeEvacuation)
 	default:
 		return invalid(problem("command", "the command has no content"))
 	}
@@ -165,7 +167,7 @@
 	return &ports.AppliedState{
 		Index: m.index, Configuration: m.configuration, Moves: m.sortedMoves(),
 		Members: m.members, History: m.history[:len(m.history):len(m.history)],
-		Plan: m.plans.current, Rollouts: m.plans.sortedRollouts(), PlanChanges: m.plans.changes,
+		Plan: m.plans.current, Rollouts: m.plans.sortedRollouts(), Evacuations: m.plans.sortedEvacuations(), PlanChanges: m.plans.changes,
 	}
 }
 
--- a/core/state/plan.go
+++ b/core/state/plan.go
@@ -15,8 +15,8 @@
 // acknowledge a plan that is sent again.
 const maxAcceptedPlans = 4096
 
-// plans holds the routing plan, which operators replace as a whole, and the
-// rollouts. A plan has two numbers: its Number is chosen by the operator and grows
+// plans holds the routing plan, which operators replace as a whole, the
+// rollouts and the evacuations. A plan has two numbers: its Number is chosen by the operator and grows
 // in uneven steps, its Serial is the number of plans accepted so far.
 type plans struct {
 	current       *pb.StoredPlan
@@ -24,7 +24,10 @@
 	rollouts      map[string]*pb.Rollout
 	orders        []*pb.RolloutOrder // accepted in the last orderMemoryMs, oldest first
 	rolloutSerial uint64             // serial of the newest rollout, counted over all services
-	changes       uint64             // number of accepted changes to the plan or to any rollout
+	changes       uint64             // number of accepted changes to the plan, to any rollout or to any evacuation
+
+	evacuations      map[string]*pb.Evacuation // newest order by failure domain
+	evacuationSerial uint64                    // serial of the newest order, counted over all failure domains
 }
 
 // replacePlan accepts a plan that is based on the current one. A plan that was
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -15,6 +15,7 @@
 		Plan: m.plans.current, AcceptedPlans: m.plans.accepted, Rollouts: m.plans.sortedRollouts(), RolloutSerial: m.plans.rolloutSerial,
 		RolloutOrders: m.plans.orders,
 		PlanChanges:   m.plans.changes,
+		Evacuations:   m.plans.sortedEvacuations(), EvacuationSerial: m.plans.evacuationSerial,
 	}
 	for _, id := range m.resultOrder {
 		s.Results = append(s.Results, m.results[id])
@@ -41,6 +42,10 @@
 	for _, r := range s.GetRollouts() {
 		m.plans.rollouts[r.GetService()] = r
 	}
+	m.plans.evacuationSerial = s.GetEvacuationSerial()
+	for _, e := range s.GetEvacuations() {
+		m.plans.evacuations[e.GetFailureDomain()] = e
+	}
 	for _, mv := range s.GetMoves() {
 		m.moves[mv.GetMoveId()] = mv
 	}
--- a/ports/consensus.go
+++ b/ports/consensus.go
@@ -47,7 +47,8 @@
 	History       []*pb.Decision    // accepted commands of both schemes, oldest first
 	Plan          *pb.StoredPlan    // services and routes of the platform; nil until the first plan is accepted
 	Rollouts      []*pb.Rollout     // rollouts of the platform, sorted by service
-	PlanChanges   uint64            // number of accepted changes of the plan or a rollout
+	Evacuations   []*pb.Evacuation  // newest order by failure domain, sorted by it
+	PlanChanges   uint64            // number of accepted changes of the plan, a rollout or an evacuation
 }
 
 // StateReader provides the applied state and notifies of changes.
