app/proxy, adapters/meshhttp: schedule large bodies on the link of the gate's node

Cause: on a site whose uploads need as much bandwidth as the links of the nodes that take them have, bodies filled the queues of these links.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -57,6 +57,9 @@
 	// connection that was idle for longer is more likely to be reset by its server, and a request
 	// that must not run twice cannot be repeated then.
 	RecentlyUsedOnly bool
+	// AwaitContinue sends the body only after a 100 response. A request whose body was not sent has not run. It has no effect on
+	// small bodies.
+	AwaitContinue bool
 	// Lease holds the memory of a large response body until the caller releases it. Without it, the
 	// memory counts only while the body is read.
 	Lease *body.Lease
@@ -86,7 +89,10 @@
 	// freshIdleLimit is the maximum idle time of a connection that is reused for a Call with RecentlyUsedOnly set.
 	freshIdleLimit = 2 * time.Second
 	// asyncBodyBytes is the body size from which a request is written concurrently with reading its response.
-	asyncBodyBytes    = 32 << 10
+	asyncBodyBytes = 32 << 10
+	// continueBytes is the body size from which Call.AwaitContinue has an effect. A smaller body takes no longer than the round
+	// trip that the permission would cost.
+	continueBytes     = 16 << 10
 	maxStaleResponses = 2 // late responses to earlier requests that are skipped per call
 	// closeWait is the time to wait for the end of the connection behind a response that announces it,
 	// and for a reset behind one whose body ended with the connection: several round trips between regions.
@@ -272,9 +278,23 @@
 	// The pool has checked used connections.
 	unsolicited := call.IDRequired && !c.used && socket.Peek(c.nc) == socket.Readable
 	writeDone := make(chan error, 1)
-	if len(call.Request.Body()) < asyncBodyBytes {
+	rejected := false
+	switch size := len(call.Request.Body()); {
+	case call.AwaitContinue && size >= continueBytes && !call.Request.Header.IsGet() && !call.Request.Header.IsHead():
+		if rejected, err = c.offerBody(call); err != nil {
+			if !stop() {
+				return false, Cancelled, context.Cause(ctx)
+			}
+			return false, NotSent, err
+		}
+		if rejected {
+			writeDone <- nil
+		} else {
+			go func() { _, err := c.Write(call.Request.Body()); writeDone <- err }()
+		}
+	case size < asyncBodyBytes:
 		writeDone <- c.send(call)
-	} else {
+	default:
 		go func() { writeDone <- c.send(call) }()
 	}
 	keep, err = c.receive(call, l)
@@ -293,7 +313,7 @@
 	if err != nil && writeErr != nil && c.written == 0 {
 		return false, NotSent, writeErr
 	}
-	if ctx.Err() != nil || writeErr != nil {
+	if ctx.Err() != nil || writeErr != nil || rejected {
 		keep = false
 	}
 	if err == nil {
@@ -329,6 +349,38 @@
 	return <-done
 }
 
+// offerBody sends the header of a request and reads whether its body is wanted. rejected is true if a final response comes
+// instead of a 100 response; it is not read. After an error the body was not sent.
+func (c *clientConn) offerBody(call *Call) (rejected bool, err error) {
+	h := &call.Request.Header
+	h.Set(fasthttp.HeaderExpect, "100-continue")
+	h.SetContentLength(len(call.Request.Body()))
+	_, err = c.Write(h.Header())
+	h.Del(fasthttp.HeaderExpect)
+	if err != nil {
+		return false, err
+	}
+	start, err := c.br.Peek(len(continueLine))
+	if err != nil {
+		return false, err
+	}
+	if string(start) != continueLine {
+		return true, nil
+	}
+	for {
+		line, err := c.br.ReadSlice('\n')
+		if err != nil {
+			return false, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return false, nil
+		}
+	}
+}
+
+// continueLine begins a 100 response.
+const continueLine = "HTTP/1.1 100"
+
 func (c *clientConn) send(call *Call) error {
 	bw := bufio.NewWriterSize(c, min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes))
 	if err := call.Request.Write(bw); err != nil {
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -103,6 +103,13 @@
 	}
 	c.setRequestDeadline(x.Received.Add(bodyTimeout))
 	if x.Request.MayContinue() {
+		if admit := c.server.options.AdmitBody; admit != nil {
+			release, ok := admit(c.ctx, x)
+			if !ok {
+				return c.respondUnread(x)
+			}
+			defer release()
+		}
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return c.respondReadError(x, err)
 		}
@@ -269,10 +276,16 @@
 			return nil
 		}
 	}
+	c.server.options.OnReadError(x, status, err)
+	return c.respondUnread(x)
+}
+
+// respondUnread returns an exchange whose response is complete although its request was not read to the end, so that nothing
+// can be read behind it. It returns nil if the connection is closing.
+func (c *conn) respondUnread(x *Exchange) *Exchange {
 	if !c.beginRequest() {
 		return nil
 	}
-	c.server.options.OnReadError(x, status, err)
 	x.close = true
 	close(x.done)
 	return x
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -79,6 +79,10 @@
 	// Admit decides whether a request that was read is handled. If it returns false, it has filled in the
 	// response, after which the connection closes. Nil: all are.
 	Admit func(x *Exchange) bool
+	// AdmitBody decides whether the body of a request that expects a 100 response is read, when only its header has been read, and
+	// may wait for that. If ok is false, it has filled in the response, after which the connection closes; otherwise release is
+	// called when the body was read or has failed. Nil: all are.
+	AdmitBody func(ctx context.Context, x *Exchange) (release func(), ok bool)
 	// OnReadError fills in the response to a request that could not be read; status is the HTTP status for err.
 	OnReadError func(x *Exchange, status int, err error)
 	// Memory holds large request bodies. Those that do not fit are read errors with status 503; nil: 2 GiB.
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -45,7 +45,8 @@
 	RetryBudgetPercent                                     float64       // see proxy.EntryOptions, as RetryBudgetExtra and RetryBudgetWindow
 	RetryBudgetExtra                                       int
 	RetryBudgetWindow                                      time.Duration
-	Memory                                                 int // bytes that the process may use; 0: defaultMemory
+	LinkBytesPerSecond                                     float64 // see proxy.GateOptions
+	Memory                                                 int     // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// StopNotice is the time from the stop signal until callers have learned that the node is not ready.
@@ -132,7 +133,7 @@
 		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list,
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
-		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
+		Headers: o.Headers, DrainBound: o.DrainBound, LinkBytesPerSecond: o.LinkBytesPerSecond, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
 	}, control, p.upstream, m, logger)
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
@@ -154,7 +155,7 @@
 		Handler: e.Handle, Limits: p.limits, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
 	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
-		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
+		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, AdmitBody: g.AdmitBody, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
 	})
 	return p
 }
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -160,7 +160,7 @@
 // lacksCapacity reports whether a request was not answered for lack of capacity.
 func lacksCapacity(reason string) bool {
 	switch reason {
-	case reasonBusy, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline:
+	case reasonBusy, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline, reasonLink:
 		return true
 	}
 	return false
@@ -310,7 +310,7 @@
 		return e.pool.Do(ctx, gate, &meshhttp.Call{
 			Request: f.out, Response: &f.x.Response, Deadline: f.deadline.Add(2 * answerSlack),
 			IDHeader: e.options.Headers.ID, ID: f.id, RecentlyUsedOnly: !f.route.GetIdempotent(),
-			Lease: f.x.Lease,
+			Lease: f.x.Lease, AwaitContinue: true,
 		})
 	}
 	local := &meshhttp.Exchange{Received: now, Lease: f.x.Lease}
@@ -392,7 +392,7 @@
 			return "reroutes"
 		}
 	case a.ran == ranNo && a.reason != reasonUpstreamNotRun:
-		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted || a.reason == reasonMemory
+		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted || a.reason == reasonMemory || a.reason == reasonLink
 		if f.reroutes++; f.reroutes > maxReroutes || (noCapacity && !f.entry.takeReroute(f.service)) {
 			return "reroutes"
 		}
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -19,6 +19,7 @@
 	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/drain"
 	"github.com/rattanfield/rattanfield/core/nodetable"
+	"github.com/rattanfield/rattanfield/core/transfer"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -39,6 +40,8 @@
 	Report func(condition.Condition)
 	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
 	Suspects *suspectlist.List
+	// LinkBytesPerSecond is the bandwidth of the link of this node; 0: not known, bodies are not scheduled.
+	LinkBytesPerSecond float64
 	// LostAfter is the time without an announcement after which an upstream is considered gone.
 	LostAfter time.Duration
 }
@@ -78,6 +81,7 @@
 	mu             sync.Mutex
 	processes      nodetable.Upstream // tracks which process on this host is current, by its announcements
 	activeUpstream *upstream          // the current process with its queue; nil before the first announcement
+	link           *transfer.Link     // schedule of the large bodies that other nodes send; nil: they are not scheduled
 }
 
 // NewGate returns a gate without an upstream. Announce adds one.
@@ -85,7 +89,11 @@
 	if o.Suspects == nil {
 		o.Suspects = suspectlist.New(func() {})
 	}
-	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1)}
+	g := &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1)}
+	if o.LinkBytesPerSecond > 0 {
+		g.link = transfer.New(o.LinkBytesPerSecond)
+	}
+	return g
 }
 
 // Outcomes returns the outcomes of the local upstream in the running rollout of
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -113,6 +113,8 @@
 // The rest is room for what is allocated until a collection ends.
 const collectAbovePercent = 60
 
+const bytesPerMbit = 1e6 / 8
+
 // nodeOptions converts the settings to the options of a node.
 func nodeOptions(s *platform.Settings, w *platform.Watcher) meshnode.Options {
 	return meshnode.Options{
@@ -120,7 +122,7 @@
 		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
 		DrainBound: s.DrainBound, LostAfter: maxMissedAnnouncements * s.Heartbeat, StopBound: s.StopBound, StopNotice: platform.StopNotice,
 		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
-		Memory: s.MemoryMB << 20,
+		Memory: s.MemoryMB << 20, LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
 				s.ReadyAddress: platform.ReadyHandler(p), s.ControlAddress: platform.AnnouncementHandler(p),
