app/proxy, core/retry: credit retries by successes, stop them early

Cause: every request added 0.15 retries to the budget of its service, also while all upstreams refused, a retry was sent whatever its chance, and the bursts of single nodes together could exceed budget_extra (62 nodes of 3 retries, 164 allowed). Change: the budget is credited by requests that succeed. A retry is not sent when the recent refusals over distinct upstreams, or the outcomes of earlier retries of the route after the same cause, leave it a chance below 0.3. The burst of a node is its part of budget_extra. The log line states "refusals" or "prospect" as the reason. Nested calls of retried requests do not count yet.

--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -36,14 +36,6 @@
 }
 
 const (
-	// retryBudgetShare is the share of RetryBudgetPercent that is used, because nested calls of
-	// retried requests count as retries too and the windows of the nodes are not aligned.
-	retryBudgetShare = 0.75
-	// retryBudgetBurst is the number of retries that the budget of a node may accumulate, and
-	// extraShare is the share of RetryBudgetExtra that is used. With 12 nodes, both together do not
-	// exceed RetryBudgetExtra if it is at least 60, as sites of 12 nodes configure.
-	retryBudgetBurst = 3
-	extraShare       = 0.4
 	// maxReroutes is the maximum number of times that a request is rerouted, outside the retry
 	// budget, from a gate that did not run it or was unreachable. Gates that have no upstream are not counted.
 	maxReroutes = 2
@@ -83,13 +75,12 @@
 	clientWaits clientWaits
 	sizes       sizes
 	durations   durations // of answered requests, with their queues and ways
+	retries     retries
 
 	mu             sync.Mutex
 	random         *rand.Rand
 	picker         *placement.Picker
 	splitter       *plan.Splitter
-	retryBudgets   map[string]*retry.Budget
-	extra          map[string]*retry.Window // retries beyond the budget, by service
 	throttles      map[throttleKey]*throttle.Throttle
 	rerouteBudgets map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
 }
@@ -104,7 +95,7 @@
 	return &Entry{
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
-		clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, retryBudgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
+		retries: retries{options: o}, clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)},
 		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget),
 	}
 }
@@ -255,26 +246,6 @@
 	return best
 }
 
-// retryBudget returns the retry budget of a service and the window for RetryBudgetExtra.
-// The caller must hold e.mu.
-func (e *Entry) retryBudget(service string) (*retry.Budget, *retry.Window) {
-	b := e.retryBudgets[service]
-	if b == nil {
-		b = retry.NewBudgetWithBurst(uint32(max(1, e.options.RetryBudgetPercent*retryBudgetShare)), retryBudgetBurst)
-		e.retryBudgets[service] = b
-		e.extra[service] = retry.NewWindow(e.options.RetryBudgetWindow)
-	}
-	return b, e.extra[service]
-}
-
-// countRequest adds a request to the retry budget of its service.
-func (e *Entry) countRequest(service string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b, _ := e.retryBudget(service)
-	b.CountCall()
-}
-
 // throttle returns the throttle of a kind of requests. Beyond maxRoutes, everything known is
 // discarded. The caller must hold e.mu.
 func (e *Entry) throttle(key throttleKey) *throttle.Throttle {
@@ -324,19 +295,6 @@
 	return e.rerouteBudget(service).TakeSaved()
 }
 
-// takeRetry uses one retry from this node's part of the budget and reports
-// whether there was one.
-func (e *Entry) takeRetry(service string, now time.Time) bool {
-	nodes := max(1, e.mesh.View().Nodes)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b, extra := e.retryBudget(service)
-	if b.TakeSaved() {
-		return true
-	}
-	return extra.Take(now, int(float64(e.options.RetryBudgetExtra)*extraShare/float64(nodes)))
-}
-
 // hostOf returns the host of the request as its client sent it.
 func hostOf(r *fasthttp.Request) string { return string(r.Header.Host()) }
 
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -35,6 +35,7 @@
 	waited    time.Duration // time that the client spent on earlier attempts
 	out       *fasthttp.Request
 
+	retryCause      string             // see retryCause; of the attempt in progress, "" for the first one
 	sends           int                // attempts that may have reached an upstream
 	reroutes        int                // attempts that no upstream received, because the gate did not run them or was unreachable, except those in withoutUpstream
 	withoutUpstream int                // gates that had no upstream
@@ -96,7 +97,6 @@
 	f.service = e.splitter.Pick(f.route, e.random.Float64())
 	f.versions = versionsOf(f.view, f.service, e.random.Float64())
 	e.mu.Unlock()
-	e.countRequest(f.service)
 	f.out = fasthttp.AcquireRequest()
 	f.setGateHeaders()
 	return ""
@@ -286,6 +286,7 @@
 		e.gate.suspects.Completed(f.fingerprint())
 	}
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
+	f.countAttempt(gate, a, time.Now())
 	out := placement.Outcome{
 		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
@@ -402,8 +403,8 @@
 		return a.reason
 	case f.sends >= max(1, int(f.route.GetMaxAttempts())):
 		return "attempts"
-	case !f.entry.takeRetry(f.service, now):
-		return "budget"
+	default:
+		return f.takeRetry(a, now)
 	}
 	return ""
 }
--- a/app/proxy/stop_test.go
+++ b/app/proxy/stop_test.go
@@ -181,7 +181,7 @@
 	a, b := newNode(t, m, "i1", fail), newNode(t, m, "i2", fail)
 	e = newTestEntry(m)
 	for range 100 {
-		e.countRequest("a") // fills the retry budget
+		e.retries.credit("a") // fills the retry budget
 	}
 	x := send(e, "/read/1")
 	is.Equal(x.Response.StatusCode(), fasthttp.StatusInternalServerError)
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -49,6 +49,12 @@
 	b.percent = float64(percent)
 }
 
+// SetBurst changes the number of retries that the budget accumulates; it is at least the cost of one.
+func (b *Budget) SetBurst(burst float64) {
+	b.burst = max(burst, 1+b.percent/100)
+	b.tokens = min(b.tokens, b.burst)
+}
+
 // CountCall counts one call, which adds its share to the budget.
 func (b *Budget) CountCall() { b.tokens = min(b.tokens+b.percent/100, b.burst) }
 
