core/state, platform: check the last failure domain in the replicated state

Cause: each control host checked against its own state whether an evacuation leaves no failure domain. Two hosts could accept orders about different ones at the same time, and a host that lags could reject an order that is valid. Measured: the tests of core/state and platform pass.

--- a/core/state/evacuation.go
+++ b/core/state/evacuation.go
@@ -25,6 +25,9 @@
 	if current.GetActive() == e.GetActive() {
 		return m.accepted()
 	}
+	if e.GetActive() && p.leavesNone(domain, e.GetFailureDomains()) {
+		return invalid(problem("evacuation", "%s is the last failure domain that is not evacuated", domain))
+	}
 	if e.BaseSerial != nil && e.GetBaseSerial() != current.GetSerial() {
 		return &pb.CommandResult{
 			Outcome: pb.Outcome_OUTCOME_CONFLICT, Revision: m.Revision(),
@@ -45,6 +48,13 @@
 	return m.accepted()
 }
 
+// leavesNone reports whether the evacuation of a failure domain would leave none of the failure domains of the site. It is
+// false if the site is not known. The check is part of the replicated state, because two hosts may receive orders about
+// different failure domains at the same time.
+func (p *plans) leavesNone(domain string, site []string) bool {
+	return len(site) > 0 && !slices.ContainsFunc(site, func(d string) bool { return d != domain && !p.evacuations[d].GetActive() })
+}
+
 func (p *plans) sortedEvacuations() []*pb.Evacuation {
 	return slices.SortedFunc(maps.Values(p.evacuations), func(a, b *pb.Evacuation) int {
 		return cmp.Compare(a.GetFailureDomain(), b.GetFailureDomain())
