app/proxy: close the gates of evacuated domains and bound cold upstreams

Cause: an entry with an old view still reached upstreams of an evacuated failure domain, requests waited in queues there, and an upstream in its slow start got what its slots take. Change: a gate of an evacuated domain starts no request and clears its queue; entries go elsewhere without charge to a budget. A gate bounds what a cold upstream gets and finds out by health probes whether it is cold; entries share what it takes. A request without an upstream in its regions or domains is rejected for that reason. Records tell of another slow start.

--- a/app/controlclient/view.go
+++ b/app/controlclient/view.go
@@ -42,6 +42,8 @@
 	Condition condition.Condition
 	WarmAt    time.Time // end of the slow start
 	LearnedAt time.Time // time at which this node learned of the endpoint
+
+	slowStart slowStart // that WarmAt was computed from
 }
 
 // Age returns the time since the view was last confirmed. It is the largest duration
@@ -97,18 +99,26 @@
 	}
 }
 
+// slowStart identifies a statement about the slow start of an upstream. Records repeat it until the next statement.
+type slowStart struct {
+	epoch  int64
+	coldMs uint32
+}
+
 // learn keeps the times at which an upstream and the stop of its node became known, and the end of its slow start. A later
-// record can bring the end forward, so that one with a wrong number has no lasting effect.
+// record can bring the end forward, so that one with a wrong number has no lasting effect. One with another statement sets
+// it, because the upstream may be cold again.
 func (r *records) learn(n *pb.NodeRecord, now time.Time) {
 	if n.GetInstance() == "" {
 		return
 	}
 	key := n.GetNode() + " " + n.GetInstance()
 	warmAt := now.Add(time.Duration(min(n.GetColdMs(), nodetable.MaxColdMs)) * time.Millisecond)
+	stated := slowStart{n.GetEpoch(), n.GetColdMs()}
 	if known := r.known[key]; known == nil {
-		r.known[key] = &Endpoint{LearnedAt: now, WarmAt: warmAt}
-	} else if warmAt.Before(known.WarmAt) {
-		known.WarmAt = warmAt
+		r.known[key] = &Endpoint{LearnedAt: now, WarmAt: warmAt, slowStart: stated}
+	} else if warmAt.Before(known.WarmAt) || stated != known.slowStart {
+		known.WarmAt, known.slowStart = warmAt, stated
 	}
 	switch known := r.known[key]; {
 	case !n.GetStopping():
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -45,7 +45,8 @@
 	RetryBudgetPercent                                     float64       // see proxy.EntryOptions, as RetryBudgetExtra and RetryBudgetWindow
 	RetryBudgetExtra                                       int
 	RetryBudgetWindow                                      time.Duration
-	Memory                                                 int // bytes that the process may use; 0: defaultMemory
+	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions
+	Memory                                                 int     // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// StopNotice is the time from the stop signal until callers have learned that the node is not ready.
@@ -133,11 +134,12 @@
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
+		FailureDomain: o.FailureDomain, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
-		StopNotice: o.StopNotice,
+		StopNotice: o.StopNotice, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, gate, p.gates, m, logger)
 	return components{Control: control, Gate: gate, Entry: entry}
 }
--- a/app/proxy/announce.go
+++ b/app/proxy/announce.go
@@ -19,8 +19,11 @@
 	}
 	g.mu.Lock()
 	changed := g.processes.Apply(a, now.UnixMilli())
-	current := g.processes.Current()
+	current, before := g.processes.Current(), g.activeUpstream
 	if u := g.activeUpstream; u != nil && sameProcess(u.announcement, a) {
+		if u.unreachable {
+			g.assumeCold(now) // the process may have started again
+		}
 		u.unreachable, u.lastAnnounced = false, now
 	}
 	if changed {
@@ -29,11 +32,18 @@
 	if u := g.activeUpstream; u != nil && sameProcess(u.announcement, a) && u.closesAt.IsZero() && a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING {
 		u.closesAt = now.Add(g.drainTime()) // an out-of-date announcement, but the process does leave
 	}
+	if current == a {
+		g.learnCold(now, a, g.activeUpstream != before)
+	}
+	published := current
+	if changed {
+		published = g.withColdLeft(now, current)
+	}
 	g.mu.Unlock()
 	if changed {
 		_ = g.logger.Log("event", "upstream", "instance", current.GetInstance(), "service", current.GetService(), "version", current.GetVersion(),
 			"state", current.GetState(), "seq", current.GetSeq(), "born", current.GetBornUnixMs())
-		g.publish(current)
+		g.publish(published)
 	}
 }
 
--- a/app/proxy/condition.go
+++ b/app/proxy/condition.go
@@ -22,6 +22,7 @@
 			return nil
 		case now := <-ticker.C:
 			g.reportCondition(now)
+			g.followCold(ctx, now)
 		}
 	}
 }
--- a/app/proxy/ended.go
+++ b/app/proxy/ended.go
@@ -83,6 +83,7 @@
 		g.noticeEnd(u, "replaced", u.inProgress(time.Now()))
 	case g.refuses(ctx, u):
 		u.unreachable = true
+		g.assumeCold(time.Now())
 		u.notify(u.queue.Clear(), reasonNoUpstream)
 		g.noticeEnd(u, "connection refused", u.inProgress(time.Now()))
 	}
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/core/coldstart"
 	"github.com/rattanfield/rattanfield/core/placement"
 	"github.com/rattanfield/rattanfield/core/plan"
 	"github.com/rattanfield/rattanfield/core/retry"
@@ -33,6 +34,8 @@
 	RetryBudgetWindow  time.Duration
 	// StopNotice is the time for which a node that stops admits requests as usual, see drain.NewStop.
 	StopNotice time.Duration
+	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
+	ColdExcess, ColdSlack float64
 }
 
 const (
@@ -92,6 +95,8 @@
 	extra          map[string]*retry.Window // retries beyond the budget, by service
 	throttles      map[throttleKey]*throttle.Throttle
 	rerouteBudgets map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
+	pacer          *coldstart.Pacer
+	domains        domains
 }
 
 // throttleKey identifies the requests that are throttled together: those of one route to one
@@ -106,6 +111,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
 		clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, retryBudgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
 		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget),
+		pacer: coldstart.NewPacer(), domains: newDomains(),
 	}
 }
 
@@ -121,6 +127,7 @@
 		case <-ticker.C:
 		}
 		e.checkDown(ctx)
+		e.followView()
 		if n%sweepEvery == 0 {
 			known := make(map[string]bool)
 			for _, list := range e.mesh.View().Endpoints {
@@ -194,19 +201,25 @@
 }
 
 // candidates returns the endpoints of a service that have one of the given versions, lie in an allowed region and a failure
-// domain that is not evacuated, and are not leaving and, besides,
+// domain that is not evacuated, take a request now if they are cold, and are not leaving and, besides,
 // those that are leaving only because their nodes stop and that can be used while the first are busy. The latter are
 // among the first while they still admit requests as usual and few slots are left without them.
 func (e *Entry) candidates(v *controlclient.View, service string, in versions, info *requestInfo, now time.Time) (usable, stopping []placement.Candidate) {
 	usable = make([]placement.Candidate, 0, len(v.Endpoints[service]))
 	var admitting []placement.Candidate // part of stopping
+	e.domains.follow(v, now)
+	bound := e.coldPolicy(v, service).bound
 	slots, admittingSlots := 0, 0
 	for _, p := range v.Endpoints[service] {
-		if !in.allow(p.Version) || v.Evacuated[p.FailureDomain] || !info.allowsRegion(p.Region) {
+		if !in.allow(p.Version) || e.domains.isEvacuated(v, p, now) || !info.allowsRegion(p.Region) {
+			continue
+		}
+		cold, due := e.coldState(v, p, bound, now)
+		if !due {
 			continue
 		}
 		c := placement.Candidate{
-			Gate: p.Gate, Slots: p.Slots, Link: p.Link, Own: p.Gate == e.options.Node, Silent: p.Silent, Cold: now.Before(p.WarmAt), Condition: p.Condition,
+			Gate: p.Gate, Slots: p.Slots, Link: p.Link, Own: p.Gate == e.options.Node, Silent: p.Silent, Cold: cold, Condition: p.Condition,
 		}
 		switch {
 		case !p.Leaving:
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -228,11 +228,16 @@
 	if i < 0 {
 		if full {
 			f.lastReason = reasonFull
+		} else if f.lastReason == "" {
+			f.lastReason = f.exclusion(now)
 		}
 		return "", "", false
 	}
 	gate = list[i].Gate
 	e.picker.Sent(gate)
+	if list[i].Cold {
+		e.countSentCold(gate, now)
+	}
 	for _, c := range f.view.Endpoints[f.service] {
 		if c.Gate == gate {
 			version = c.Version
@@ -290,11 +295,14 @@
 		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
 	}
-	if o.Failure == meshhttp.Answered {
+	if o.Failure == meshhttp.Answered && a.reason != reasonEvacuated { // the load of a closed gate is no measure of others
 		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
 	}
 	e.mu.Lock()
 	e.picker.Done(time.Now(), gate, f.service, out)
+	if o.Failure == meshhttp.Answered {
+		f.learnFromGate(gate, a, time.Now())
+	}
 	e.mu.Unlock()
 	return a
 }
@@ -387,7 +395,7 @@
 		return "time"
 	case a.reason == reasonCrashSuspect || f.checkSuspect() != "":
 		return "suspect"
-	case a.ran == ranNo && a.reason == reasonNoUpstream && a.latency < quickRejection:
+	case isFreeReroute(a):
 		if f.withoutUpstream++; f.withoutUpstream >= maxGatesWithoutUpstream {
 			return "reroutes"
 		}
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -37,6 +37,10 @@
 	Publish func(*pb.Announcement)
 	// Report sends the condition of that upstream to other nodes.
 	Report func(condition.Condition)
+	// FailureDomain is that of the upstream.
+	FailureDomain string
+	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
+	ColdExcess, ColdSlack float64
 	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
 	Suspects *suspectlist.List
 	// LostAfter is the time without an announcement after which an upstream is considered gone.
@@ -78,6 +82,8 @@
 	mu             sync.Mutex
 	processes      nodetable.Upstream // tracks which process on this host is current, by its announcements
 	activeUpstream *upstream          // the current process with its queue; nil before the first announcement
+	evacuated      bool               // whether the failure domain is evacuated, see followView
+	cold           gateCold
 }
 
 // NewGate returns a gate without an upstream. Announce adds one.
@@ -85,7 +91,7 @@
 	if o.Suspects == nil {
 		o.Suspects = suspectlist.New(func() {})
 	}
-	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1)}
+	return &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1), cold: newGateCold(time.Now())}
 }
 
 // Outcomes returns the outcomes of the local upstream in the running rollout of
@@ -144,7 +150,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	u := g.activeUpstream
-	if reason := u.rejectionReason(now, g.options.LostAfter); reason != "" {
+	reason := g.domainReason(now)
+	if reason == "" {
+		reason = u.rejectionReason(now, g.options.LostAfter)
+	}
+	if reason != "" {
 		g.mu.Unlock()
 		return nil, 0, reason
 	}
@@ -153,6 +163,10 @@
 		g.mu.Unlock()
 		return nil, 0, reasonOtherUpstream
 	}
+	if !g.hasColdRoom(now, u) {
+		g.mu.Unlock()
+		return nil, 0, reasonCold
+	}
 	id := g.nextID.Add(1)
 	if !req.nested {
 		u.deadlines[id] = req.deadline
@@ -171,7 +185,7 @@
 	u.waiting[id] = ch
 	g.mu.Unlock()
 	wayBack := min(maxReturn, time.Duration(returnShare*float64(req.deadline.Sub(now))))
-	reason := g.await(ctx, u, id, ch, req.deadline.Add(-wayBack))
+	reason = g.await(ctx, u, id, ch, req.deadline.Add(-wayBack))
 	if reason != "" {
 		g.mu.Lock()
 		delete(u.deadlines, id)
@@ -213,9 +227,15 @@
 	req.deadline = limitByStop(g.stop.Load(), req.deadline) // the stop may have begun while the request was queued
 	g.mu.Lock()
 	reason, a := u.rejectionReason(now, g.options.LostAfter), u.announcement
+	if evacuated := g.domainReason(now); evacuated != "" {
+		reason = evacuated
+	}
 	if reason == "" && drain.Passed(now, req.deadline) {
 		reason = reasonDeadline // the process was paused, or waited for processor time
 	}
+	if reason == "" && !g.takeColdRoom(now, u) {
+		reason = reasonCold
+	}
 	if reason != "" {
 		delete(u.deadlines, id)
 		u.notify(u.queue.Finish(time.Now(), id, 0, false), "")
@@ -271,9 +291,11 @@
 	delete(u.deadlines, id)
 	delete(u.running, id)
 	u.unanswered.record(time.Now(), req, o.Failure)
+	g.cold.noteOutcome(time.Now(), o.Failure)
 	u.notify(u.queue.Finish(time.Now(), id, latency, knownRun && status < fasthttp.StatusInternalServerError), "")
 	if o.Refused || (knownNotRun && status == fasthttp.StatusMisdirectedRequest) {
 		u.unreachable = true
+		g.assumeCold(time.Now())
 		u.notify(u.queue.Clear(), reasonNoUpstream)
 		g.noticeEnd(u, "refused or replaced", u.unanswered.recent(time.Now())) // what is in u.running may not have been sent
 	}
@@ -298,6 +320,7 @@
 		}
 		x.Response.Header.Set(hopRan, ranYes)
 		x.Response.Header.Set(hopLoad, g.load(u))
+		g.setColdHeader(&x.Response.Header, u)
 	case knownNotRun && o.Failure == meshhttp.Answered:
 		g.reject(x, req, ranNo, reasonUpstreamNotRun, strconv.Itoa(status))
 	case knownNotRun:
@@ -374,6 +397,10 @@
 		h.Set(hopLoad, formatLoad(u.queue.Load(time.Now())))
 	}
 	g.mu.Unlock()
+	g.setColdHeader(h, u)
+	if reason == reasonEvacuated {
+		g.setStateHeader(h)
+	}
 	if reason == reasonCancelled {
 		return
 	}
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -39,6 +39,8 @@
 	hopLoad           = hopPrefix + "Load"         // running,queued,slots,service time in microseconds
 	hopOrganisation   = hopPrefix + "Organisation" // name of the caller's organisation
 	hopNested         = hopPrefix + "Nested"       // set for a nested call of a request that an upstream runs
+	hopCold           = hopPrefix + "Cold"         // in responses: remaining slow start in milliseconds, and the share of its limit that is free in thousandths
+	hopState          = hopPrefix + "State"        // in rejections for an evacuation: the state that the gate knows, see controlclient.View.ChangeCount
 	hopSuspect        = hopPrefix + "Suspect"      // pb.SuspectRequest in base64, in requests and responses
 )
 
@@ -61,6 +63,9 @@
 	reasonOverload       = "overload" // gates rejected most requests of the route recently; this one was not sent
 	reasonMemory         = "memory"   // the bodies of other requests leave too little memory for this one
 	reasonEvicted        = "evicted"
+	reasonEvacuated      = "evacuated" // the failure domain is evacuated; of an entry: all that remain are
+	reasonCold           = "cold"      // the upstream is in its slow start and takes no more requests now
+	reasonNoRegion       = "no-region" // no upstream is in the regions that the request is bound to
 	reasonLeaving        = "leaving"
 	reasonNoUpstream     = "no-upstream"
 	reasonOtherUpstream  = "moved" // the host has an upstream of another service or version, or another process than the queued request waits for
--- a/app/proxy/metrics.go
+++ b/app/proxy/metrics.go
@@ -72,3 +72,13 @@
 	}
 	h.Update(latency.Seconds())
 }
+
+// countColdChange counts the beginning or the end of a slow start of the upstream, as far as the gate knows of it.
+func (m *Metrics) countColdChange(cold bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanfield_cold_changes_total{cold="%t"}`, cold)).Inc()
+}
+
+// countColdProbe counts a health probe that was sent to find out whether the upstream is cold.
+func (m *Metrics) countColdProbe(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`rattanfield_cold_probes_total{result=%q}`, result)).Inc()
+}
--- a/core/nodetable/upstream.go
+++ b/core/nodetable/upstream.go
@@ -108,13 +108,17 @@
 	}
 }
 
-// sameAnnouncement reports whether two announcements have the same content. It
+// coldAgainMs is the least growth of the remaining slow start that shows that another one has begun. A slow start is
+// otherwise shorter in each announcement.
+const coldAgainMs = 500
+
+// sameAnnouncement reports whether announcement b, which follows a, has the same content. It
 // ignores the sequence number and the failure domain, and of ColdMs it compares only
-// whether it is above 0.
+// whether it is above 0 and whether it has grown, because the upstream is cold again.
 func sameAnnouncement(a, b *pb.Announcement) bool {
 	return a.GetInstance() == b.GetInstance() && a.GetBornUnixMs() == b.GetBornUnixMs() && a.GetState() == b.GetState() &&
 		a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() && a.GetVersion() == b.GetVersion() &&
-		a.GetSlots() == b.GetSlots() && (a.GetColdMs() > 0) == (b.GetColdMs() > 0)
+		a.GetSlots() == b.GetSlots() && (a.GetColdMs() > 0) == (b.GetColdMs() > 0) && uint64(b.GetColdMs()) < uint64(a.GetColdMs())+coldAgainMs
 }
 
 // recordUnknownLeave records that a process whose birth time is unknown has left:
