--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -46,6 +46,7 @@
 	RetryBudgetExtra                                       int
 	RetryBudgetWindow                                      time.Duration
 	LinkBytesPerSecond                                     float64 // see proxy.GateOptions
+	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions
 	Memory                                                 int     // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
@@ -134,11 +135,12 @@
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LinkBytesPerSecond: o.LinkBytesPerSecond, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
+		FailureDomain: o.FailureDomain, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
-		StopNotice: o.StopNotice,
+		StopNotice: o.StopNotice, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, gate, p.gates, m, logger)
 	return components{Control: control, Gate: gate, Entry: entry}
 }
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -38,6 +38,10 @@
 	Publish func(*pb.Announcement)
 	// Report sends the condition of that upstream to other nodes.
 	Report func(condition.Condition)
+	// FailureDomain is that of the upstream.
+	FailureDomain string
+	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
+	ColdExcess, ColdSlack float64
 	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
 	Suspects *suspectlist.List
 	// LinkBytesPerSecond is the bandwidth of the link of this node; 0: not known, bodies are not scheduled.
@@ -82,6 +86,8 @@
 	processes      nodetable.Upstream // tracks which process on this host is current, by its announcements
 	activeUpstream *upstream          // the current process with its queue; nil before the first announcement
 	link           *transfer.Link     // schedule of the large bodies that other nodes send; nil: they are not scheduled
+	evacuated      bool               // whether the failure domain is evacuated, see followView
+	cold           gateCold
 }
 
 // NewGate returns a gate without an upstream. Announce adds one.
@@ -89,7 +95,7 @@
 	if o.Suspects == nil {
 		o.Suspects = suspectlist.New(func() {})
 	}
-	g := &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1)}
+	g := &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1), cold: newGateCold(time.Now())}
 	if o.LinkBytesPerSecond > 0 {
 		g.link = transfer.New(o.LinkBytesPerSecond)
 	}
@@ -153,7 +159,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	u := g.activeUpstream
-	if reason := u.rejectionReason(now, g.options.LostAfter); reason != "" {
+	reason := g.domainReason(now)
+	if reason == "" {
+		reason = u.rejectionReason(now, g.options.LostAfter)
+	}
+	if reason != "" {
 		g.mu.Unlock()
 		return nil, 0, reason
 	}
@@ -162,6 +172,10 @@
 		g.mu.Unlock()
 		return nil, 0, reasonOtherUpstream
 	}
+	if !g.hasColdRoom(now, u) {
+		g.mu.Unlock()
+		return nil, 0, reasonCold
+	}
 	id := g.nextID.Add(1)
 	if !req.lateNested {
 		u.deadlines[id] = req.deadline
@@ -180,7 +194,7 @@
 	u.waiting[id] = ch
 	g.mu.Unlock()
 	wayBack := min(maxReturn, time.Duration(returnShare*float64(req.deadline.Sub(now))))
-	reason := g.await(ctx, u, id, ch, req.deadline.Add(-wayBack))
+	reason = g.await(ctx, u, id, ch, req.deadline.Add(-wayBack))
 	if reason != "" {
 		g.mu.Lock()
 		delete(u.deadlines, id)
@@ -222,9 +236,15 @@
 	req.deadline = limitByStop(g.stop.Load(), req.deadline) // the stop may have begun while the request was queued
 	g.mu.Lock()
 	reason, a := u.rejectionReason(now, g.options.LostAfter), u.announcement
+	if evacuated := g.domainReason(now); evacuated != "" {
+		reason = evacuated
+	}
 	if reason == "" && drain.Passed(now, req.deadline) {
 		reason = reasonDeadline // the process was paused, or waited for processor time
 	}
+	if reason == "" && !g.takeColdRoom(now, u) {
+		reason = reasonCold
+	}
 	if reason != "" {
 		delete(u.deadlines, id)
 		u.notify(u.queue.Finish(time.Now(), id, 0, false), "")
@@ -283,9 +303,11 @@
 	delete(u.running, id)
 	u.parents.Remove(id, req.passedDeadline)
 	u.unanswered.record(time.Now(), req, o.Failure)
+	g.cold.noteOutcome(time.Now(), o.Failure)
 	u.notify(u.queue.Finish(time.Now(), id, latency, knownRun && status < fasthttp.StatusInternalServerError), "")
 	if o.Refused || (knownNotRun && status == fasthttp.StatusMisdirectedRequest) {
 		u.unreachable = true
+		g.assumeCold(time.Now())
 		u.notify(u.queue.Clear(), reasonNoUpstream)
 		g.noticeEnd(u, "refused or replaced", u.unanswered.recent(time.Now())) // what is in u.running may not have been sent
 	}
@@ -310,6 +332,7 @@
 		}
 		x.Response.Header.Set(hopRan, ranYes)
 		x.Response.Header.Set(hopLoad, g.load(u))
+		g.setColdHeader(&x.Response.Header, u)
 	case knownNotRun && o.Failure == meshhttp.Answered:
 		g.reject(x, req, ranNo, reasonUpstreamNotRun, strconv.Itoa(status))
 	case knownNotRun:
@@ -386,6 +409,10 @@
 		h.Set(hopLoad, formatLoad(u.queue.Load(time.Now())))
 	}
 	g.mu.Unlock()
+	g.setColdHeader(h, u)
+	if reason == reasonEvacuated {
+		g.setStateHeader(h)
+	}
 	if reason == reasonCancelled {
 		return
 	}
--- a/app/proxy/gate_body.go
+++ b/app/proxy/gate_body.go
@@ -20,7 +20,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	u := g.activeUpstream
-	if reason := u.rejectionReason(now, g.options.LostAfter); reason != "" {
+	reason := g.domainReason(now)
+	if reason == "" {
+		reason = u.rejectionReason(now, g.options.LostAfter)
+	}
+	if reason != "" {
 		g.mu.Unlock()
 		g.reject(x, req, ranNo, reason, "")
 		return nil, false
