core/quota, app: divide the quotas of organisations among all nodes

Cause: the quota of an organisation (requests_per_second, burst) was read from the plan and not enforced. Change: core/quota with a limiter for nodes and an aggregator for control hosts; demands in Sync and Exchange; the entry rejects with 429 and Retry-After what is beyond the quota, before the request is sent. Nodes without quotas in their plan send no new bytes.

--- a/app/controlclient/apply.go
+++ b/app/controlclient/apply.go
@@ -60,7 +60,7 @@
 	if c.positions[c.host].epoch != r.GetTableEpoch() {
 		c.suspectsAcked = 0 // the control host has started anew, and may have lost what this request brought
 	}
-	c.positions[c.host] = position{epoch: r.GetTableEpoch(), version: r.GetTableVersion(), suspects: r.GetSuspectsVersion()}
+	c.positions[c.host] = position{epoch: r.GetTableEpoch(), version: r.GetTableVersion(), suspects: r.GetSuspectsVersion(), totals: c.positions[c.host].totalsAfter(r)}
 	c.options.Suspects.Merge(r.GetSuspects())
 	if r.GetTableWhole() || len(r.GetRecords()) > 0 || len(c.records.absent) > 0 {
 		c.records.apply(r.GetTableWhole(), r.GetRecords(), now)
--- a/app/controlclient/client.go
+++ b/app/controlclient/client.go
@@ -53,6 +53,8 @@
 	Outcomes func() []*pb.RouteOutcomes
 	// Suspects are the suspects of the node; nil stands for none.
 	Suspects *suspectlist.List
+	// Quotas are the quotas of the node; nil stands for none.
+	Quotas Quotas
 	// OnChange is called with each new view and must not block. It may be nil.
 	OnChange func(*View)
 }
@@ -92,6 +94,7 @@
 type position struct {
 	epoch             int64
 	version, suspects uint64
+	totals            uint64 // 0: the host does not have the demands of this node
 }
 
 // New returns a Client, which polls control hosts while Run runs.
@@ -217,6 +220,7 @@
 	}
 	r.Self = c.self
 	r.Suspects, c.suspectsSent = c.options.Suspects.OwnSince(c.suspectsAcked)
+	c.addDemands(r, v)
 	return r
 }
 
@@ -245,6 +249,7 @@
 			return nil, r.err
 		}
 		c.suspectsAcked = c.suspectsSent
+		c.takeTotals(request, r.response.Msg)
 		return r.response.Msg, nil
 	case <-c.recordChanged:
 		return nil, nil
--- a/app/controlclient/hosts.go
+++ b/app/controlclient/hosts.go
@@ -29,6 +29,7 @@
 		c.pollDeadline.Reset()
 		c.raiseSeq()
 		c.suspectsAcked = 0
+		c.forgetTotals()
 	}
 }
 
--- a/app/controlserver/exchange.go
+++ b/app/controlserver/exchange.go
@@ -85,6 +85,8 @@
 			lifecycle.Pause(ctx, exchangeRetry/2+rand.N(exchangeRetry))
 			continue
 		}
+		s.mergeDemands(address, have, r)
+		have.DemandsVersion = r.GetDemandsVersion()
 		have.TableEpoch, have.TableVersion, have.SuspectsVersion = r.GetTableEpoch(), r.GetTableVersion(), r.GetSuspectsVersion()
 		s.merge(address, r.GetRecords())
 		s.mergeSuspects(r.GetSuspects(), false)
@@ -116,6 +118,7 @@
 			continue
 		}
 		changed = s.table.Merge(r, receiver, now) || changed
+		s.moveDemandsLocked(r, now)
 	}
 	if changed {
 		s.wakeLocked()
--- a/app/controlserver/serve.go
+++ b/app/controlserver/serve.go
@@ -37,15 +37,22 @@
 	server, m := s.server, req.Msg
 	server.storeRecord(m.GetSelf())
 	server.mergeSuspects(m.GetSuspects(), true)
+	server.storeDemands(m)
+	totalsDue := len(m.GetDemands()) > 0
 	timer := time.NewTimer(min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for expired := m.GetWaitMs() == 0; ; {
 		response, hasChanges, signals := server.buildResponse(m)
-		if hasChanges || expired {
+		if hasChanges || expired || (totalsDue && len(response.GetTotals()) > 0) {
 			return connect.NewResponse(response), nil
 		}
 		select {
 		case <-signals.planChanged:
+		case <-signals.quotasChanged:
+			expired = signals.coalesce(ctx, timer.C, quotasWait, nil)
+			totalsDue = true
+		case <-urgentTotals(response):
+			totalsDue = true
 		case <-signals.suspectsChanged:
 			expired = signals.coalesce(ctx, timer.C, signals.suspectsWait, nil)
 		case <-signals.changed:
@@ -61,7 +68,8 @@
 // pollSignals holds the channels that a poll waits on.
 type pollSignals struct {
 	changed, planChanged, suspectsChanged <-chan struct{}
-	wait, suspectsWait                    time.Duration // time over which changes of the table and of suspects are collected
+	quotasChanged                         <-chan struct{} // nil if the node needs no totals
+	wait, suspectsWait                    time.Duration   // time over which changes of the table and of suspects are collected
 }
 
 // coalesce waits for further changes. It ends early when the plan or a rollout changes, when urgent is closed, or when the
@@ -109,6 +117,7 @@
 	}
 	out.TableEpoch, out.TableVersion, out.SuspectsVersion = s.epoch, s.table.Version(), s.suspects.Version()
 	out.Records, out.Suspects = s.table.Since(since), s.suspects.Since(time.Now(), suspectsSince)
+	s.addTotalsLocked(m, out, &signals)
 	return out, hasChanges || out.GetTableWhole() || len(out.GetRecords())+len(out.GetSuspects()) > 0, signals
 }
 
@@ -118,9 +127,10 @@
 	server, m := s.server, req.Msg
 	timer := time.NewTimer(min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait))
 	defer timer.Stop()
+	demandsDue := false
 	for expired := m.GetWaitMs() == 0; ; {
-		response, changed, suspectsChanged := server.ownRecords(m)
-		if expired || len(response.GetRecords())+len(response.GetSuspects()) > 0 {
+		response, changed, suspectsChanged, quotasChanged := server.ownRecords(m)
+		if expired || demandsDue || len(response.GetRecords())+len(response.GetSuspects()) > 0 {
 			return connect.NewResponse(response), nil
 		}
 		select {
@@ -128,6 +138,11 @@
 			lifecycle.Pause(ctx, coalesceTime)
 		case <-suspectsChanged:
 			lifecycle.Pause(ctx, coalesceTime)
+		case <-quotasChanged:
+			lifecycle.Pause(ctx, demandsWait)
+			demandsDue = true
+		case <-urgentDemands(response):
+			demandsDue = true
 		case <-timer.C:
 			expired = true
 		case <-ctx.Done():
@@ -137,9 +152,9 @@
 }
 
 // ownRecords returns the response to an exchange, and channels that are closed at the
-// next change of the table and of suspects. Its version combines the own versions of the node table and
+// next change of the table, of suspects and of an urgent demand. Its version combines the own versions of the node table and
 // of the outcomes table.
-func (s *Server) ownRecords(m *pb.MeshServiceExchangeRequest) (out *pb.MeshServiceExchangeResponse, changed, suspectsChanged <-chan struct{}) {
+func (s *Server) ownRecords(m *pb.MeshServiceExchangeRequest) (out *pb.MeshServiceExchangeResponse, changed, suspectsChanged, quotasChanged <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tableSince, outcomesSince := unpackVersions(m.GetTableVersion())
@@ -152,7 +167,8 @@
 		Records:  append(s.table.OwnSince(tableSince), s.outcomes.OwnSince(outcomesSince)...),
 		Suspects: s.suspects.OwnSince(time.Now(), suspectsSince),
 	}
-	return out, s.changed, s.suspectsChanged
+	s.addDemandsLocked(m, out)
+	return out, s.changed, s.suspectsChanged, s.quotasChanged
 }
 
 // versionBits is the number of bits of a combined version that hold the version of the
--- a/app/controlserver/server.go
+++ b/app/controlserver/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/nodetable"
+	"github.com/rattanfield/rattanfield/core/quota"
 	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -68,6 +69,9 @@
 
 	suspects        *suspects.Registry
 	suspectsChanged chan struct{} // closed at the next change of suspects
+
+	quotas        *quota.Aggregator
+	quotasChanged chan struct{} // closed at the next change of a total that is urgent
 }
 
 // New returns the server of the control host with this id.
@@ -79,6 +83,7 @@
 		}),
 		table: nodetable.New(), outcomes: nodetable.New(), changed: make(chan struct{}), planChanged: make(chan struct{}),
 		suspects: suspects.New(), suspectsChanged: make(chan struct{}),
+		quotas: quota.NewAggregator(0), quotasChanged: make(chan struct{}),
 	}
 }
 
@@ -138,6 +143,7 @@
 		s.wakeLocked()
 	}
 	s.outcomes.MarkSilent(s.now(), forgetAfter, forgetAfter, mark)
+	s.sweepQuotasLocked()
 	s.mu.Unlock()
 	for _, node := range silentNodes {
 		_ = s.logger.Log("event", "node silent", "node", node, "after", silentAfter)
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -26,8 +26,10 @@
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/proxy"
+	"github.com/rattanfield/rattanfield/app/quotas"
 	"github.com/rattanfield/rattanfield/app/suspectlist"
 	"github.com/rattanfield/rattanfield/core/drain"
+	"github.com/rattanfield/rattanfield/core/quota"
 	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -45,6 +47,7 @@
 	RetryBudgetPercent                                     float64       // see proxy.EntryOptions, as RetryBudgetExtra and RetryBudgetWindow
 	RetryBudgetExtra                                       int
 	RetryBudgetWindow                                      time.Duration
+	Quotas                                                 quota.Settings
 	Memory                                                 int // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
@@ -124,12 +127,13 @@
 	var gate *proxy.Gate
 	var control *controlclient.Client
 	list := suspectlist.New(func() { control.SuspectsChanged() })
+	limits := quotas.New(o.Quotas, func() { control.QuotasChanged() }, set, logger)
 	for _, h := range []suspects.Handling{suspects.Isolate, suspects.Reject} {
 		set.NewGauge(fmt.Sprintf(`rattanfield_suspects{handling=%q}`, h), func() float64 { return float64(list.Count(h)) })
 	}
 	control = controlclient.New(controlclient.Options{
 		Node: o.GateAddress, FailureDomain: o.FailureDomain, Region: o.Region, Seeds: o.Seeds,
-		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list,
+		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list, Quotas: limits,
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
@@ -137,7 +141,7 @@
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
-		StopNotice: o.StopNotice,
+		StopNotice: o.StopNotice, Quotas: limits,
 	}, control, gate, p.gates, m, logger)
 	return components{Control: control, Gate: gate, Entry: entry}
 }
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/app/quotas"
 	"github.com/rattanfield/rattanfield/core/placement"
 	"github.com/rattanfield/rattanfield/core/plan"
 	"github.com/rattanfield/rattanfield/core/retry"
@@ -33,6 +34,8 @@
 	RetryBudgetWindow  time.Duration
 	// StopNotice is the time for which a node that stops admits requests as usual, see drain.NewStop.
 	StopNotice time.Duration
+	// Quotas are the quotas of organisations; nil: none are enforced.
+	Quotas *quotas.Store
 }
 
 const (
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -11,6 +11,7 @@
 	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/app/quotas"
 	"github.com/rattanfield/rattanfield/core/admission"
 	"github.com/rattanfield/rattanfield/core/drain"
 	"github.com/rattanfield/rattanfield/core/placement"
@@ -46,6 +47,9 @@
 	lastDetail      string             // what was wrong with the connection or the response of the gate then
 	notRetried      string             // why no further attempt followed
 
+	quota           quotas.Ticket
+	quotaRetryAfter time.Duration // if the request is beyond the quota
+
 	suspicion        suspects.Decision // at the last attempt
 	fingerprintValue uint64            // see fingerprint
 	hasFingerprint   bool
@@ -84,6 +88,9 @@
 	if reason != "" {
 		return reason
 	}
+	if !f.withinQuota() {
+		return reasonQuota
+	}
 	if f.remaining > 0 {
 		f.waited = e.clientWaits.waited(f.route.GetName(), f.remaining)
 	}
@@ -463,6 +470,7 @@
 	r := &f.x.Response
 	body.Discard(r)
 	r.Reset()
+	f.giveBackQuota()
 	status := fasthttp.StatusServiceUnavailable
 	switch {
 	case reason == reasonNoRoute:
@@ -471,6 +479,9 @@
 		status = fasthttp.StatusUnauthorized
 	case reason == reasonBadRequest:
 		status = fasthttp.StatusBadRequest
+	case reason == reasonQuota:
+		status = fasthttp.StatusTooManyRequests
+		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(f.quotaRetryAfter))
 	case f.mayHaveRun && reason == reasonDeadline:
 		status = fasthttp.StatusGatewayTimeout
 	case f.mayHaveRun:
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -54,6 +54,7 @@
 	reasonNoPlan         = "no-plan"
 	reasonNoRoute        = "no-route"
 	reasonUnknownKey     = "unknown-key" // the request has no key, several, or one that no organisation holds
+	reasonQuota          = "quota"       // the organisation has used up its quota
 	reasonBadRequest     = "bad-request"
 	reasonNoEndpoint     = "no-endpoint"
 	reasonBusy           = "busy"     // the queue of the gate is too long
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -17,6 +17,7 @@
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/meshcontrol"
 	"github.com/rattanfield/rattanfield/app/meshnode"
+	"github.com/rattanfield/rattanfield/core/quota"
 	"github.com/rattanfield/rattanfield/platform"
 )
 
@@ -120,6 +121,7 @@
 		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
 		DrainBound: s.DrainBound, LostAfter: maxMissedAnnouncements * s.Heartbeat, StopBound: s.StopBound, StopNotice: platform.StopNotice,
 		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
+		Quotas: quota.Settings{Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack},
 		Memory: s.MemoryMB << 20,
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
--- a/core/plan/organisations.go
+++ b/core/plan/organisations.go
@@ -1,8 +1,8 @@
 package plan
 
 import (
-	"hash/maphash"
 	"crypto/subtle"
+	"hash/maphash"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -10,9 +10,10 @@
 // organisations finds the organisation of a key. The keys are found by a hash with a random seed and then compared in
 // constant time, so that the time of a lookup tells nothing about the bytes of a key.
 type organisations struct {
-	seed   maphash.Seed
-	byHash map[uint64][]keyOwner
-	count  int
+	seed      maphash.Seed
+	byHash    map[uint64][]keyOwner
+	count     int
+	hasQuotas bool
 }
 
 type keyOwner struct {
@@ -21,7 +22,7 @@
 }
 
 func newOrganisations(list []*pb.Organisation) organisations {
-	o := organisations{seed: maphash.MakeSeed(), count: len(list)}
+	o := organisations{seed: maphash.MakeSeed(), count: len(list), hasQuotas: anyQuota(list)}
 	if len(list) == 0 {
 		return o
 	}
--- /dev/null
+++ b/core/quota/limiter.go
@@ -0,0 +1,329 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slots is the number of parts of the window in which a node counts. A request leaves the count up to one part late, so
+	// that the count is too high by up to 1/slots.
+	slots = 50
+	// usedExcess and usedSlack are the parts of Settings.Excess and Settings.Slack that all capacities together may use. The rest
+	// covers fractions of requests and nodes that see an organisation for the first time.
+	usedExcess = 0.5
+	usedSlack  = 0.2
+	// leastPaced is the capacity from which on a node spreads the requests of an organisation beyond its limit over the window. Fewer
+	// requests arrive too irregularly. leastBucket is the least number that it admits at once, and paceExcess makes up for reserve.
+	leastPaced  = 5
+	leastBucket = 2
+	paceExcess  = 1.05
+	// reserve is the part of the capacity that nodes leave free, so that one whose demand grows need not wait until others have
+	// given up theirs. It is about what usedExcess adds to the quota.
+	reserve = 0.08
+	// firstCapacity is the part of an even share that a node uses without having taken it while the organisation is far below its
+	// limit, and leastFirst the least number of requests. The second one is reported at once.
+	firstCapacity = 0.25
+	leastFirst    = 2
+	// evenPart is the part of the capacity that is divided evenly among the nodes that report; the rest goes by demand.
+	evenPart = 0.1
+	// demandTime is the time constant of the decay of counted requests.
+	demandTime = time.Second
+	// spareCapacity is the part of an even share that a node uses beyond its capacity while nothing is in use. It decreases to 0 as
+	// the use grows to calmShare.
+	spareCapacity = 0.7
+	// calmShare is the share of the allowance that is in use up to which an organisation is far below its limit.
+	calmShare = 0.7
+	// UrgentInterval is the least time between two reports of a node.
+	UrgentInterval = 250 * time.Millisecond
+	// calmInterval is the least time between reports that are not urgent.
+	calmInterval = time.Second
+	// urgentUse is the part of the capacity in use from which on a node reports early.
+	urgentUse = 0.85
+	// A node reports early when the demand has grown by surge of what it reported and surgeDeviations standard deviations of it (half the
+	// demand is the variance with demandTime), is at least surgeDemand, and all demand is above surgeShare of the rate.
+	surge           = 0.5
+	surgeDeviations = 3
+	surgeDemand     = 3
+	surgeShare      = 0.4
+	// notable is the part of a value, and of an even share of the limit, by which it must have changed to be reported again;
+	// notableUrgent is the same for urgent organisations. Changes below leastNotable are never reported.
+	notable       = 0.2
+	notableUrgent = 0.05
+	leastNotable  = 0.5
+)
+
+// Limiter decides at one node which requests are within the quotas. It is not safe for concurrent use.
+type Limiter struct {
+	settings     Settings
+	organisation map[ID]*organisation
+	nodes        int
+	lastUrgent   time.Duration
+	lastCalm     time.Duration
+	sent         map[ID]Demand // of the report in progress
+	ended        []ID          // see Ended
+}
+
+type organisation struct {
+	id       ID
+	limit    Limit
+	counts   [slots]uint32 // admitted requests by part of the window
+	total    uint32        // sum of counts
+	slot     int64         // part of the window of the newest count
+	demand   float64       // decayed with demandTime, as of decayedAt
+	capacity float64
+	known    bool   // capacity follows from a snapshot
+	others   Demand // of the other nodes, from the last snapshot
+	heard    bool   // others is valid
+	heardAt  time.Duration
+	unused   bool    // others has not raised the capacity yet
+	rounding float64 // uniform in [0,1): a capacity of 2.3 allows 3 requests in three of ten windows
+	drawnAt  time.Duration
+
+	tokens     float64 // paces an organisation beyond its limit
+	decayedAt  time.Duration
+	promisedAt time.Duration // when the last rejected caller was told to return
+	rejectedAt time.Duration
+	limited    bool // rejected within the last window
+	reported   Demand
+}
+
+// New returns a limiter.
+func New(s Settings) *Limiter {
+	if s.Window <= 0 {
+		s = DefaultSettings
+	}
+	return &Limiter{settings: s, organisation: make(map[ID]*organisation), nodes: 1, lastUrgent: -time.Hour, lastCalm: -time.Hour}
+}
+
+// Decision is the result of Admit.
+type Decision struct {
+	Admitted   bool
+	RetryAfter time.Duration // if not admitted
+	Urgent     bool          // the demand should be reported now
+	Started    bool          // the first rejection of an organisation that was not limited
+}
+
+// Admit counts a request and decides whether it is within the quota. sample is a uniform number in [0,1).
+func (l *Limiter) Admit(now time.Duration, id ID, limit Limit, sample float64) Decision {
+	o := l.organisation[id]
+	if o == nil {
+		o = &organisation{id: id, decayedAt: now, drawnAt: now, rounding: sample, rejectedAt: -time.Hour}
+		l.organisation[id] = o
+	}
+	l.advance(o, now)
+	if o.limit != limit {
+		l.changeLimit(o, limit)
+	}
+	o.demand += float64(time.Second) / float64(demandTime)
+	if now-o.drawnAt > l.settings.Window {
+		o.drawnAt, o.rounding = now, sample
+	}
+	if o.unused && o.heard {
+		l.adjust(o)
+	}
+	allowed := l.capacityOf(o)
+	whole := math.Floor(allowed + o.rounding)
+	d := Decision{Admitted: float64(o.total)+1 <= whole && (!o.paced() || o.tokens >= 1)}
+	if d.Admitted {
+		o.total++
+		o.counts[o.slot%slots]++
+		o.tokens = max(0, o.tokens-1)
+	} else {
+		d.Started, o.limited, o.rejectedAt = !o.limited, true, now
+		d.RetryAfter = l.retryAfter(o, allowed, now, sample)
+	}
+	d.Urgent = o.limited || l.urgent(o, allowed)
+	return d
+}
+
+// GiveBack takes back a request that was admitted at the given time and has certainly not run.
+func (l *Limiter) GiveBack(now time.Duration, id ID, admittedAt time.Duration) {
+	o := l.organisation[id]
+	if o == nil {
+		return
+	}
+	l.advance(o, now)
+	slot := l.slotAt(admittedAt)
+	if i := slot % slots; slot > o.slot-slots && o.counts[i] > 0 {
+		o.counts[i]--
+		o.total--
+	}
+}
+
+// Apply takes the demand of all other nodes that a control host states. nodes is the number of nodes of the mesh.
+func (l *Limiter) Apply(now time.Duration, others []Report) {
+	for _, r := range others {
+		o := l.organisation[r.ID]
+		if o == nil {
+			if !r.Limited {
+				continue
+			}
+			o = &organisation{id: r.ID, decayedAt: now, drawnAt: now, rounding: 0.5, rejectedAt: -time.Hour}
+			l.organisation[r.ID] = o
+		}
+		l.advance(o, now)
+		o.others, o.heard, o.heardAt, o.unused = r.Demand, true, now, true
+		if o.limit.Rate > 0 {
+			l.adjust(o)
+		}
+	}
+}
+
+// SetNodes sets the number of nodes of the mesh.
+func (l *Limiter) SetNodes(nodes int) { l.nodes = max(1, nodes) }
+
+// Ended returns the organisations whose limitation has ended since the last call: none of their requests was rejected for a window.
+func (l *Limiter) Ended() []ID {
+	out := l.ended
+	l.ended = nil
+	return out
+}
+
+// allowance is the number of requests in a window that all capacities together may reach.
+func (l *Limiter) allowance(limit Limit) float64 {
+	return l.quota(limit)*(1+usedExcess*l.settings.Excess) + usedSlack*l.settings.Slack
+}
+
+func (l *Limiter) quota(limit Limit) float64 {
+	return limit.Rate*l.settings.Window.Seconds() + limit.Burst
+}
+
+// adjust moves the capacity of this node towards its share of the demand. What it gives up is free at once; what it takes is at
+// most its share of what no node holds, so that nodes that use the same snapshot never take more than that together. It uses each
+// snapshot once.
+func (l *Limiter) adjust(o *organisation) {
+	o.unused = false
+	total := l.allowance(o.limit)
+	share := 1.0
+	rate := l.rate(o)
+	if o.reported.Nodes > 0 {
+		rate = o.reported.Rate // of about the same time as that of the others, so that the shares of all nodes add up to 1
+	}
+	if d := o.others.Rate + rate; d > 0 {
+		share = rate / d
+	}
+	if rate > 0 {
+		share = (1-evenPart)*share + evenPart/float64(o.others.Nodes+1)
+	}
+	target := share * (1 - reserve) * total
+	if target <= o.capacity {
+		o.capacity = target
+	} else {
+		free := max(0, total-o.others.Capacity-o.held())
+		o.capacity = min(target, max(o.capacity, 0)+share*free)
+	}
+	o.known = true
+}
+
+// rate is the demand by which shares are computed. The mean over the window keeps the share of a node with few requests from
+// changing with each of them.
+func (l *Limiter) rate(o *organisation) float64 {
+	return max(o.demand, float64(o.total)/l.settings.Window.Seconds())
+}
+
+// held is the capacity that this node occupies: what it may still admit, and what has run and has not left the window.
+func (o *organisation) held() float64 { return max(o.capacity, float64(o.total)) }
+
+// capacityOf returns the number of requests that may run in a window at this node.
+func (l *Limiter) capacityOf(o *organisation) float64 {
+	if l.full(o) {
+		return o.capacity
+	}
+	even := l.allowance(o.limit) / float64(l.nodes)
+	if l.nodes == 1 && !o.known {
+		return even
+	}
+	first := max(leastFirst, firstCapacity*even)
+	if !o.known {
+		return first
+	}
+	spare := 1 - (o.others.Used+float64(o.total))/(calmShare*l.allowance(o.limit))
+	return max(o.capacity+max(leastFirst, spareCapacity*spare*even), first)
+}
+
+// full reports whether the organisation is near its limit, as far as this node knows.
+func (l *Limiter) full(o *organisation) bool {
+	return o.heard && o.others.Used+float64(o.total) > calmShare*l.allowance(o.limit)
+}
+
+// paced reports whether the organisation is beyond its limit, so that its requests are spread over the window.
+func (o *organisation) paced() bool {
+	return o.capacity >= leastPaced && o.others.Limited && o.others.Rate+o.demand > o.limit.Rate
+}
+
+// urgent reports whether the capacity is nearly used up or soon will be.
+func (l *Limiter) urgent(o *organisation, allowed float64) bool {
+	return (o.total >= leastFirst && float64(o.total) >= urgentUse*allowed) ||
+		l.surges(o)
+}
+
+// surges reports whether the demand has grown by more than chance since the last report and matters for the quota.
+func (l *Limiter) surges(o *organisation) bool {
+	before := o.reported.Rate
+	return o.demand >= surgeDemand && o.demand > before+max(surge*before, surgeDeviations*math.Sqrt(before/2)) &&
+		o.demand+o.others.Rate > surgeShare*o.limit.Rate
+}
+
+// changeLimit scales the capacity to a new limit, so that it binds at once.
+func (l *Limiter) changeLimit(o *organisation, limit Limit) {
+	if before := l.allowance(o.limit); o.limit.Rate > 0 {
+		o.capacity *= l.allowance(limit) / before
+	}
+	o.limit = limit
+}
+
+// retryAfter spreads the return of rejected callers over the time in which the node can admit them.
+func (l *Limiter) retryAfter(o *organisation, allowed float64, now time.Duration, sample float64) time.Duration {
+	interval := l.settings.Window
+	if allowed >= 1 {
+		interval = time.Duration(float64(l.settings.Window) / allowed)
+	}
+	o.promisedAt = max(o.promisedAt, now) + interval
+	earliest := time.Duration(max(0, 1-o.tokens) * float64(interval))
+	if o.promisedAt-now > l.settings.Window {
+		o.promisedAt = now + l.settings.Window/2 + time.Duration(sample*float64(l.settings.Window)/2)
+	}
+	return max(earliest, o.promisedAt-now, minRetryAfter)
+}
+
+const minRetryAfter = 50 * time.Millisecond
+
+func (l *Limiter) slotAt(now time.Duration) int64 { return int64(now / (l.settings.Window / slots)) }
+
+// advance lets the demand decay, refills the tokens and removes counts that have left the window.
+func (l *Limiter) advance(o *organisation, now time.Duration) {
+	if elapsed := now - o.decayedAt; elapsed > 0 {
+		o.demand *= math.Exp(-float64(elapsed) / float64(demandTime))
+		o.tokens += l.pace(o) * elapsed.Seconds()
+		o.tokens = min(o.tokens, l.bucket(o))
+		o.decayedAt = now
+	}
+	slot := l.slotAt(now)
+	for n := 0; o.slot < slot && n < slots; n++ {
+		o.slot++
+		o.total -= o.counts[o.slot%slots]
+		o.counts[o.slot%slots] = 0
+	}
+	o.slot = max(o.slot, slot)
+	if o.limited && now-o.rejectedAt > l.settings.Window {
+		o.limited = false
+		l.ended = append(l.ended, o.id)
+	}
+}
+
+// pace returns the requests per second that the node admits while the organisation is paced: its share of the rate.
+func (l *Limiter) pace(o *organisation) float64 {
+	if q := l.quota(o.limit); q > 0 {
+		return paceExcess * o.capacity * o.limit.Rate / q
+	}
+	return 0
+}
+
+// bucket returns the number of requests that the node may admit at once while the organisation is paced.
+func (l *Limiter) bucket(o *organisation) float64 {
+	if q := l.quota(o.limit); q > 0 {
+		return max(leastBucket, o.capacity*o.limit.Burst/q)
+	}
+	return leastBucket
+}
