--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -26,8 +26,10 @@
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/proxy"
+	"github.com/rattanfield/rattanfield/app/quotas"
 	"github.com/rattanfield/rattanfield/app/suspectlist"
 	"github.com/rattanfield/rattanfield/core/drain"
+	"github.com/rattanfield/rattanfield/core/quota"
 	"github.com/rattanfield/rattanfield/core/suspects"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/gen/rattanfield/v1/rattanfieldv1connect"
@@ -47,7 +49,8 @@
 	RetryBudgetWindow                                      time.Duration
 	LinkBytesPerSecond                                     float64 // see proxy.GateOptions
 	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions
-	Memory                                                 int     // bytes that the process may use; 0: defaultMemory
+	Quotas                                                 quota.Settings
+	Memory                                                 int // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// StopNotice is the time from the stop signal until callers have learned that the node is not ready.
@@ -126,12 +129,13 @@
 	var gate *proxy.Gate
 	var control *controlclient.Client
 	list := suspectlist.New(func() { control.SuspectsChanged() })
+	limits := quotas.New(o.Quotas, func() { control.QuotasChanged() }, set, logger)
 	for _, h := range []suspects.Handling{suspects.Isolate, suspects.Reject} {
 		set.NewGauge(fmt.Sprintf(`rattanfield_suspects{handling=%q}`, h), func() float64 { return float64(list.Count(h)) })
 	}
 	control = controlclient.New(controlclient.Options{
 		Node: o.GateAddress, FailureDomain: o.FailureDomain, Region: o.Region, Seeds: o.Seeds,
-		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list,
+		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list, Quotas: limits,
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LinkBytesPerSecond: o.LinkBytesPerSecond, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
@@ -140,7 +144,7 @@
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
-		StopNotice: o.StopNotice, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
+		StopNotice: o.StopNotice, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack, Quotas: limits,
 	}, control, gate, p.gates, m, logger)
 	return components{Control: control, Gate: gate, Entry: entry}
 }
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/app/quotas"
 	"github.com/rattanfield/rattanfield/core/coldstart"
 	"github.com/rattanfield/rattanfield/core/placement"
 	"github.com/rattanfield/rattanfield/core/plan"
@@ -36,6 +37,8 @@
 	StopNotice time.Duration
 	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
 	ColdExcess, ColdSlack float64
+	// Quotas are the quotas of organisations; nil: none are enforced.
+	Quotas *quotas.Store
 }
 
 const (
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -17,6 +17,7 @@
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/meshcontrol"
 	"github.com/rattanfield/rattanfield/app/meshnode"
+	"github.com/rattanfield/rattanfield/core/quota"
 	"github.com/rattanfield/rattanfield/platform"
 )
 
@@ -124,6 +125,7 @@
 		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
 		Memory: s.MemoryMB << 20, LinkBytesPerSecond: s.LinkMbps * bytesPerMbit,
 		ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack,
+		Quotas: quota.Settings{Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack},
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
 				s.ReadyAddress: platform.ReadyHandler(p), s.ControlAddress: platform.AnnouncementHandler(p),
