--- a/core/plan/organisations.go
+++ b/core/plan/organisations.go
@@ -1,8 +1,8 @@
 package plan
 
 import (
-	"hash/maphash"
 	"crypto/subtle"
+	"hash/maphash"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -11,7 +11,7 @@
 // constant time, so that the time of a lookup tells nothing about the bytes of a key.
 type organisations struct {
 	seed   maphash.Seed
-	byHash map[uint64][]keyOwner
+	byHash map[uint64]keyOwner
 	count  int
 }
 
@@ -20,19 +20,39 @@
 	owner *pb.Organisation
 }
 
+// maxSeeds bounds the seeds that are tried. Two keys have the same hash with a probability of about 2e-11 per seed and
+// 30,000 keys.
+const maxSeeds = 8
+
+// newOrganisations indexes the keys. A key that is listed twice, which Validate rejects, belongs to the last organisation.
+// If two keys have the same hash with every seed, the first one is unknown.
 func newOrganisations(list []*pb.Organisation) organisations {
-	o := organisations{seed: maphash.MakeSeed(), count: len(list)}
-	if len(list) == 0 {
-		return o
+	o := organisations{count: len(list)}
+	keys := 0
+	for _, owner := range list {
+		keys += len(owner.GetKeys())
+	}
+	for range maxSeeds {
+		o.seed, o.byHash = maphash.MakeSeed(), make(map[uint64]keyOwner, keys)
+		if o.index(list) {
+			break
+		}
 	}
-	o.byHash = make(map[uint64][]keyOwner)
+	return o
+}
+
+// index fills byHash and reports whether all keys have different hashes.
+func (o *organisations) index(list []*pb.Organisation) bool {
+	different := true
 	for _, owner := range list {
 		for _, key := range owner.GetKeys() {
 			h := maphash.String(o.seed, key)
-			o.byHash[h] = append(o.byHash[h], keyOwner{key: []byte(key), owner: owner})
+			other, taken := o.byHash[h]
+			different = different && !(taken && string(other.key) != key)
+			o.byHash[h] = keyOwner{key: []byte(key), owner: owner}
 		}
 	}
-	return o
+	return different
 }
 
 // HasOrganisations reports whether callers need a key on routes that are not public.
@@ -40,11 +60,12 @@
 
 // Organisation returns the organisation that holds a key, or nil.
 func (t *Table) Organisation(key []byte) *pb.Organisation {
-	var found *pb.Organisation
-	for _, k := range t.organisations.byHash[maphash.Bytes(t.organisations.seed, key)] {
-		if subtle.ConstantTimeCompare(k.key, key) == 1 {
-			found = k.owner
-		}
+	if t.organisations.count == 0 {
+		return nil
+	}
+	k := t.organisations.byHash[maphash.Bytes(t.organisations.seed, key)]
+	if subtle.ConstantTimeCompare(k.key, key) != 1 {
+		return nil
 	}
-	return found
+	return k.owner
 }
--- a/core/plan/validate.go
+++ b/core/plan/validate.go
@@ -51,7 +51,13 @@
 	problems               []*pb.Problem
 }
 
+// add adds a problem. Texts of the plan are cut to maxNameBytes, because many problems may quote the same one.
 func (v *validator) add(subject, format string, args ...any) {
+	for i, a := range args {
+		if text, ok := a.(string); ok && len(text) > maxNameBytes {
+			args[i] = strings.ToValidUTF8(text[:maxNameBytes], "") + "..."
+		}
+	}
 	v.problems = append(v.problems, &pb.Problem{Subject: subject, Message: fmt.Sprintf(format, args...)})
 }
 
@@ -63,6 +69,11 @@
 		v.add("service/"+s.GetName(), "is listed twice")
 	}
 	v.services[s.GetName()] = true
+	subject := "service/" + s.GetName()
+	v.length(subject, "name", s.GetName(), maxNameBytes)
+	v.length(subject, "protocol", s.GetProtocol(), maxNameBytes)
+	v.length(subject, "health path", s.GetHealthPath(), maxPathBytes)
+	v.number(subject, "rate of the slow start", s.GetColdRequestsPerSecond())
 }
 
 func (v *validator) route(i int, r *pb.PlanRoute) {
@@ -84,6 +95,10 @@
 	if r.GetTimeoutMs() == 0 {
 		v.add(subject, "the timeout must be above 0")
 	}
+	v.length(subject, "name", r.GetName(), maxNameBytes)
+	v.length(subject, "host", r.GetHost(), maxNameBytes)
+	v.length(subject, "path prefix", r.GetPathPrefix(), maxPathBytes)
+	v.regions(subject, r.GetAllowedRegions())
 	v.targets(subject, r)
 }
 
@@ -125,14 +140,38 @@
 		}
 		v.keyOwners[key] = o.GetName()
 	}
-	for name, value := range map[string]float64{"rate": o.GetRequestsPerSecond(), "burst": o.GetBurst()} {
-		if !(value >= 0 && value <= maxQuota) {
-			v.add(subject, "the %s of the quota must be a number from 0 to %d", name, int64(maxQuota))
+	v.number(subject, "rate of the quota", o.GetRequestsPerSecond())
+	v.number(subject, "burst of the quota", o.GetBurst())
+	v.regions(subject, o.GetAllowedRegions())
+}
+
+func (v *validator) number(subject, name string, value float64) {
+	if !(value >= 0 && value <= maxQuota) {
+		v.add(subject, "the %s must be a number from 0 to %d", name, int64(maxQuota))
+	}
+}
+
+func (v *validator) regions(subject string, r *pb.Regions) {
+	for _, name := range r.GetNames() {
+		if name == "" || len(name) > maxNameBytes {
+			v.add(subject, "the name of an allowed region must have 1 to %d bytes", maxNameBytes)
 		}
 	}
 }
 
+// length checks a text that the operator chooses, if it has a limit.
+func (v *validator) length(subject, name, text string, limit int) {
+	if len(text) > limit {
+		v.add(subject, "the %s has %d bytes, at most %d are allowed", name, len(text), limit)
+	}
+}
+
 const (
+	// maxNameBytes bounds the names of services, routes, hosts and regions. Records of upstreams have no longer ones, and
+	// each request carries those of its service and route.
+	maxNameBytes = 256
+	// maxPathBytes bounds a path prefix and a health path; longer ones fit into no usual request line.
+	maxPathBytes = 8 << 10
 	// maxHeaderValueBytes bounds the names and keys of organisations, which are header values.
 	maxHeaderValueBytes = 256
 	// maxQuota bounds the rate and burst of a quota, far above what a site serves.
