--- a/core/placement/cost.go
+++ b/core/placement/cost.go
@@ -78,7 +78,7 @@
 	}
 	serviceTime, queueTime := n.expectedTimes(now, c, avg)
 	queueTime -= now.Sub(n.loadAt) // the queue has advanced since the report
-	return queueTime+roundTrip(c) > req.MaxQueueWait(serviceTime)+rejectionTolerance
+	return queueTime+wayTime(c, req) > req.MaxQueueWait(serviceTime)+rejectionTolerance
 }
 
 // roundTrip returns the approximate round-trip time to a node.
@@ -89,10 +89,21 @@
 	return 0
 }
 
+// wayTime returns the approximate time on the way to a node and back.
+func wayTime(c Candidate, req PickRequest) time.Duration { return roundTrip(c) + transferTime(c, req) }
+
+// transferTime returns the time that the bodies take on the link of the node that picks. It is 0 for its own upstream.
+func transferTime(c Candidate, req PickRequest) time.Duration {
+	if c.Own || req.LinkMbps <= 0 {
+		return 0
+	}
+	return time.Duration(req.Kilobytes * 8 / req.LinkMbps * float64(time.Millisecond))
+}
+
 // cost returns the expected cost of sending the request to the node, excluding noise.
 func (n *node) cost(now time.Time, c Candidate, req PickRequest, avg *average) float64 {
 	serviceTime, queueTime := n.expectedTimes(now, c, avg)
-	cost := lateCost*lateProbability(serviceTime, req.TimeLeft-queueTime-roundTrip(c)) + timeCost*(serviceTime+queueTime).Seconds()
+	cost := lateCost*lateProbability(serviceTime, req.TimeLeft-queueTime-wayTime(c, req)) + timeCost*(serviceTime+queueTime+transferTime(c, req)).Seconds()
 	cost += failureCost * max(n.failureRate(now), float64(c.Condition.Failing)/100)
 	if !c.Own {
 		cost += hopCost
@@ -113,7 +124,7 @@
 	if req.MaxQueueWait == nil {
 		return 0
 	}
-	return admission.RejectionProbability(queueTime+roundTrip(c), req.MaxQueueWait(serviceTime), req.Priority)
+	return admission.RejectionProbability(queueTime+wayTime(c, req), req.MaxQueueWait(serviceTime), req.Priority)
 }
 
 // transferCostPerKB returns the cost of a kilobyte on the path to a node, for a request of the
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -99,7 +99,9 @@
 	TimeLeft time.Duration
 	// Kilobytes is the expected size of the request and its answer together.
 	Kilobytes float64
-	Priority  uint32 // 0 is the most urgent
+	// LinkMbps is the rate in Mbit/s at which the node that picks sends and receives; 0: unknown.
+	LinkMbps float64
+	Priority uint32 // 0 is the most urgent
 	// MaxQueueWait returns how long the request may wait in a queue and still be answered in
 	// time, given the time that the upstream takes. A node that recently reported a longer queue
 	// would reject it and is skipped. Nil: unknown.
