core/nested, app/proxy: recognise nested calls by the id of their parent

Change: a call whose id extends the id of a request that the upstream of the node runs is nested; upstreams derive ids like that.

--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -251,7 +251,7 @@
 	} else {
 		req.passedDeadline = now.Add(req.deadline.Sub(now).Truncate(time.Millisecond)) // as formatMs
 		u.running[id] = req
-		u.parents.Add(id, req.passedDeadline, req.retry)
+		u.parents.Add(id, req.id, req.passedDeadline, req.retry)
 	}
 	g.mu.Unlock()
 	if reason != "" {
@@ -301,7 +301,7 @@
 	}
 	delete(u.deadlines, id)
 	delete(u.running, id)
-	u.parents.Remove(id, req.passedDeadline)
+	u.parents.Remove(id, req.id, req.passedDeadline)
 	u.unanswered.record(time.Now(), req, o.Failure)
 	g.cold.noteOutcome(time.Now(), o.Failure)
 	u.notify(u.queue.Finish(time.Now(), id, latency, knownRun && status < fasthttp.StatusInternalServerError), "")
--- a/app/proxy/nested.go
+++ b/app/proxy/nested.go
@@ -23,9 +23,14 @@
 }
 
 // recogniseNested finds out whether the request is a nested call of one that the local upstream runs: it comes from this
-// host and expires with its parent. A nested call has not waited before, whatever other calls of its route have left.
+// host and names its parent or expires with it. A nested call has not waited before, whatever other calls of its route have left.
 func (f *forwarding) recogniseNested() {
 	e := f.entry
+	if retry, ok := e.gate.namedParent(f.x.Remote, f.id); ok {
+		f.info.nested, f.info.ofRetry = true, retry
+		e.metrics.count("entry", "nested")
+		return
+	}
 	if f.remaining <= 0 {
 		return
 	}
@@ -37,6 +42,18 @@
 	e.metrics.count("entry", "nested")
 }
 
+// namedParent reports whether the id of a request from this host extends the id of one that the local upstream runs, and
+// whether that one is a retry.
+func (g *Gate) namedParent(client net.Addr, id string) (retry, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.activeUpstream
+	if u == nil || !fromHost(client, u.announcement.GetAddress()) {
+		return false, false
+	}
+	return u.parents.Named(id)
+}
+
 // matchParents compares the time limit of a request with those of the requests that the local upstream runs. ok is
 // false if there is no upstream or the request comes from another host.
 func (g *Gate) matchParents(client net.Addr, deadline time.Time) (m nested.Match, ok bool) {
--- a/core/nested/nested_test.go
+++ b/core/nested/nested_test.go
@@ -19,9 +19,9 @@
 		deadlines := make(map[uint64]time.Time)
 		for id := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
 			deadlines[id] = start.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "deadline")) * time.Millisecond)
-			p.Add(id, deadlines[id], id%2 == 0)
+			p.Add(id, "", deadlines[id], id%2 == 0)
 			if old := uint64(rapid.IntRange(0, 80).Draw(t, "removed")); old < id {
-				p.Remove(old, deadlines[old])
+				p.Remove(old, "", deadlines[old])
 				delete(deadlines, old)
 			}
 		}
@@ -71,7 +71,7 @@
 		for i := range 60000 { // milliseconds
 			now = now.Add(time.Millisecond)
 			for len(active) > 0 && !active[0].end.After(now) {
-				parents.Remove(active[0].id, active[0].deadline)
+				parents.Remove(active[0].id, "", active[0].deadline)
 				active = active[1:]
 			}
 			if random.Float64() < perSecond/1000 {
@@ -95,3 +95,21 @@
 		is.True(float64(taken["short"]) < 0.01*float64(counts["short"]))
 	}
 }
+
+// Guards against calls that are not taken for nested because they have a short time limit of their own, and against requests
+// of clients that profit from the id of a request that does not run.
+func TestCallNamesItsParent(t *testing.T) {
+	is := is.New(t)
+	var p Parents
+	p.Add(1, "a7", time.Time{}, false)
+	p.Add(2, "a7.b8", time.Time{}, true)
+	for id, want := range map[string]bool{"a7.c9": true, "a7:c9": true, "a7.b8.c9": true, "a7": false, "a7x": false, "a.c9": false, ".c9": false, "": false} {
+		_, ok := p.Named(id)
+		is.Equal(ok, want)
+	}
+	retry, _ := p.Named("a7.b8.c9")
+	is.True(retry)
+	p.Remove(1, "a7", time.Time{})
+	_, ok := p.Named("a7.c9")
+	is.True(!ok)
+}
--- a/core/nested/parents.go
+++ b/core/nested/parents.go
@@ -1,11 +1,13 @@
-// Package nested recognises the calls that an upstream makes while it runs a request, its parent. Such a call expires
-// with its parent, so its time limit equals that of a running request. A client's request may have the same time limit
+// Package nested recognises the calls that an upstream makes while it runs a request, its parent. Upstreams that derive
+// the ids of their calls from that of the parent name it. Otherwise such a call may expire with its parent, so that its
+// time limit equals that of a running request. A client's request may have the same time limit
 // by coincidence; Routes learns on which routes that does not explain the matches. The package does no I/O and reads no
 // clock.
 package nested
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -28,16 +30,28 @@
 
 // Parents holds the requests that an upstream runs, sorted by their time limits. The zero value is empty. It is not
 // safe for concurrent use.
-type Parents struct{ list []parent }
+type Parents struct {
+	list []parent
+	byID map[string]parent // by the id that the caller chose
+}
 
-// Add adds a request that is sent to the upstream with a time limit. retry states that it is a retry or a nested call
-// of one.
-func (p *Parents) Add(id uint64, deadline time.Time, retry bool) {
+// Add adds a request that is sent to the upstream with a time limit. requestID is the id that the caller chose, id one
+// that is unique here. retry states that it is a retry or a nested call of one.
+func (p *Parents) Add(id uint64, requestID string, deadline time.Time, retry bool) {
+	if p.byID == nil {
+		p.byID = make(map[string]parent)
+	}
+	if requestID != "" {
+		p.byID[requestID] = parent{id: id, deadline: deadline, retry: retry}
+	}
 	p.list = slices.Insert(p.list, p.after(deadline), parent{id: id, deadline: deadline, retry: retry})
 }
 
-// Remove removes a request that was added with this time limit.
-func (p *Parents) Remove(id uint64, deadline time.Time) {
+// Remove removes a request that was added with this id of its caller and this time limit.
+func (p *Parents) Remove(id uint64, requestID string, deadline time.Time) {
+	if p.byID[requestID].id == id {
+		delete(p.byID, requestID)
+	}
 	for i := p.after(deadline) - 1; i >= 0 && p.list[i].deadline.Equal(deadline); i-- {
 		if p.list[i].id == id {
 			p.list = slices.Delete(p.list, i, i+1)
@@ -46,6 +60,20 @@
 	}
 }
 
+// idSeparators separate the id of the parent from what an upstream appends to it for a call.
+const idSeparators = ".:/-_"
+
+// Named reports whether the id of a call extends that of a running request, and whether that one is a retry or a nested
+// call of one.
+func (p *Parents) Named(callID string) (retry, ok bool) {
+	i := strings.LastIndexAny(callID, idSeparators)
+	if i <= 0 {
+		return false, false
+	}
+	parent, ok := p.byID[callID[:i]]
+	return parent.retry, ok
+}
+
 // after returns the index of the first request that expires after a time.
 func (p *Parents) after(t time.Time) int {
 	i, _ := slices.BinarySearchFunc(p.list, t, func(x parent, t time.Time) int {
