--- a/core/nested/nested_test.go
+++ b/core/nested/nested_test.go
@@ -77,7 +77,7 @@
 			if random.Float64() < perSecond/1000 {
 				r := running{uint64(i), now.Add(200 * time.Millisecond), now.Add(3 * time.Second)}
 				active = append(active, r)
-				parents.Add(r.id, r.deadline, false)
+				parents.Add(r.id, "", r.deadline, false)
 			}
 			if random.Float64() < 0.04 && len(active) > 0 {
 				delay := time.Duration(random.IntN(12)) * time.Millisecond
