core/admission: order by latest start, wait out short peaks

Cause: one average service time for all kinds misjudged each, the queue was ordered by goal, and patient requests filled it. With work of 50 to 850 ms and goals of 0.2 to 5 s, urgent short requests were rejected most; a peak of a second rejected requests with a time limit of 3 s. Requests that could not end in time any more stayed queued. Change: every request brings the expected time of its route. The wait is the work ahead divided by the slots, the order is that of the latest starts, and one whose goal has become unreachable goes behind the others. A less urgent priority is rejected no less often than a more urgent one (with a tolerance of 3 in 100). While fewer than a fifth of the requests are rejected, one may wait for half of the time between its goal and its time limit; entries do the same by their throttle. A full queue displaces what can start last. Tests of core/admission, core/throttle, core/placement and app/proxy pass. Not measured yet on a whole deployment.

--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -11,7 +11,6 @@
 	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
-	"github.com/rattanfield/rattanfield/core/admission"
 	"github.com/rattanfield/rattanfield/core/drain"
 	"github.com/rattanfield/rattanfield/core/placement"
 	"github.com/rattanfield/rattanfield/core/suspects"
@@ -149,7 +148,7 @@
 		f.reject(reason)
 		return
 	}
-	key := throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only}
+	key := f.throttleKey()
 	if f.info.nested {
 		f.tryGates(ctx) // never throttled
 		return
@@ -214,15 +213,12 @@
 	ask := placement.PickRequest{
 		Tried: f.isTried, Random: e.random.Float64, Service: f.service, TimeLeft: left,
 		Kilobytes: e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.info.priority,
-		MaxQueueWait: func(service time.Duration) time.Duration {
-			return admission.Request{Goal: f.goal, Deadline: f.deadline, GoalDuration: time.Duration(f.route.GetGoalMs()) * time.Millisecond}.MaxWait(now, service)
-		},
-	}
-	if f.info.nested {
-		ask.MaxQueueWait = nil // it does not wait for the queue
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !f.info.nested { // a nested call does not wait for the queue
+		ask.MaxQueueWait = f.maxQueueWait(now)
+	}
 	list, stopping := e.candidates(f.view, f.service, f.versions, &f.info, now)
 	if f.suspicion.Handling == suspects.Isolate {
 		list, stopping = f.isolate(list, now), f.isolate(stopping, now)
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -283,6 +283,7 @@
 	delete(u.running, id)
 	u.parents.Remove(id, req.passedDeadline)
 	u.unanswered.record(time.Now(), req, o.Failure)
+	u.notify(u.queue.EvictLate(time.Now()), reasonDeadline)
 	u.notify(u.queue.Finish(time.Now(), id, latency, knownRun && status < fasthttp.StatusInternalServerError), "")
 	if o.Refused || (knownNotRun && status == fasthttp.StatusMisdirectedRequest) {
 		u.unreachable = true
--- a/app/proxy/nested.go
+++ b/app/proxy/nested.go
@@ -62,15 +62,12 @@
 	return err == nil && a.IP.Equal(net.ParseIP(host))
 }
 
-// admissionRequest returns what the queue needs to know about a request. The time of a nested call is that of its own
-// kind, which is often far below the average.
+// admissionRequest returns what the queue needs to know about a request. Its time is that of its own kind: kinds of one
+// service differ by a factor of 17, so that the average misjudges each.
 func (g *Gate) admissionRequest(id uint64, req gateRequest) admission.Request {
-	r := admission.Request{
+	return admission.Request{
 		ID: id, Priority: req.priority, Goal: req.goal, Deadline: req.deadline, GoalDuration: req.goalDuration,
 		RejectionSample: rejectionSample(req.id), Nested: req.nested,
+		ServiceTime: g.durations.mean(drain.Kind{Route: req.route, Service: req.service}),
 	}
-	if req.nested {
-		r.ServiceTime = g.durations.mean(drain.Kind{Route: req.route, Service: req.service})
-	}
-	return r
 }
--- a/core/admission/nested_test.go
+++ b/core/admission/nested_test.go
@@ -16,6 +16,7 @@
 	nextID uint64
 	kinds  map[uint64]*simKind
 	ends   map[uint64]time.Time
+	peak   func(elapsed time.Duration) float64 // multiplies the load; nil: 1
 }
 
 // simKind is a kind of requests of a simulated load.
@@ -62,10 +63,15 @@
 			default:
 				k.timely++
 			}
+			o.queue.EvictLate(o.now)
 			begin(o.queue.Finish(o.now, id, o.now.Sub(began[id]), true))
 		}
+		factor := 1.0
+		if o.peak != nil {
+			factor = o.peak(o.now.Sub(base))
+		}
 		for _, k := range kinds {
-			for n := k.perSecond / 1000; o.random.Float64() < n; n-- {
+			for n := factor * k.perSecond / 1000; o.random.Float64() < n; n-- {
 				o.nextID++
 				k.offered++
 				r := k.request
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -1,9 +1,8 @@
-// Package admission is the admission control of one upstream. At most as many
-// requests run at once as the upstream has slots, queued requests start in the
-// order of their goals, and a request that would wait longer than Request.MaxWait
-// is rejected. Under overload a request is rejected with a probability that grows
-// with the expected wait and is lower for urgent priorities, so that every
-// priority is still served. The package does no I/O and reads no clock.
+// Package admission is the admission control of one upstream. At most as many requests run at once as the upstream has
+// slots, queued requests start in the order of their latest start (goal minus service time), and a request that would
+// wait longer than Request.MaxWait is rejected, unless it can wait for the end of a short peak. Under overload a request
+// is rejected with a probability that grows with the expected wait and is lower for urgent priorities, but not lower
+// than the share of rejected requests of more urgent priorities. The package does no I/O and reads no clock.
 package admission
 
 import (
@@ -40,8 +39,12 @@
 	ServiceTime time.Duration
 }
 
+// latestStart returns when the request must start to meet its goal. A service time that is not known counts as 0.
+func (r Request) latestStart() time.Time { return r.Goal.Add(-r.ServiceTime) }
+
 // Load is the load of an upstream. Entries compare it with that of other upstreams.
 type Load struct {
+	// Queued are the queued requests that a new one would wait for, see loadHorizon.
 	Running, Queued, Slots int
 	ServiceTime            time.Duration // expected time of a request on the upstream, without the wait
 }
@@ -67,22 +70,36 @@
 	// runningTimePrior is the number of just started requests that MeanRunningTime assumes beside
 	// those that run, so that a single long request does not look like an upstream that hangs.
 	runningTimePrior = 3
-	// maxQueuedPerSlot bounds the queue whatever the average service time is.
-	maxQueuedPerSlot = 3
+	// maxQueuedPerSlot bounds the queue before initialSamples are known, and maxQueuedPerSlotMeasured from then on. With
+	// 3 requests of 50 ms per slot a peak of 150 ms would fill it, less than the goals of such requests allow.
+	maxQueuedPerSlot         = 3
+	maxQueuedPerSlotMeasured = 8
+	// loadHorizon is the greatest time until the latest start of a queued request that counts as load. Those that can
+	// start later give way to most new ones, so they do not make an upstream busier for them.
+	loadHorizon = time.Second
 )
 
+// runningRequest is a request in a slot.
+type runningRequest struct {
+	since   time.Time
+	service time.Duration // Request.ServiceTime
+}
+
 // Queue is the admission queue of one upstream. It is not safe for concurrent use.
 type Queue struct {
 	slots          int
 	serviceSeconds float64 // moving average of the service time
 	samples        int
-	running        map[uint64]time.Time // start time by request id
-	waiting        []Request            // in the order in which they start: nested calls first, then by goal
+	otherSeconds   float64 // the same of requests without Request.ServiceTime
+	otherSamples   int
+	running        map[uint64]runningRequest // by request id
+	waiting        []Request                 // in the order in which they start: nested calls first, then by latest start
+	pressure       pressure
 }
 
 // New returns an empty queue for an upstream with this number of slots, at least 1.
 func New(slots int) *Queue {
-	return &Queue{slots: max(1, slots), running: make(map[uint64]time.Time)}
+	return &Queue{slots: max(1, slots), running: make(map[uint64]runningRequest)}
 }
 
 // SetSlots changes the number of slots, at least 1, and returns the queued requests that start now.
@@ -91,43 +108,92 @@
 	return q.startWaiting(now)
 }
 
-// Offer decides on a new request. It also returns the queued requests with a
-// later goal that are evicted, because the new one makes them wait too long.
+// Offer decides on a new request. It also returns the queued requests with a later start that are evicted, because the
+// new one makes them wait too long.
 func (q *Queue) Offer(now time.Time, r Request) (d Decision, evicted []uint64) {
+	q.pressure.countOffered(now, r)
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
-		q.running[r.ID] = now
+		q.running[r.ID] = runningRequest{now, r.ServiceTime}
 		return Started, nil
 	}
-	service := q.expectedServiceTime(now, r.GoalDuration)
-	if r.Goal.Sub(now) < r.ownServiceTime(service) {
+	t := q.times(now, r.GoalDuration)
+	if r.Goal.Sub(now) < t.of(r) {
 		r.Goal = r.Deadline // the goal cannot be met: requests that can still meet theirs go first
 	}
 	at := q.insertPosition(r)
 	last := len(q.waiting) - 1
-	full := len(q.waiting) >= maxQueuedPerSlot*q.slots
-	displaces := full && r.Nested && !q.waiting[last].Nested
-	if (full && !displaces) || q.rejects(q.expectedWait(at, service), r.MaxWait(now, service), r) {
+	full := len(q.waiting) >= q.maxQueued()
+	displaces := full && at <= last && (r.Nested || q.measured()) && !q.waiting[last].Nested
+	if (full && !displaces) || q.rejects(q.expectedWait(at, t), q.maxWait(now, r, t), r, q.Patience(now)) {
+		q.pressure.countRejected(r)
 		return Busy, nil
 	}
 	if displaces {
-		evicted = append(evicted, q.waiting[last].ID)
-		q.waiting = q.waiting[:last]
+		evicted = append(evicted, q.evict(last))
 	}
 	q.waiting = slices.Insert(q.waiting, at, r)
 	for i := len(q.waiting) - 1; i > at; i-- {
-		if w := q.waiting[i]; q.expectedWait(i, service) > w.MaxWait(now, service)+evictSlack {
-			evicted = append(evicted, w.ID)
-			q.waiting = slices.Delete(q.waiting, i, i+1)
+		if w := q.waiting[i]; q.expectedWait(i, t) > q.maxWait(now, w, t)+evictSlack {
+			evicted = append(evicted, q.evict(i))
 		}
 	}
 	return Queued, evicted
 }
 
+// evict removes the queued request at an index and returns its id.
+func (q *Queue) evict(i int) uint64 {
+	r := q.waiting[i]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.pressure.countRejected(r)
+	return r.ID
+}
+
+// EvictLate removes the queued requests that cannot end by their deadline even if they start now, and returns their ids.
+func (q *Queue) EvictLate(now time.Time) []uint64 {
+	var evicted []uint64
+	t := q.times(now, 0)
+	for i := len(q.waiting) - 1; i >= 0; i-- {
+		if r := q.waiting[i]; r.Deadline.Sub(now) < t.of(r) {
+			evicted = append(evicted, q.evict(i))
+		}
+	}
+	return evicted
+}
+
+// measured reports whether the service time is known well enough to rely on expected waits.
+func (q *Queue) measured() bool { return q.samples >= initialSamples }
+
+func (q *Queue) maxQueued() int {
+	if q.measured() {
+		return maxQueuedPerSlotMeasured * q.slots
+	}
+	return maxQueuedPerSlot * q.slots
+}
+
+// Patience returns the patience that Request.MaxWait takes: how far a request may wait beyond its goal at present.
+func (q *Queue) Patience(now time.Time) float64 {
+	if !q.measured() {
+		return 0
+	}
+	q.pressure.decay(now)
+	return q.pressure.patience()
+}
+
+// maxWait returns how long a request may wait.
+func (q *Queue) maxWait(now time.Time, r Request, t serviceTimes) time.Duration {
+	return r.MaxWaitInPeak(now, t.of(r), q.Patience(now))
+}
+
 // rejectionWeight scales the rejection probability by priority; the least urgent one has weight 1.
 var rejectionWeight = [...]float64{0.55, 0.8, 1}
 
-func (q *Queue) rejects(wait, allowed time.Duration, r Request) bool {
-	return wait > allowed || !r.Nested && r.RejectionSample < RejectionProbability(wait, allowed, r.Priority)
+// rejects reports whether a request with this expected wait is rejected. With patience, one that can wait is not rejected
+// at random.
+func (q *Queue) rejects(wait, allowed time.Duration, r Request, patience float64) bool {
+	if wait > allowed || r.Nested {
+		return wait > allowed
+	}
+	return r.RejectionSample < max((1-patience)*RejectionProbability(wait, allowed, r.Priority), q.pressure.shareOfMoreUrgent(r.level()))
 }
 
 // RejectionProbability returns the probability with which a request of this
@@ -149,7 +215,7 @@
 const evictSlack = 50 * time.Millisecond
 
 // insertPosition returns the index behind the last queued request that goes before this one: a nested call before
-// others, then the one with the same or an earlier goal.
+// others, then the one with the same or an earlier latest start.
 func (q *Queue) insertPosition(r Request) int {
 	i := len(q.waiting)
 	for i > 0 && goesBefore(r, q.waiting[i-1]) {
@@ -162,23 +228,62 @@
 	if a.Nested != b.Nested {
 		return a.Nested
 	}
-	return b.Goal.After(a.Goal)
+	return b.latestStart().After(a.latestStart())
+}
+
+// expectedWait returns the expected time until the request at this index of the queue starts: the work ahead of it,
+// divided by the slots.
+func (q *Queue) expectedWait(position int, t serviceTimes) time.Duration {
+	work := time.Duration(len(q.running)-q.slots+1) * t.running
+	for _, r := range q.waiting[:position] {
+		work += t.of(r)
+	}
+	return max(0, work) / time.Duration(q.slots)
 }
 
-// expectedWait returns the expected time until the request at this index of the queue starts.
-func (q *Queue) expectedWait(position int, service time.Duration) time.Duration {
-	ahead := float64(len(q.running)-q.slots) + float64(position) + 1
-	return time.Duration(max(0, ahead) / float64(q.slots) * float64(service))
+// serviceTimes are the expected times of requests on the upstream at one moment.
+type serviceTimes struct {
+	all     time.Duration // of a request whose kind is not known
+	running time.Duration // mean of those that run
+	stretch float64       // factor on Request.ServiceTime, above 1 for an upstream that is slower than usual
 }
 
-// expectedServiceTime returns the expected time of a request on the upstream:
-// the average of the finished requests, or MeanRunningTime if that is longer.
-func (q *Queue) expectedServiceTime(now time.Time, goalDuration time.Duration) time.Duration {
-	service := time.Duration(q.serviceSeconds * float64(time.Second))
-	if q.samples == 0 {
-		service = time.Duration(initialServiceShare * float64(goalDuration))
+// of returns the expected time of a request on the upstream.
+func (t serviceTimes) of(r Request) time.Duration {
+	if r.ServiceTime > 0 {
+		return time.Duration(t.stretch * float64(r.ServiceTime))
 	}
-	return max(service, q.MeanRunningTime(now))
+	return t.all
+}
+
+// times returns the expected times: the average of the finished requests and Request.ServiceTime, stretched if the
+// running requests have taken longer, see MeanRunningTime.
+func (q *Queue) times(now time.Time, goalDuration time.Duration) serviceTimes {
+	average := time.Duration(q.serviceSeconds * float64(time.Second))
+	switch {
+	case q.otherSamples >= initialSamples:
+		average = time.Duration(q.otherSeconds * float64(time.Second))
+	case q.samples == 0:
+		average = time.Duration(initialServiceShare * float64(goalDuration))
+	}
+	sum := time.Duration(0)
+	for _, r := range q.running {
+		if r.service > 0 {
+			sum += r.service
+		} else {
+			sum += average
+		}
+	}
+	usual, sofar := sum/time.Duration(max(1, len(q.running))), q.MeanRunningTime(now)
+	t := serviceTimes{all: average, running: usual, stretch: 1}
+	if sofar > usual {
+		t.running = sofar
+		if usual > 0 {
+			t.stretch = float64(sofar) / float64(usual)
+		}
+		t.all = max(sofar, time.Duration(t.stretch*float64(average)))
+	}
+	return t
 }
 
 // MeanRunningTime returns the mean time that the running requests have taken so
@@ -186,8 +291,8 @@
 // of its requests ends.
 func (q *Queue) MeanRunningTime(now time.Time) time.Duration {
 	elapsed := time.Duration(0)
-	for _, since := range q.running {
-		elapsed += now.Sub(since)
+	for _, r := range q.running {
+		elapsed += now.Sub(r.since)
 	}
 	return elapsed / time.Duration(len(q.running)+runningTimePrior)
 }
@@ -197,39 +302,47 @@
 // and at most until its deadline can just be met. It is negative when the deadline
 // cannot be met. A nested call may always wait until its deadline can just be met.
 func (r Request) MaxWait(now time.Time, service time.Duration) time.Duration {
+	return r.MaxWaitInPeak(now, service, 0)
+}
+
+// MaxWaitInPeak is MaxWait for an upstream whose overload may be short: a request may wait longer by patience, from 0 to
+// 1, times lateWaitShare of the time between its goal and its deadline, since a late answer is worth more than none.
+func (r Request) MaxWaitInPeak(now time.Time, service time.Duration, patience float64) time.Duration {
 	if r.Nested {
-		return r.Deadline.Sub(now) - r.ownServiceTime(service)
+		return r.Deadline.Sub(now) - service
 	}
 	onTime := r.Goal.Sub(now) - time.Duration((1-plannedGoalShare)*float64(r.GoalDuration)) - service
+	end := r.Goal
 	if r.Goal.Equal(r.Deadline) {
-		onTime = 0
+		onTime, end = 0, now
 	}
-	minWait := time.Duration(minWaitShare * float64(r.GoalDuration))
-	return min(max(onTime, minWait), r.Deadline.Sub(now)-service)
-}
-
-// ownServiceTime returns the expected service time of the request, given that of all requests.
-func (r Request) ownServiceTime(service time.Duration) time.Duration {
-	if r.Nested && r.ServiceTime > 0 {
-		return r.ServiceTime
-	}
-	return service
+	onTime = max(onTime, time.Duration(minWaitShare*float64(r.GoalDuration)))
+	late := time.Duration(patience * lateWaitShare * float64(r.Deadline.Sub(end)))
+	return min(onTime+max(0, late), r.Deadline.Sub(now)-service)
 }
 
 // Finish frees the slot of a request and returns the queued requests that start
 // now. If measured is true, the latency is a sample of the service time.
 func (q *Queue) Finish(now time.Time, id uint64, latency time.Duration, measured bool) []uint64 {
-	if _, ok := q.running[id]; !ok {
+	r, ok := q.running[id]
+	if !ok {
 		return nil
 	}
 	delete(q.running, id)
 	if measured {
-		q.samples++
-		q.serviceSeconds += max(averageWeight, 1/float64(min(q.samples, initialSamples))) * (latency.Seconds() - q.serviceSeconds)
+		addSample(&q.serviceSeconds, &q.samples, latency)
+		if r.service == 0 {
+			addSample(&q.otherSeconds, &q.otherSamples, latency)
+		}
 	}
 	return q.startWaiting(now)
 }
 
+func addSample(average *float64, samples *int, latency time.Duration) {
+	*samples++
+	*average += max(averageWeight, 1/float64(min(*samples, initialSamples))) * (latency.Seconds() - *average)
+}
+
 // Cancel removes a queued request and reports whether it was queued.
 func (q *Queue) Cancel(id uint64) bool {
 	before := len(q.waiting)
@@ -249,19 +362,34 @@
 
 func (q *Queue) startWaiting(now time.Time) []uint64 {
 	var started []uint64
+	if len(q.waiting) == 0 {
+		return nil
+	}
+	t := q.times(now, q.waiting[0].GoalDuration)
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
 		r := q.waiting[0]
 		q.waiting = q.waiting[1:]
-		q.running[r.ID] = now
+		if !r.Nested && r.Goal.Before(r.Deadline) && r.Goal.Sub(now) < t.of(r) {
+			r.Goal = r.Deadline // as in Offer
+			q.waiting = slices.Insert(q.waiting, q.insertPosition(r), r)
+			continue
+		}
+		q.running[r.ID] = runningRequest{now, r.ServiceTime}
 		started = append(started, r.ID)
 	}
 	return started
 }
 
+// meanServiceTime returns the expected time of a request of any kind.
+func (q *Queue) meanServiceTime(now time.Time) time.Duration {
+	return max(time.Duration(q.serviceSeconds*float64(time.Second)), q.MeanRunningTime(now))
+}
+
 // Load returns the current load. Before the first sample, ServiceTime is MeanRunningTime.
 func (q *Queue) Load(now time.Time) Load {
-	return Load{
-		Running: len(q.running), Queued: len(q.waiting), Slots: q.slots,
-		ServiceTime: q.expectedServiceTime(now, 0),
+	queued := 0
+	for queued < len(q.waiting) && (q.waiting[queued].Nested || q.waiting[queued].latestStart().Sub(now) <= loadHorizon) {
+		queued++
 	}
+	return Load{Running: len(q.running), Queued: queued, Slots: q.slots, ServiceTime: q.meanServiceTime(now)}
 }
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -59,6 +59,12 @@
 	return max(0, 1-ratio*(t.accepted+prior)/(t.offered+prior))
 }
 
+// RejectedShare returns the share of the sent requests that were rejected for lack of capacity, as of the last call of
+// Offer or Done.
+func (t *Throttle) RejectedShare() float64 {
+	return max(0, t.ended-t.accepted) / (t.ended + prior)
+}
+
 func (t *Throttle) decay(now time.Time) {
 	if elapsed := now.Sub(t.countedAt); elapsed > 0 {
 		keep := math.Exp2(-float64(elapsed) / float64(halfLife))
