core/fairness, core/admission, app/proxy: reject what exceeds fair shares first

Cause: gates and the entry's throttle rejected requests of all organisations alike, whoever caused the overload. Change: core/fairness counts the recent demand by organisation (at most 512) and divides what is short by max-min fairness. A gate whose slots are nearly busy rejects the part of an organisation's demand that exceeds its share (`fair-share`) and queues the rest of it behind others; the throttle of an entry rejects the same number as before, taken from those above their shares. While many are rejected, such a request is not offered to another gate. Requests without an organisation are treated as before. Tests of core/admission, core/fairness, core/throttle, app/proxy and app/meshnode pass. Not measured yet on a whole deployment.

--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/core/fairness"
 	"github.com/rattanfield/rattanfield/core/placement"
 	"github.com/rattanfield/rattanfield/core/plan"
 	"github.com/rattanfield/rattanfield/core/retry"
@@ -83,7 +84,8 @@
 	picker         *placement.Picker
 	splitter       *plan.Splitter
 	throttles      map[throttleKey]*throttle.Throttle
-	rerouteBudgets map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
+	rerouteBudgets map[string]*retry.Budget    // reroutes after rejections for lack of capacity, by service
+	shares         map[string]*fairness.Shares // requests by organisation, by service
 }
 
 // throttleKey identifies the requests that are throttled together: those of one route to one
@@ -97,7 +99,7 @@
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
 		retries: retries{options: o}, clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)},
-		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget),
+		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget), shares: make(map[string]*fairness.Shares),
 	}
 }
 
@@ -272,15 +274,6 @@
 	return b
 }
 
-// offer counts a request and reports whether its service is expected to accept it.
-func (e *Entry) offer(key throttleKey) bool {
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.rerouteBudget(key.service).CountCall()
-	return e.throttle(key).Offer(now, e.random.Float64())
-}
-
 // countOutcome counts the outcome of a request that was offered and sent.
 func (e *Entry) countOutcome(key throttleKey, accepted bool) {
 	now := time.Now()
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -153,7 +153,7 @@
 		f.tryGates(ctx) // never throttled
 		return
 	}
-	if !f.entry.offer(key) {
+	if !f.entry.offer(time.Now(), key, f.info.organisation.GetName()) {
 		f.lastReason = reasonOverload
 		f.giveUp()
 		return
@@ -165,7 +165,7 @@
 // lacksCapacity reports whether a request was not answered for lack of capacity.
 func lacksCapacity(reason string) bool {
 	switch reason {
-	case reasonBusy, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline, reasonLink:
+	case reasonBusy, reasonFairShare, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline, reasonLink:
 		return true
 	}
 	return false
@@ -400,8 +400,10 @@
 		if f.withoutUpstream++; f.withoutUpstream >= maxGatesWithoutUpstream {
 			return "reroutes"
 		}
+	case a.reason == reasonFairShare && f.entry.rejectsMany(f.throttleKey()):
+		return "fair-share" // other gates are as busy
 	case a.ran == ranNo && a.reason != reasonUpstreamNotRun:
-		noCapacity := a.reason == reasonBusy || a.reason == reasonEvicted || a.reason == reasonMemory || a.reason == reasonLink
+		noCapacity := a.reason == reasonBusy || a.reason == reasonFairShare || a.reason == reasonEvicted || a.reason == reasonMemory || a.reason == reasonLink
 		if f.reroutes++; f.reroutes > maxReroutes || (noCapacity && !f.info.nested && !f.entry.takeReroute(f.service)) {
 			return "reroutes"
 		}
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -170,9 +170,9 @@
 	u.notify(evicted, reasonEvicted)
 	if decision != admission.Queued {
 		defer g.mu.Unlock()
-		if decision == admission.Busy {
+		if decision != admission.Started {
 			delete(u.deadlines, id)
-			return nil, 0, reasonBusy
+			return nil, 0, rejectionReasons[decision]
 		}
 		return u, id, ""
 	}
--- a/app/proxy/gate_request.go
+++ b/app/proxy/gate_request.go
@@ -12,6 +12,7 @@
 // gateRequest holds what the headers of an entry's request tell the gate.
 type gateRequest struct {
 	id, service, version, route string
+	organisation                string // "": none
 	priority                    uint32
 	idempotent                  bool
 	lateNested                  bool // see Gate.handle
@@ -34,7 +35,7 @@
 	priority, err := strconv.ParseUint(string(h.Peek(hopPriority)), 10, 32)
 	req := gateRequest{
 		id: string(h.Peek(g.options.Headers.ID)), service: string(h.Peek(hopService)), version: string(h.Peek(hopVersion)),
-		route: string(h.Peek(hopRoute)), priority: uint32(priority), idempotent: len(h.Peek(hopIdempotent)) > 0,
+		route: string(h.Peek(hopRoute)), organisation: string(h.Peek(hopOrganisation)), priority: uint32(priority), idempotent: len(h.Peek(hopIdempotent)) > 0,
 		deadline: x.Received.Add(remaining), goal: x.Received.Add(goal), goalDuration: goalDuration, received: x.Received,
 		nested: len(h.Peek(hopNested)) > 0, retry: len(h.Peek(hopRetry)) > 0,
 	}
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -57,11 +57,12 @@
 	reasonUnknownKey     = "unknown-key" // the request has no key, several, or one that no organisation holds
 	reasonBadRequest     = "bad-request"
 	reasonNoEndpoint     = "no-endpoint"
-	reasonBusy           = "busy"     // the queue of the gate is too long
-	reasonFull           = "full"     // all known gates reported a queue that is too long
-	reasonOverload       = "overload" // gates rejected most requests of the route recently; this one was not sent
-	reasonLink           = "link"     // the link of the gate's node is too busy for the body
-	reasonMemory         = "memory"   // the bodies of other requests leave too little memory for this one
+	reasonBusy           = "busy"       // the queue of the gate is too long
+	reasonFairShare      = "fair-share" // the organisation demands more than its fair share of a busy upstream
+	reasonFull           = "full"       // all known gates reported a queue that is too long
+	reasonOverload       = "overload"   // gates rejected most requests of the route recently; this one was not sent
+	reasonLink           = "link"       // the link of the gate's node is too busy for the body
+	reasonMemory         = "memory"     // the bodies of other requests leave too little memory for this one
 	reasonEvicted        = "evicted"
 	reasonLeaving        = "leaving"
 	reasonNoUpstream     = "no-upstream"
--- a/app/proxy/nested.go
+++ b/app/proxy/nested.go
@@ -67,7 +67,7 @@
 func (g *Gate) admissionRequest(id uint64, req gateRequest) admission.Request {
 	return admission.Request{
 		ID: id, Priority: req.priority, Goal: req.goal, Deadline: req.deadline, GoalDuration: req.goalDuration,
-		RejectionSample: rejectionSample(req.id), Nested: req.nested,
+		RejectionSample: rejectionSample(req.id), Nested: req.nested, Organisation: req.organisation,
 		ServiceTime: g.durations.mean(drain.Kind{Route: req.route, Service: req.service}),
 	}
 }
--- a/core/admission/nested_test.go
+++ b/core/admission/nested_test.go
@@ -16,7 +16,6 @@
 	nextID uint64
 	kinds  map[uint64]*simKind
 	ends   map[uint64]time.Time
-	peak   func(elapsed time.Duration) float64 // multiplies the load; nil: 1
 }
 
 // simKind is a kind of requests of a simulated load.
@@ -28,7 +27,8 @@
 	offered, timely int
 	late            int // started, but ended after the goal
 	started         int
-	useless         int // ended after the time limit
+	useless         int                                 // ended after the time limit
+	peak            func(elapsed time.Duration) float64 // multiplies perSecond; nil: 1
 }
 
 func (o *overload) start(id uint64) {
@@ -66,11 +66,11 @@
 			o.queue.EvictLate(o.now)
 			begin(o.queue.Finish(o.now, id, o.now.Sub(began[id]), true))
 		}
-		factor := 1.0
-		if o.peak != nil {
-			factor = o.peak(o.now.Sub(base))
-		}
 		for _, k := range kinds {
+			factor := 1.0
+			if k.peak != nil {
+				factor = k.peak(o.now.Sub(base))
+			}
 			for n := factor * k.perSecond / 1000; o.random.Float64() < n; n-- {
 				o.nextID++
 				k.offered++
--- a/core/admission/order_test.go
+++ b/core/admission/order_test.go
@@ -65,12 +65,15 @@
 func TestShortPeakIsWaitedOut(t *testing.T) {
 	is := is.New(t)
 	kinds := mixedKinds(0.7)
-	o := overload{peak: func(elapsed time.Duration) float64 {
-		if elapsed%(8*time.Second) < time.Second {
-			return 2.5 / 0.7
+	for _, k := range kinds {
+		k.peak = func(elapsed time.Duration) float64 {
+			if elapsed%(8*time.Second) < time.Second {
+				return 2.5 / 0.7
+			}
+			return 1
 		}
-		return 1
-	}}
+	}
+	var o overload
 	o.run(18, 64*time.Second, kinds...)
 	for _, k := range kinds {
 		t.Logf("work %v, time limit %v: served %.3f, earned %.3f", k.work, k.timeLimit, k.servedShare(), k.earnedShare())
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -15,9 +15,10 @@
 
 // The decisions on an offered request.
 const (
-	Started Decision = iota + 1
-	Queued           // the request starts, is evicted or is cancelled later
-	Busy             // rejected: the request would wait too long
+	Started   Decision = iota + 1
+	Queued             // the request starts, is evicted or is cancelled later
+	Busy               // rejected: the request would wait too long
+	OverShare          // rejected: its organisation demands more than its fair share, and not all can be served
 )
 
 // Request is a request for a slot of the upstream.
@@ -37,6 +38,8 @@
 	Nested bool
 	// ServiceTime is the expected time of this kind of request on the upstream; 0: that of all requests.
 	ServiceTime time.Duration
+	// Organisation is that of the caller; "": none, the request is not subject to fair shares.
+	Organisation string
 }
 
 // latestStart returns when the request must start to meet its goal. A service time that is not known counts as 0.
@@ -95,6 +98,7 @@
 	running        map[uint64]runningRequest // by request id
 	waiting        []Request                 // in the order in which they start: nested calls first, then by latest start
 	pressure       pressure
+	shares         shares
 }
 
 // New returns an empty queue for an upstream with this number of slots, at least 1.
@@ -111,13 +115,18 @@
 // Offer decides on a new request. It also returns the queued requests with a later start that are evicted, because the
 // new one makes them wait too long.
 func (q *Queue) Offer(now time.Time, r Request) (d Decision, evicted []uint64) {
-	q.pressure.countOffered(now, r)
+	t := q.times(now, r.GoalDuration)
+	q.shares.add(now, r, t.of(r))
+	if float64(len(q.running)) >= sharedSlots*float64(q.slots) && q.shares.exceeds(now, r, q.slots) {
+		return OverShare, nil
+	}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
 		q.running[r.ID] = runningRequest{now, r.ServiceTime}
+		q.pressure.countOffered(now, r)
 		return Started, nil
 	}
-	t := q.times(now, r.GoalDuration)
-	if r.Goal.Sub(now) < t.of(r) {
+	q.pressure.countOffered(now, r)
+	if r.Goal.Sub(now) < t.of(r) || q.shares.isAbove(now, r, q.slots) {
 		r.Goal = r.Deadline // the goal cannot be met: requests that can still meet theirs go first
 	}
 	at := q.insertPosition(r)
