--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -25,15 +25,18 @@
 	view  *controlclient.View
 	id    string
 
-	route     *pb.PlanRoute
-	info      requestInfo
-	service   string
-	versions  versions
-	deadline  time.Time
-	goal      time.Time
-	remaining time.Duration // that the client states; 0: not stated
-	waited    time.Duration // time that the client spent on earlier attempts
-	out       *fasthttp.Request
+	route *pb.PlanRoute
+	info  requestInfo
+	// parentRoute and parentPriority are those of the request that made this nested call; "" if they are not known.
+	parentRoute    string
+	parentPriority uint32
+	service        string
+	versions       versions
+	deadline       time.Time
+	goal           time.Time
+	remaining      time.Duration // that the client states; 0: not stated
+	waited         time.Duration // time that the client spent on earlier attempts
+	out            *fasthttp.Request
 
 	arrived         bool               // an attempt reached an upstream, or may have
 	retryCause      string             // see retryCause; of the attempt in progress, "" for the first one
@@ -299,6 +302,9 @@
 	o := f.send(ctx, gate, start)
 	a := f.classify(o)
 	a.latency = time.Since(start)
+	if o.Failure == meshhttp.Answered {
+		f.learnDependency(&f.x.Response.Header, a)
+	}
 	if a.ran != ranNo {
 		f.sends++
 	}
@@ -411,6 +417,8 @@
 		return "time"
 	case a.reason == reasonCrashSuspect || f.checkSuspect() != "":
 		return "suspect"
+	case a.reason == reasonDependency:
+		return "dependency" // the other gates decide alike
 	case isFreeReroute(a):
 		if f.withoutUpstream++; f.withoutUpstream >= maxGatesWithoutUpstream {
 			return "reroutes"
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -76,6 +76,8 @@
 	isolated chan struct{} // holds a value while a suspect waits for a slot or runs
 	nextID   atomic.Uint64
 
+	dependencies dependencies
+
 	stop      atomic.Pointer[drain.Stop] // nil unless the node stops
 	stopLines atomic.Int32               // logged about requests during the stop
 	durations durations                  // of requests on the upstream
@@ -130,6 +132,10 @@
 	}
 	req.deadline, req.lateNested = limitByStop(g.stop.Load(), req.deadline), lateNested
 	req.fingerprint = fingerprint(req.service, &x.Request)
+	if g.rejectsForDependency(req) {
+		g.reject(x, req, ranNo, reasonDependency, "")
+		return
+	}
 	release, reason := g.isolate(ctx, x, req)
 	if reason != "" {
 		g.reject(x, req, ranNo, reason, "")
@@ -333,6 +339,7 @@
 		}
 		x.Response.Header.Set(hopRan, ranYes)
 		x.Response.Header.Set(hopLoad, g.load(u))
+		g.setRejectedHeader(&x.Response.Header, req)
 		g.setColdHeader(&x.Response.Header, u)
 	case knownNotRun && o.Failure == meshhttp.Answered:
 		g.reject(x, req, ranNo, reasonUpstreamNotRun, strconv.Itoa(status))
@@ -404,6 +411,7 @@
 	h.Set(hopReason, reason)
 	h.Set(g.options.Headers.ID, req.id)
 	setSuspect(h, g.suspects.Record(req.fingerprint))
+	g.setRejectedHeader(h, req)
 	g.mu.Lock()
 	u := g.activeUpstream
 	if u != nil {
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -38,6 +38,7 @@
 	hopReason         = hopPrefix + "Reason"
 	hopLoad           = hopPrefix + "Load"         // running,queued,slots,service time in microseconds
 	hopOrganisation   = hopPrefix + "Organisation" // name of the caller's organisation
+	hopRejected       = hopPrefix + "Rejected"     // in responses to nested calls: thousandths of other requests that the gate rejects, by priority
 	hopNested         = hopPrefix + "Nested"       // set for a nested call of a request that an upstream runs
 	hopRetry          = hopPrefix + "Retry"        // set for a retry that follows an arrival at an upstream, and for a nested call of one
 	hopCold           = hopPrefix + "Cold"         // in responses: remaining slow start in milliseconds, and the share of its limit that is free in thousandths
@@ -65,6 +66,7 @@
 	reasonFull           = "full"       // all known gates reported a queue that is too long
 	reasonOverload       = "overload"   // gates rejected most requests of the route recently; this one was not sent
 	reasonLink           = "link"       // the link of the gate's node is too busy for the body
+	reasonDependency     = "dependency" // a service that the request would call rejects others that are as urgent or more
 	reasonMemory         = "memory"     // the bodies of other requests leave too little memory for this one
 	reasonEvicted        = "evicted"
 	reasonEvacuated      = "evacuated" // the failure domain is evacuated; of an entry: all that remain are
--- a/app/proxy/nested.go
+++ b/app/proxy/nested.go
@@ -26,8 +26,9 @@
 // host and names its parent or expires with it. A nested call has not waited before, whatever other calls of its route have left.
 func (f *forwarding) recogniseNested() {
 	e := f.entry
-	if retry, ok := e.gate.namedParent(f.x.Remote, f.id); ok {
-		f.info.nested, f.info.ofRetry = true, retry
+	if parent, ok := e.gate.namedParent(f.x.Remote, f.id); ok {
+		f.info.nested, f.info.ofRetry = true, parent.retry
+		f.parentRoute, f.parentPriority = parent.route, parent.priority
 		e.metrics.count("entry", "nested")
 		return
 	}
@@ -42,16 +43,20 @@
 	e.metrics.count("entry", "nested")
 }
 
-// namedParent reports whether the id of a request from this host extends the id of one that the local upstream runs, and
-// whether that one is a retry.
-func (g *Gate) namedParent(client net.Addr, id string) (retry, ok bool) {
+// namedParent returns the request that the local upstream runs and whose id that of a request from this host extends.
+func (g *Gate) namedParent(client net.Addr, id string) (parent gateRequest, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u := g.activeUpstream
 	if u == nil || !fromHost(client, u.announcement.GetAddress()) {
-		return false, false
+		return gateRequest{}, false
 	}
-	return u.parents.Named(id)
+	parentID, ok := u.parents.Named(id)
+	if !ok {
+		return gateRequest{}, false
+	}
+	parent, ok = u.running[parentID]
+	return parent, ok
 }
 
 // matchParents compares the time limit of a request with those of the requests that the local upstream runs. ok is
--- a/core/admission/pressure.go
+++ b/core/admission/pressure.go
@@ -80,3 +80,13 @@
 
 // level returns the priority as an index.
 func (r Request) level() int { return min(int(r.Priority), priorities-1) }
+
+// RejectedShares returns by priority the shares of the requests, without nested calls, that were rejected recently.
+func (q *Queue) RejectedShares(now time.Time) [priorities]float64 {
+	q.pressure.decay(now)
+	var out [priorities]float64
+	for i := range out {
+		out[i] = q.pressure.rejectedShare(i)
+	}
+	return out
+}
--- a/core/nested/nested_test.go
+++ b/core/nested/nested_test.go
@@ -107,8 +107,8 @@
 		_, ok := p.Named(id)
 		is.Equal(ok, want)
 	}
-	retry, _ := p.Named("a7.b8.c9")
-	is.True(retry)
+	parent, _ := p.Named("a7.b8.c9")
+	is.Equal(parent, uint64(2))
 	p.Remove(1, "a7", time.Time{})
 	_, ok := p.Named("a7.c9")
 	is.True(!ok)
--- a/core/nested/parents.go
+++ b/core/nested/parents.go
@@ -32,24 +32,24 @@
 // safe for concurrent use.
 type Parents struct {
 	list []parent
-	byID map[string]parent // by the id that the caller chose
+	byID map[string]uint64 // unique id by the one that the caller chose
 }
 
 // Add adds a request that is sent to the upstream with a time limit. requestID is the id that the caller chose, id one
 // that is unique here. retry states that it is a retry or a nested call of one.
 func (p *Parents) Add(id uint64, requestID string, deadline time.Time, retry bool) {
 	if p.byID == nil {
-		p.byID = make(map[string]parent)
+		p.byID = make(map[string]uint64)
 	}
 	if requestID != "" {
-		p.byID[requestID] = parent{id: id, deadline: deadline, retry: retry}
+		p.byID[requestID] = id
 	}
 	p.list = slices.Insert(p.list, p.after(deadline), parent{id: id, deadline: deadline, retry: retry})
 }
 
 // Remove removes a request that was added with this id of its caller and this time limit.
 func (p *Parents) Remove(id uint64, requestID string, deadline time.Time) {
-	if p.byID[requestID].id == id {
+	if p.byID[requestID] == id {
 		delete(p.byID, requestID)
 	}
 	for i := p.after(deadline) - 1; i >= 0 && p.list[i].deadline.Equal(deadline); i-- {
@@ -63,15 +63,14 @@
 // idSeparators separate the id of the parent from what an upstream appends to it for a call.
 const idSeparators = ".:/-_"
 
-// Named reports whether the id of a call extends that of a running request, and whether that one is a retry or a nested
-// call of one.
-func (p *Parents) Named(callID string) (retry, ok bool) {
+// Named returns the running request whose id that of a call extends, by the unique id with which it was added.
+func (p *Parents) Named(callID string) (id uint64, ok bool) {
 	i := strings.LastIndexAny(callID, idSeparators)
 	if i <= 0 {
-		return false, false
+		return 0, false
 	}
-	parent, ok := p.byID[callID[:i]]
-	return parent.retry, ok
+	id, ok = p.byID[callID[:i]]
+	return id, ok
 }
 
 // after returns the index of the first request that expires after a time.
