--- a/app/proxy/harness_test.go
+++ b/app/proxy/harness_test.go
@@ -20,7 +20,7 @@
 )
 
 var testHeaders = Headers{
-	ID: "T-Id", RemainingMs: "T-Remaining", ExpectInstance: "T-Expect", NotRun: "T-Not-Run", Signature: "T-Signature", Caller: "T-Caller",
+	ID: "T-Id", RemainingMs: "T-Remaining", ExpectInstance: "T-Expect", NotRun: "T-Not-Run", Signature: "T-Signature", Caller: "T-Caller", ColdMs: "T-Cold",
 }
 
 // mesh is a Mesh whose view tests can change.
--- a/core/nodetable/table_test.go
+++ b/core/nodetable/table_test.go
@@ -138,3 +138,17 @@
 	}
 	return nil
 }
+
+// Guards against a second slow start of the same process that no other node hears of.
+func TestSlowStartThatBeginsAgainIsAChange(t *testing.T) {
+	is := is.New(t)
+	var u Upstream
+	for i, step := range []struct {
+		coldMs  uint32
+		changed bool
+	}{{8000, true}, {6500, false}, {5000, false}, {7900, true}, {0, true}, {0, false}, {8000, true}, {8100, false}} {
+		a := announcement("i", 20, uint64(i+1), serving)
+		a.ColdMs = step.coldMs
+		is.Equal(u.Apply(a, 1000), step.changed)
+	}
+}
