--- a/app/proxy/gate_cold.go
+++ b/app/proxy/gate_cold.go
@@ -171,6 +171,7 @@
 	p := g.coldPolicy(u)
 	left := c.tracker.Left(now, p.coldStart)
 	switch {
+	case c.probesLeft > 0 && p.healthPath != "" && c.tracker.Assumed(now, p.coldStart): // a probe may show that it is warm
 	case left == 0 && !c.publishedEnd.IsZero(), left > 0 && (c.publishedEnd.IsZero() || now.Add(left).Sub(c.publishedEnd).Abs() > coldShift):
 		changed = g.withColdLeft(now, u.announcement)
 	}
