--- a/app/meshnode/cluster_test.go
+++ b/app/meshnode/cluster_test.go
@@ -43,6 +43,7 @@
 	ends    func(path string) bool // whether a request ends its upstream
 	history history
 	log     lines // of the nodes
+	control atomic.Pointer[consensus.Host]
 }
 
 // lines keeps the log lines of the nodes, to explain requests that were not served.
@@ -161,6 +162,7 @@
 				Founders: c.seeds, Seeds: func() []string { return c.seeds },
 				ExtraHandlers: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
 					hosts[i].Store(p.Host)
+					c.control.Store(p.Host)
 					return map[string]fasthttp.RequestHandler{}
 				},
 			}, log.NewNopLogger())
