core/state: give each accepted evacuation order a serial

Cause: the end of an evacuation that was not in force changed nothing. An order to start it that was given before and arrived after it was still based on the newest serial, and was carried out. Change: an accepted order that changes nothing gets a serial too. The generated test gives orders to hosts that lag.

--- a/core/state/evacuation.go
+++ b/core/state/evacuation.go
@@ -13,8 +13,8 @@
 const maxEvacuations = 256
 
 // changeEvacuation starts or withdraws the evacuation of a failure domain. An order that changes nothing is accepted: it
-// was sent again. One that was received before the newest order about the domain was known is rejected, because it would
-// undo that one.
+// was sent again, or confirms what is in force. It gets a serial too, so that an older order that arrives late does not undo
+// it. An order that was received before the newest one about the domain was known is rejected, because it would undo that one.
 func (m *Machine) changeEvacuation(c *pb.Command, e *pb.ChangeEvacuation) *pb.CommandResult {
 	domain := e.GetFailureDomain()
 	if domain == "" {
@@ -22,7 +22,11 @@
 	}
 	p := &m.plans
 	current := p.evacuations[domain]
+	full := current == nil && len(p.evacuations) >= maxEvacuations
 	if current.GetActive() == e.GetActive() {
+		if !full {
+			p.setEvacuation(domain, e.GetActive())
+		}
 		return m.accepted()
 	}
 	if e.GetActive() && p.leavesNone(domain, e.GetFailureDomains()) {
@@ -34,11 +38,10 @@
 			Message: fmt.Sprintf("based on order %d about %s, the newest one is %d", e.GetBaseSerial(), domain, current.GetSerial()),
 		}
 	}
-	if current == nil && len(p.evacuations) >= maxEvacuations {
+	if full {
 		return invalid(problem("evacuation", "orders about %d failure domains are stored", maxEvacuations))
 	}
-	p.evacuationSerial++
-	p.evacuations[domain] = &pb.Evacuation{FailureDomain: domain, Active: e.GetActive(), Serial: p.evacuationSerial}
+	p.setEvacuation(domain, e.GetActive())
 	p.changes++
 	verb := "withdraw"
 	if e.GetActive() {
@@ -48,6 +51,12 @@
 	return m.accepted()
 }
 
+// setEvacuation records the newest order about a failure domain.
+func (p *plans) setEvacuation(domain string, active bool) {
+	p.evacuationSerial++
+	p.evacuations[domain] = &pb.Evacuation{FailureDomain: domain, Active: active, Serial: p.evacuationSerial}
+}
+
 // leavesNone reports whether the evacuation of a failure domain would leave none of the failure domains of the site. It is
 // false if the site is not known. The check is part of the replicated state, because two hosts may receive orders about
 // different failure domains at the same time.
--- a/core/state/evacuation_test.go
+++ b/core/state/evacuation_test.go
@@ -20,8 +20,8 @@
 }
 
 // Guards against an order that is carried out after a newer one about its failure domain, an order sent again that is
-// rejected or changes something, a site without a failure domain, and a snapshot that loses an order. Orders are given on
-// what a host knows, arrive later, and may be sent again meanwhile.
+// rejected or changes something, a site without a failure domain, and a snapshot that loses an order. Orders are given to
+// hosts that may lag, arrive later, and may be sent again meanwhile.
 func TestEvacuationOrdersInAnyInterleaving(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := New(nil)
@@ -29,18 +29,28 @@
 			domain string
 			active bool
 			base   uint64 // serial of the newest order about the domain that the host knew
+			given  int
 		}
 		var pending []order
+		serials, newest := make(map[string][]uint64), make(map[string]int) // newest: when the newest accepted order was given
 		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if len(pending) == 0 || rapid.Bool().Draw(t, "give") {
 				domain := rapid.SampledFrom(site).Draw(t, "domain")
-				pending = append(pending, order{domain, rapid.Bool().Draw(t, "active"), m.plans.evacuations[domain].GetSerial()})
+				known := append([]uint64{0}, serials[domain]...)
+				lag := min(rapid.IntRange(0, 2).Draw(t, "lag"), len(known)-1)
+				pending = append(pending, order{domain, rapid.Bool().Draw(t, "active"), known[len(known)-1-lag], i})
 				continue
 			}
 			o := rapid.SampledFrom(pending).Draw(t, "order")
 			before, changes := m.plans.evacuations[o.domain], m.plans.changes
 			r := m.applyCommand(evacuationCommand(fmt.Sprint(i), o.domain, o.active, o.base))
 			after := m.plans.evacuations[o.domain]
+			if after.GetActive() != before.GetActive() && o.given < newest[o.domain] {
+				t.Fatalf("%+v undid an order that was given at %d", o, newest[o.domain])
+			}
+			if r.GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED {
+				serials[o.domain], newest[o.domain] = append(serials[o.domain], after.GetSerial()), max(newest[o.domain], o.given)
+			}
 			switch {
 			case o.active == before.GetActive():
 				if r.GetOutcome() != pb.Outcome_OUTCOME_ACCEPTED || m.plans.changes != changes {
