app/proxy: keep keys and forged names from upstreams and logs

Cause: names like T_Tenant, which CGI reads as the header, and trailers were not tested and the first passed; log lines of unreadable requests quoted the header with its key; a withdrawn key still sent further attempts; the body of an unknown caller was read before 401; an attempt that may have run could end in 401; lines of unknown keys had no bound; no line or metric named the organisation. Change: similar names are removed; errors are logged without quotes of the input, also by the listeners of the HTTP library; a caller is identified anew before each attempt under a newer plan; bodies of unknown callers are not read; log lines name the organisation, or the seeded hash of an unknown key, at most 5 a second; metrics for the 32 organisations with most requests and for the others together; the body at hand counts as the size of an upload, and the entry passes limits.link_mbps to the placement. Measured: the tests of adapters/meshhttp, app/proxy, app/meshnode and app/meshcontrol pass; the new ones pass with -race. TestEarlyResponseWithResetIsNotPassedOn failed once (504, not 502) at a load of 23 on 7 processors, and passed 5 of 5 alone and twice in the whole package.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -97,6 +97,9 @@
 	if err := x.Request.Header.Read(c.br); err != nil {
 		return c.respondReadError(x, err)
 	}
+	if c.rejectsEarly(x) {
+		return c.respondEarly(x)
+	}
 	x.requestLease = c.server.options.Memory.Lease()
 	if err := body.CheckRequest(&x.Request, limits.BodyBytes, x.requestLease); err != nil {
 		return c.respondReadError(x, err)
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -76,6 +76,9 @@
 type ServerOptions struct {
 	Handler Handler
 	Limits  func() Limits
+	// AdmitHeader decides by the header of a request with a body whether the body is read. If it returns false, it has filled
+	// in the response, after which the connection closes. Nil: all bodies are read.
+	AdmitHeader func(x *Exchange) bool
 	// Admit decides whether a request that was read is handled. If it returns false, it has filled in the
 	// response, after which the connection closes. Nil: all are.
 	Admit func(x *Exchange) bool
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -146,7 +146,7 @@
 	handlers[o.MetricsAddress] = p.writeMetrics
 	var answering []*fasthttp.Server
 	for address, h := range handlers {
-		s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxRequestBytes}
+		s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, SecureErrorLogMessage: true, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxRequestBytes}
 		if err := listen(address, s.Serve); err != nil {
 			return err
 		}
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -44,6 +44,7 @@
 	LostAfter                                              time.Duration // time without an announcement after which the upstream is considered gone
 	RetryBudgetPercent                                     float64       // see proxy.EntryOptions, as RetryBudgetExtra and RetryBudgetWindow
 	RetryBudgetExtra                                       int
+	LinkMbps                                               float64
 	RetryBudgetWindow                                      time.Duration
 	Memory                                                 int // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
@@ -137,7 +138,7 @@
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
-		StopNotice: o.StopNotice,
+		StopNotice: o.StopNotice, LinkMbps: o.LinkMbps,
 	}, control, gate, p.gates, m, logger)
 	return components{Control: control, Gate: gate, Entry: entry}
 }
@@ -151,7 +152,7 @@
 		return m
 	}
 	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{
-		Handler: e.Handle, Limits: p.limits, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
+		Handler: e.Handle, Limits: p.limits, AdmitHeader: e.AdmitHeader, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
 	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
 		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
@@ -317,6 +318,6 @@
 }
 
 func serveHTTP(h fasthttp.RequestHandler) func(net.Listener) error {
-	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, IdleTimeout: gateIdleTimeout, ReadBufferSize: meshhttp.DefaultLimits.HeaderBytes}
+	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, SecureErrorLogMessage: true, IdleTimeout: gateIdleTimeout, ReadBufferSize: meshhttp.DefaultLimits.HeaderBytes}
 	return s.Serve
 }
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -31,6 +31,8 @@
 	RetryBudgetPercent float64
 	RetryBudgetExtra   int
 	RetryBudgetWindow  time.Duration
+	// LinkMbps is the rate of the link of this node in Mbit/s; 0: not known, and bodies count as sent at once.
+	LinkMbps float64
 	// StopNotice is the time for which a node that stops admits requests as usual, see drain.NewStop.
 	StopNotice time.Duration
 }
@@ -83,6 +85,7 @@
 	clientWaits clientWaits
 	sizes       sizes
 	durations   durations // of answered requests, with their queues and ways
+	unknownKeys *unknownKeyLog
 
 	mu             sync.Mutex
 	random         *rand.Rand
@@ -104,7 +107,7 @@
 	return &Entry{
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
-		clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, retryBudgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
+		clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)}, unknownKeys: newUnknownKeyLog(), retryBudgets: make(map[string]*retry.Budget), extra: make(map[string]*retry.Window),
 		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget),
 	}
 }
@@ -179,7 +182,7 @@
 	if len(id) > 0 {
 		x.Response.Header.SetBytesV(e.options.Headers.ID, id)
 	}
-	_ = e.logger.Log("event", "request not readable", "request", id, "status", status, "err", err, "client", x.Remote)
+	_ = e.logger.Log("event", "request not readable", "request", id, "status", status, "err", describeReadError(err), "client", x.Remote)
 	e.metrics.count("entry", reason)
 }
 
--- a/app/proxy/fingerprint.go
+++ b/app/proxy/fingerprint.go
@@ -12,7 +12,7 @@
 const maxFingerprintBody = 256 << 10
 
 // fingerprint identifies requests that are the same for an upstream, whichever client sent them and at whichever node:
-// service, method, host, target with its query, credentials and body. It uses a cryptographic hash, so that nobody can
+// service, organisation, method, host, target with its query, credentials and body. It uses a cryptographic hash, so that nobody can
 // build another request with the fingerprint of a given one.
 func fingerprint(service string, r *fasthttp.Request) uint64 {
 	h := sha256.New()
@@ -23,6 +23,9 @@
 		_, _ = h.Write(b)
 	}
 	body := r.Body()
+	if o := r.Header.Peek(hopOrganisation); len(o) > 0 { // upstreams may treat organisations differently
+		add(o, len(o))
+	}
 	for _, part := range [][]byte{
 		[]byte(service), r.Header.Method(), r.Header.Host(), r.Header.RequestURI(), r.Header.Peek(fasthttp.HeaderAuthorization),
 	} {
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -27,6 +27,7 @@
 
 	route     *pb.PlanRoute
 	info      requestInfo
+	keyPlan   uint64 // serial of the plan by which info was made
 	service   string
 	versions  versions
 	deadline  time.Time
@@ -64,6 +65,7 @@
 	if f.info, reason = identify(&f.entry.options.Headers, f.view.Plan, f.route, &f.x.Request.Header); reason != "" {
 		return 0, reason
 	}
+	f.keyPlan = f.view.Plan.Serial
 	timeout = time.Duration(f.route.GetTimeoutMs()) * time.Millisecond
 	if v := f.x.Request.Header.Peek(f.entry.options.Headers.RemainingMs); len(v) > 0 {
 		remaining, ok := parseMs(v)
@@ -130,17 +132,6 @@
 	}
 }
 
-// setOrganisation replaces the key by the name of the organisation, also where the client sent such a name.
-func (f *forwarding) setOrganisation(h *fasthttp.RequestHeader) {
-	names := &f.entry.options.Headers
-	delAny(h, names.Key)
-	delAny(h, names.Organisation)
-	if o := f.info.organisation; o != nil {
-		h.Set(names.Organisation, o.GetName())
-		h.Set(hopOrganisation, o.GetName())
-	}
-}
-
 // forward sends the request to gates, unless its service is known to be overloaded.
 func (f *forwarding) forward(ctx context.Context) {
 	if reason := f.checkSuspect(); reason != "" {
@@ -201,13 +192,17 @@
 	e := f.entry
 	now := time.Now()
 	f.view = e.mesh.View() // the view may have changed since the last attempt
+	if !f.identifyAgain() {
+		f.lastReason = reasonUnknownKey
+		return "", "", false
+	}
 	left := f.goal.Sub(now)
 	if left <= 0 {
 		left = f.deadline.Sub(now)
 	}
 	ask := placement.PickRequest{
 		Tried: f.isTried, Random: e.random.Float64, Service: f.service, TimeLeft: left,
-		Kilobytes: e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.info.priority,
+		Kilobytes: f.kilobytes(), LinkMbps: e.options.LinkMbps, Priority: f.info.priority,
 		MaxQueueWait: func(service time.Duration) time.Duration {
 			return admission.Request{Goal: f.goal, Deadline: f.deadline, GoalDuration: time.Duration(f.route.GetGoalMs()) * time.Millisecond}.MaxWait(now, service)
 		},
@@ -434,9 +429,10 @@
 	r := &f.x.Response
 	dropHopByHop(r)
 	dropHopHeaders(&r.Header, r.Header.All())
-	f.entry.sizes.record(f.route.GetName(), len(f.x.Request.Body())+len(r.Body()))
+	f.recordSize(r)
 	f.entry.metrics.observe("entry", f.route.GetName(), time.Since(f.x.Received))
 	f.entry.durations.record(f.kind(), time.Since(f.x.Received))
+	f.entry.metrics.organisations.answered(f.info.organisation.GetName(), time.Since(f.x.Received))
 	if a.status >= fasthttp.StatusInternalServerError {
 		f.log("failure of the upstream", "upstream", a.status)
 	}
@@ -467,7 +463,7 @@
 	switch {
 	case reason == reasonNoRoute:
 		status = fasthttp.StatusNotFound
-	case reason == reasonUnknownKey:
+	case reason == reasonUnknownKey && !f.mayHaveRun:
 		status = fasthttp.StatusUnauthorized
 	case reason == reasonBadRequest:
 		status = fasthttp.StatusBadRequest
@@ -490,6 +486,7 @@
 	}
 	r.SetBodyString(reason + "\n")
 	f.entry.metrics.count("entry", reason)
+	f.entry.metrics.organisations.rejected(f.info.organisation.GetName())
 	f.log("not answered", reason, status)
 }
 
@@ -506,12 +503,18 @@
 // of that view.
 func (f *forwarding) log(event, reason string, status int) {
 	now := time.Now()
+	caller, suppressed := f.describeCaller(reason)
+	if suppressed {
+		return
+	}
 	serial, number := uint64(0), uint64(0)
 	if f.view.Plan != nil {
 		serial, number = f.view.Plan.Serial, f.view.Plan.Plan.GetNumber()
 	}
-	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "detail", f.lastDetail, "status", status, "host", hostOf(&f.x.Request),
+	_ = f.entry.logger.Log(append([]any{
+		"event", event, "request", f.id, "reason", reason, "detail", f.lastDetail, "status", status, "host", hostOf(&f.x.Request),
 		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
 		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes, "without_upstream", f.withoutUpstream, "not_retried", f.notRetried,
-		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
+		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote),
+	}, caller...)...)
 }
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -135,7 +135,7 @@
 	if status == fasthttp.StatusServiceUnavailable {
 		reason = reasonMemory
 	}
-	g.reject(x, gateRequest{id: string(x.Request.Header.Peek(g.options.Headers.ID)), received: x.Received}, ranNo, reason, err.Error())
+	g.reject(x, gateRequest{id: string(x.Request.Header.Peek(g.options.Headers.ID)), received: x.Received}, ranNo, reason, describeReadError(err))
 }
 
 // admit waits for a slot. It returns the upstream and the queue id of the request,
--- a/app/proxy/harness_test.go
+++ b/app/proxy/harness_test.go
@@ -21,6 +21,7 @@
 
 var testHeaders = Headers{
 	ID: "T-Id", RemainingMs: "T-Remaining", ExpectInstance: "T-Expect", NotRun: "T-Not-Run", Signature: "T-Signature", Caller: "T-Caller",
+	Key: "T-Key", Organisation: "T-Tenant",
 }
 
 // mesh is a Mesh whose view tests can change.
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -167,16 +167,3 @@
 // response to that request, and so learns that the request did not run.
 const ClosingResponse = "HTTP/1.1 503 Service Unavailable\r\n" + hopRan + ": " + ranNo + "\r\n" + hopReason + ": " + reasonStopping +
 	"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
-// delAny removes all headers with a name in any case.
-func delAny(h *fasthttp.RequestHeader, name string) {
-	var names []string
-	for k := range h.All() {
-		if strings.EqualFold(string(k), name) {
-			names = append(names, string(k))
-		}
-	}
-	for _, n := range names {
-		h.Del(n)
-	}
-}
--- a/app/proxy/metrics.go
+++ b/app/proxy/metrics.go
@@ -14,7 +14,8 @@
 
 // Metrics counts the requests that pass through the entry and gate of a node.
 type Metrics struct {
-	set *metrics.Set
+	set           *metrics.Set
+	organisations *organisationMetrics
 
 	mu        sync.RWMutex
 	counters  map[string]*metrics.Counter
@@ -23,7 +24,7 @@
 
 // NewMetrics returns metrics that register their counters and histograms in the set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{set: set, counters: make(map[string]*metrics.Counter), latencies: make(map[string]*metrics.Histogram)}
+	return &Metrics{set: set, organisations: newOrganisationMetrics(set), counters: make(map[string]*metrics.Counter), latencies: make(map[string]*metrics.Histogram)}
 }
 
 // count counts a request by its reason; side is entry or gate.
--- a/app/proxy/request_info.go
+++ b/app/proxy/request_info.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,7 +13,7 @@
 type requestInfo struct {
 	organisation *pb.Organisation // nil: the plan has none, or the route is public
 	priority     uint32           // 0 is the most urgent; that of the organisation goes before that of the route
-	nested       bool             // a nested call of a request that the local upstream runs
+	nested       bool             // a nested call of a request that the local upstream runs; it carries no key, so its route is public
 	upload       bool             // the body is large; the request is not idempotent
 	// regions holds the lists of regions that the request is bound to, each of which must contain the region of an upstream.
 	regions [2][]string
@@ -27,14 +26,7 @@
 	if !t.HasOrganisations() || route.GetPublic() {
 		return info, ""
 	}
-	var key []byte
-	count := 0
-	for k, v := range h.All() {
-		if strings.EqualFold(string(k), names.Key) {
-			key = v
-			count++
-		}
-	}
+	key, count := keyOf(names, h)
 	if count != 1 {
 		return info, reasonUnknownKey
 	}
--- a/app/proxy/suspect_test.go
+++ b/app/proxy/suspect_test.go
@@ -105,6 +105,7 @@
 		func(r *fasthttp.Request) { r.Header.SetRequestURI("/w/1?q=2") },
 		func(r *fasthttp.Request) { r.SetBodyString("bodz") },
 		func(r *fasthttp.Request) { r.Header.Set(fasthttp.HeaderAuthorization, "x") },
+		func(r *fasthttp.Request) { r.Header.Set(hopOrganisation, "x") },
 	} {
 		is.True(request(change) != base)
 	}
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -119,7 +119,7 @@
 		EntryAddress: s.EntryAddress, GateAddress: s.GateAddress, PeerAddress: s.PeerAddress(), MetricsAddress: s.MetricsAddress(),
 		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
 		DrainBound: s.DrainBound, LostAfter: maxMissedAnnouncements * s.Heartbeat, StopBound: s.StopBound, StopNotice: platform.StopNotice,
-		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
+		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, LinkMbps: s.LinkMbps, RetryBudgetWindow: s.RetryBudgetWindow,
 		Memory: s.MemoryMB << 20,
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
