app/proxy, adapters/meshhttp: treat partly sent requests as not run

Cause: an upload whose body passed a slow link when its time limit or its connection ended was answered 504 or 502 as possibly run, and was not sent to another gate, although a gate runs only requests that it has read to the end. Change: the outcome of a call states whether a part of the request was not written; the entry takes such an attempt for not run. Calls of the gate to an upstream, which may begin with the header, are judged as before.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -74,6 +74,9 @@
 	// response is no proof that the request did not run. Without IDRequired, a response without an id
 	// that announces the end of the connection is confirmed only if the connection ends in order behind it.
 	Unconfirmed bool
+	// Incomplete is true if a part of the request was not written. A destination that handles only whole requests, as a Server
+	// does, has not handled it.
+	Incomplete bool
 }
 
 const (
@@ -123,6 +126,7 @@
 	confirmed bool // see Outcome.Unconfirmed
 	unframed  bool // the body of the last response ended with the connection
 	endRead   bool // the end of the connection was read during the call
+	cut       bool // a part of the request was not written
 }
 
 // Write writes to the connection and counts the bytes written.
@@ -150,7 +154,7 @@
 		defer l.Release()
 	}
 	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
-	out.Unconfirmed = out.Failure == Answered && !c.confirmed
+	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
 	if keep {
 		p.putIdle(address, c)
 	} else {
@@ -280,6 +284,7 @@
 	keep, err = c.receive(call, l)
 	c.confirmed = c.confirmed && !unsolicited
 	writeErr := c.finishWrite(writeDone, err == nil && c.unframed)
+	c.cut = writeErr != nil
 	if c.endRead && socket.WriteFailed(writeErr) {
 		// The write took the error of the connection, for example a reset, and the read then found an end.
 		c.confirmed = false
--- a/app/meshnode/cluster_test.go
+++ b/app/meshnode/cluster_test.go
@@ -37,6 +37,7 @@
 type cluster struct {
 	t       *testing.T
 	seeds   []string
+	submit  func(*pb.Command) *pb.CommandResult // to one of the control hosts
 	mu      sync.Mutex // guards changes of nodes, which announceAll reads
 	nodes   []*clusterNode
 	arrived func(path, id string)  // called with each request that an upstream begins to run; it may be nil
@@ -170,6 +171,7 @@
 		h := hosts[0].Load()
 		return h != nil && h.Submit(t.Context(), clusterPlan(t)).GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED
 	})
+	c.submit = func(command *pb.Command) *pb.CommandResult { return hosts[0].Load().Submit(t.Context(), command) }
 	for range nodes {
 		c.addNode()
 	}
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -259,6 +259,9 @@
 	latency     time.Duration
 }
 
+// detailIncomplete is the detail of an attempt whose body the gate did not receive to its end.
+const detailIncomplete = "a part of the body was not sent"
+
 // sendAttempt sends the request to one gate and records the outcome.
 func (f *forwarding) sendAttempt(ctx context.Context, gate, version string) attempt {
 	e := f.entry
@@ -283,7 +286,7 @@
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	out := placement.Outcome{
 		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
-		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
+		Failed: a.reason == reasonUpstreamNotRun || (o.Incomplete && o.Failure == meshhttp.ConnectionLost) || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered {
 		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
@@ -339,9 +342,15 @@
 
 // classify determines from the outcome and the headers of the gate whether the request ran.
 func (f *forwarding) classify(o meshhttp.Outcome) attempt {
-	switch o.Failure {
-	case meshhttp.NotSent:
+	switch {
+	case o.Failure == meshhttp.NotSent:
 		return attempt{ran: ranNo, reason: reasonUnreachable}
+	case o.Incomplete && o.Failure == meshhttp.TimedOut: // gates run only requests that they have read to the end
+		return attempt{ran: ranNo, reason: reasonDeadline, detail: detailIncomplete}
+	case o.Incomplete && o.Failure == meshhttp.ConnectionLost:
+		return attempt{ran: ranNo, reason: reasonUnreachable, detail: detailIncomplete}
+	}
+	switch o.Failure {
 	case meshhttp.TimedOut:
 		return attempt{ran: ranUnknown, reason: reasonDeadline}
 	case meshhttp.Cancelled:
--- a/app/proxy/organisation_test.go
+++ b/app/proxy/organisation_test.go
@@ -21,6 +21,7 @@
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/core/plan"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
+	"github.com/rattanfield/rattanfield/ports"
 )
 
 // withOrganisations puts a plan in force in which the organisations a and b hold the keys, and public routes exist.
@@ -406,6 +407,62 @@
 	}
 }
 
+// Guards against an upload that is given up although the gate has not received all of it and so has not run it: it is sent to
+// another gate, or answered as not run.
+func TestPartlySentUploadHasNotRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		hold time.Duration // until the gate closes the connection
+		good bool          // there is another gate
+		want int
+	}{
+		"closed, another gate":    {0, true, fasthttp.StatusOK},
+		"closed, no other gate":   {0, false, fasthttp.StatusServiceUnavailable},
+		"too slow for time limit": {5 * time.Second, false, fasthttp.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh()
+			withOrganisations(m, 2, "secret-a")
+			l := listen(t)
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						_, _ = conn.Read(make([]byte, 1000))
+						time.Sleep(c.hold)
+						_ = conn.Close()
+					}()
+				}
+			}()
+			m.change(func(v *controlclient.View) {
+				v.Endpoints["a"] = []*controlclient.Endpoint{{Gate: l.Addr().String(), Instance: "i0", Version: "v1", Slots: 9, Link: ports.LinkDomain}}
+			})
+			var n *node
+			if c.good {
+				n = newNode(t, m, "i1", succeed)
+				m.change(func(v *controlclient.View) { v.Endpoints["a"][1].Link = ports.LinkRemote }) // the other one comes first
+			}
+			x := request("/upload/1", "300")
+			x.Request.Header.SetMethod("POST")
+			x.Request.Header.Set(testHeaders.Key, "secret-a")
+			x.Request.SetBody(make([]byte, uploadBytes))
+			e := newTestEntry(m)
+			if c.good {
+				x.Request.Header.Set(testHeaders.RemainingMs, "9000")
+			}
+			e.Handle(t.Context(), x)
+			is.Equal(x.Response.StatusCode(), c.want)
+			is.Equal(len(x.Response.Header.Peek(fasthttp.HeaderRetryAfter)) > 0, c.want != 200)
+			if c.good {
+				is.Equal(len(n.upstream.last().Body()), uploadBytes)
+			}
+		})
+	}
+}
+
 // Guards against a body that arrives slowly and holds a slot, a place in the queue or the connection of another caller: at
 // the entry, and at the gate, to which a slow link carries it.
 func TestSlowBodyHoldsNoSlot(t *testing.T) {
