--- a/app/meshnode/cluster_test.go
+++ b/app/meshnode/cluster_test.go
@@ -38,7 +38,7 @@
 	t       *testing.T
 	seeds   []string
 	submit  func(*pb.Command) *pb.CommandResult // to one of the control hosts
-	mu      sync.Mutex // guards changes of nodes, which announceAll reads
+	mu      sync.Mutex                          // guards changes of nodes, which announceAll reads
 	nodes   []*clusterNode
 	arrived func(path, id string)  // called with each request that an upstream begins to run; it may be nil
 	ends    func(path string) bool // whether a request ends its upstream
