core/throttle, app/proxy: count uploads in transit as neither accepted nor not

Cause: the throttle compares the requests offered with those accepted so far. Uploads that are still being sent counted as not accepted, so that some of those which start together were rejected although the service was idle. Change: requests of routes of kind upload count when they end. Other routes are throttled as before. The same happens to other requests that take long when a service is first used; that is left to the overload part.

--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -99,7 +99,10 @@
 
 // throttleKey identifies the requests that are throttled together: those of one route to one
 // service and, during a rollout, to one version.
-type throttleKey struct{ route, service, version string }
+type throttleKey struct {
+	route, service, version string
+	upload                  bool
+}
 
 // NewEntry returns an entry. Requests that run on this host are passed to the gate
 // without a connection.
@@ -286,7 +289,7 @@
 		if len(e.throttles) >= maxRoutes {
 			clear(e.throttles)
 		}
-		t = &throttle.Throttle{}
+		t = &throttle.Throttle{CountAtEnd: key.upload}
 		e.throttles[key] = t
 	}
 	return t
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -138,7 +138,7 @@
 		f.reject(reason)
 		return
 	}
-	key := throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only}
+	key := throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only, upload: f.info.upload}
 	if !f.entry.offer(key) {
 		f.lastReason = reasonOverload
 		f.giveUp()
--- a/app/proxy/organisation_test.go
+++ b/app/proxy/organisation_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
@@ -35,7 +38,7 @@
 			public := true
 			target := []*pb.PlanTarget{{Service: "a", Weight: 1}}
 			p.Routes = append(p.Routes, &pb.PlanRoute{Name: "public", Host: "h", PathPrefix: "/public/", TimeoutMs: 2000, Targets: target, Public: &public},
-				&pb.PlanRoute{Name: "upload", Host: "h", PathPrefix: "/upload/", Upload: true, TimeoutMs: 2000, MaxAttempts: 2, Targets: target})
+				&pb.PlanRoute{Name: "upload", Host: "h", PathPrefix: "/upload/", Upload: true, TimeoutMs: 10_000, MaxAttempts: 2, Targets: target})
 		}
 		v.Plan = plan.NewTable(p, serial)
 	})
@@ -98,13 +101,20 @@
 	is.New(t).Equal(sendWith(t, newTestEntry(m), "/read/1"), fasthttp.StatusServiceUnavailable)
 }
 
-// recorder is a relay that records what its clients send.
+// recorder is a relay that records what its clients send, or has a rate instead.
 type recorder struct {
+	rate *rate.Limiter
 	mu   sync.Mutex
 	sent bytes.Buffer
 }
 
 func (r *recorder) Write(b []byte) (int, error) {
+	for left := len(b); r.rate != nil && left > 0; left -= r.rate.Burst() {
+		_ = r.rate.WaitN(context.Background(), min(left, r.rate.Burst()))
+	}
+	if r.rate != nil {
+		return len(b), nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.sent.Write(b)
@@ -463,6 +473,47 @@
 	}
 }
 
+// Guards against uploads on a slow link that hold the slots or connections which other requests need, and against ones that
+// end before their time limit. Load: 8 uploads of 360 KB at once to a gate with two slots, over a link of 6.1 Mbit/s, beside
+// small requests in turn.
+func TestUploadsOnSlowLink(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	withOrganisations(m, 2, "secret-a")
+	n := newNode(t, m, "i1", succeed)
+	link := &recorder{rate: rate.NewLimiter(6.1e6/8, 16<<10)}
+	m.change(func(v *controlclient.View) { v.Endpoints["a"][0].Gate = link.relay(t, n.address) })
+	e := newTestEntry(m)
+	var lines bytes.Buffer
+	e.logger = log.NewLogfmtLogger(log.NewSyncWriter(&lines))
+	n.gate.logger = e.logger
+	var uploads sync.WaitGroup
+	var served atomic.Int32
+	for range 8 {
+		uploads.Go(func() {
+			x := request("/upload/1", "9000")
+			x.Request.Header.Set(testHeaders.Key, "secret-a")
+			x.Request.SetBody(make([]byte, 360_000))
+			if e.Handle(t.Context(), x); x.Response.StatusCode() == fasthttp.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	small := 0
+	for done := false; !done; small++ {
+		done = served.Load() == 8 || small == 5000
+		x := request("/read/1", "9000")
+		x.Request.Header.Set(testHeaders.Key, "secret-a")
+		e.Handle(t.Context(), x)
+		is.Equal(x.Response.StatusCode(), fasthttp.StatusOK)
+	}
+	uploads.Wait()
+	t.Logf("%d small requests beside 8 uploads", small)
+	if served.Load() != 8 {
+		t.Error(lines.String())
+	}
+}
+
 // Guards against a body that arrives slowly and holds a slot, a place in the queue or the connection of another caller: at
 // the entry, and at the gate, to which a slow link carries it.
 func TestSlowBodyHoldsNoSlot(t *testing.T) {
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -26,6 +26,10 @@
 // Throttle decides which requests of one kind are rejected without being sent. The zero value
 // sends all requests. It is not safe for concurrent use.
 type Throttle struct {
+	// CountAtEnd counts a request that is sent only when it ends. Requests that take seconds to send would otherwise count
+	// as not accepted meanwhile: of 8 uploads that started at once, one or two were rejected although the service was idle.
+	CountAtEnd bool
+
 	offered, ended, accepted float64 // decayed with halfLife, as of countedAt
 	countedAt                time.Time
 }
@@ -34,9 +38,11 @@
 // [0,1). Done must be called for a request that is sent.
 func (t *Throttle) Offer(now time.Time, sample float64) bool {
 	t.decay(now)
-	probability := t.RejectionProbability()
-	t.offered++
-	return sample >= probability
+	send := sample >= t.RejectionProbability()
+	if !send || !t.CountAtEnd {
+		t.offered++
+	}
+	return send
 }
 
 // Done counts the outcome of a request that was sent. accepted is false if it was rejected for
@@ -44,6 +50,9 @@
 func (t *Throttle) Done(now time.Time, accepted bool) {
 	t.decay(now)
 	t.ended++
+	if t.CountAtEnd {
+		t.offered++
+	}
 	if accepted {
 		t.accepted++
 	}
--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -23,12 +23,25 @@
 	}
 }
 
+// Guards against uploads that are rejected because others are still being sent. Load: 60 that start within 0.6 s and end after it.
+func TestRequestsBeingSentAreNoRejections(t *testing.T) {
+	is := is.New(t)
+	throttle := Throttle{CountAtEnd: true}
+	for i := range 60 {
+		is.True(throttle.Offer(start.Add(time.Duration(i)*10*time.Millisecond), 0))
+	}
+	for range 60 {
+		throttle.Done(start.Add(time.Second), false)
+	}
+	is.True(!throttle.Offer(start.Add(time.Second), 0.5)) // their rejections count
+}
+
 // Guards against a service that receives many times the requests that it accepts, and against one
 // that receives too few to use its capacity.
 func TestSentRequestsStayNearTheAccepted(t *testing.T) {
 	is := is.New(t)
-	for _, capacity := range []float64{10, 40, 70} { // accepted of 100 requests per second
-		var throttle Throttle
+	for i, capacity := range []float64{10, 40, 70, 10, 40, 70} { // accepted of 100 requests per second
+		throttle := Throttle{CountAtEnd: i >= 3}
 		random := rand.New(rand.NewPCG(1, 2))
 		tokens, sent, accepted := 0.0, 0, 0
 		for i := range 3000 {
