--- a/app/proxy/organisation_test.go
+++ b/app/proxy/organisation_test.go
@@ -32,7 +32,7 @@
 	m.change(func(v *controlclient.View) {
 		p := &pb.Plan{
 			Number: serial, Services: v.Plan.Plan.GetServices(), Routes: v.Plan.Plan.GetRoutes(), HasOrganisations: true,
-			Organisations: []*pb.Organisation{{Name: "a", Keys: keysOfA, Priority: new(uint32(3))}, {Name: "b", Keys: []string{"secret-b"}}},
+			Organisations: []*pb.Organisation{{Name: "a", Keys: keysOfA, Priority: new(uint32(3))}, {Name: "Ünïon, B", Keys: []string{"secret-ß"}}},
 		}
 		if serial == 2 {
 			public := true
@@ -75,6 +75,7 @@
 	}{
 		{"/read/1", []string{"T-Key: secret-a"}, 200},
 		{"/read/1", []string{"t-kEY:secret-a2 "}, 200},
+		{"/read/1", []string{"T-Key: secret-ß"}, 200},
 		{"/read/1", nil, 401},
 		{"/read/1", []string{"T-Key:"}, 401},
 		{"/read/1", []string{"T-Key: Secret-a"}, 401},
@@ -97,6 +98,8 @@
 			}
 		}
 	}
+	sendWith(t, newTestEntry(m), "/read/1", "T-Key: secret-ß")
+	is.New(t).Equal(string(n.upstream.last().Header.Peek(testHeaders.Organisation)), "Ünïon, B")
 	m.change(func(v *controlclient.View) { v.Plan = nil })
 	is.New(t).Equal(sendWith(t, newTestEntry(m), "/read/1"), fasthttp.StatusServiceUnavailable)
 }
@@ -160,10 +163,10 @@
 	forged := [][]string{
 		{"T-Tenant: forged"},
 		{"t-tENANT: forged", "T-TENANT: forged-too"},
-		{"T_Tenant: forged", "t_tenant: forged", "T_Key: secret-b"},
+		{"T_Tenant: forged", "t_tenant: forged", "T_Key: secret-ß"},
 		{"X-Rattanfield-Organisation: forged", "X-Other: kept"},
-		{chunked, "Trailer: T-Tenant, T-Key", "", "4", "body", "0", "T-Tenant: forged", "T-Key: secret-b", "X-Rattanfield-Organisation: forged"},
-		{chunked, "", "4", "body", "0", "t-tenant: forged", "T_Tenant: forged", "t-key: secret-b"},
+		{chunked, "Trailer: T-Tenant, T-Key", "", "4", "body", "0", "T-Tenant: forged", "T-Key: secret-ß", "X-Rattanfield-Organisation: forged"},
+		{chunked, "", "4", "body", "0", "t-tenant: forged", "T_Tenant: forged", "t-key: secret-ß"},
 	}
 	ways := map[string]func(t *testing.T, m *mesh, e *Entry) (behave func(x *meshhttp.Exchange)){
 		"direct":     func(*testing.T, *mesh, *Entry) func(*meshhttp.Exchange) { return succeed },
