adapters/meshhttp, app/proxy: discard bodies of unknown callers

Cause: behind an early 401 the connection was closed at once; a client that still sent its body could see a reset instead of the answer. Change: up to 1 MiB of such a body is discarded while the answer is sent, and the connection stays open.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -78,7 +78,7 @@
 			return
 		}
 		c.queue <- x // never blocks: the queue has the same capacity as pipelined
-		if x.close {
+		if x.close || !c.discardUnread(x) {
 			return
 		}
 	}
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -58,6 +58,7 @@
 	requestLease *body.Lease   // holds the memory of the request body until the response is written; nil: none is held
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
+	unread       int           // length of the body that is discarded behind an early response, see AdmitHeader; negative: in chunks
 }
 
 // release returns the memory of the bodies.
@@ -76,8 +77,8 @@
 type ServerOptions struct {
 	Handler Handler
 	Limits  func() Limits
-	// AdmitHeader decides by the header of a request with a body whether the body is read. If it returns false, it has filled
-	// in the response, after which the connection closes. Nil: all bodies are read.
+	// AdmitHeader decides by the header of a request with a body whether the request is read. If it returns false, it has
+	// filled in the response, which is sent at once; the body is discarded. Nil: all requests are read.
 	AdmitHeader func(x *Exchange) bool
 	// Admit decides whether a request that was read is handled. If it returns false, it has filled in the
 	// response, after which the connection closes. Nil: all are.
