--- a/app/controlserver/evacuation_test.go
+++ b/app/controlserver/evacuation_test.go
@@ -13,6 +13,7 @@
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/platform"
+	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
 
 // orderTime is how long an operator sends an order again, and askTime how long it waits for an answer.
@@ -28,7 +29,7 @@
 	start, statuses := time.Now(), []int(nil)
 	for i := first; time.Since(start) < orderTime; i++ {
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		request.SetRequestURI("http://" + addresses[i%len(addresses)] + "/rattanfield/rpc?call=" + call + "&of=" + domain)
+		request.SetRequestURI(platformtest.CallURL(addresses[i%len(addresses)], call, domain))
 		request.Header.SetMethod(fasthttp.MethodPost)
 		client := fasthttp.Client{}
 		err := client.DoTimeout(request, response, min(askTime, orderTime-time.Since(start)))
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -46,8 +46,8 @@
 	LostAfter                                              time.Duration // time without an announcement after which the upstream is considered gone
 	RetryBudgetPercent                                     float64       // see proxy.EntryOptions, as RetryBudgetExtra and RetryBudgetWindow
 	RetryBudgetExtra                                       int
+	LinkMbps                                               float64 // bandwidth of the link of this host, each way; 0: not known
 	RetryBudgetWindow                                      time.Duration
-	LinkBytesPerSecond                                     float64 // see proxy.GateOptions
 	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions
 	Quotas                                                 quota.Settings
 	Memory                                                 int // bytes that the process may use; 0: defaultMemory
@@ -138,13 +138,13 @@
 		Outcomes: func() []*pb.RouteOutcomes { return gate.Outcomes() }, Suspects: list, Quotas: limits,
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
-		Headers: o.Headers, DrainBound: o.DrainBound, LinkBytesPerSecond: o.LinkBytesPerSecond, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
+		Headers: o.Headers, DrainBound: o.DrainBound, LinkMbps: o.LinkMbps, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
 		FailureDomain: o.FailureDomain, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
-		StopNotice: o.StopNotice, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack, Quotas: limits,
+		StopNotice: o.StopNotice, LinkMbps: o.LinkMbps, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack, Quotas: limits,
 	}, control, gate, p.gates, m, logger)
 	return components{Control: control, Gate: gate, Entry: entry}
 }
@@ -158,7 +158,7 @@
 		return m
 	}
 	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{
-		Handler: e.Handle, Limits: p.limits, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
+		Handler: e.Handle, Limits: p.limits, AdmitHeader: e.AdmitHeader, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
 	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
 		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, AdmitBody: g.AdmitBody, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
@@ -324,6 +324,6 @@
 }
 
 func serveHTTP(h fasthttp.RequestHandler) func(net.Listener) error {
-	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, IdleTimeout: gateIdleTimeout, ReadBufferSize: meshhttp.DefaultLimits.HeaderBytes}
+	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, SecureErrorLogMessage: true, IdleTimeout: gateIdleTimeout, ReadBufferSize: meshhttp.DefaultLimits.HeaderBytes}
 	return s.Serve
 }
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -34,6 +34,8 @@
 	RetryBudgetPercent float64
 	RetryBudgetExtra   int
 	RetryBudgetWindow  time.Duration
+	// LinkMbps is the rate of the link of this node in Mbit/s; 0: not known, and bodies count as sent at once.
+	LinkMbps float64
 	// StopNotice is the time for which a node that stops admits requests as usual, see drain.NewStop.
 	StopNotice time.Duration
 	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
@@ -84,6 +86,7 @@
 	durations   durations // of answered requests, with their queues and ways
 	retries     retries
 	nested      nestedCalls
+	unknownKeys *unknownKeyLog
 
 	mu             sync.Mutex
 	random         *rand.Rand
@@ -98,7 +101,10 @@
 
 // throttleKey identifies the requests that are throttled together: those of one route to one
 // service and, during a rollout, to one version.
-type throttleKey struct{ route, service, version string }
+type throttleKey struct {
+	route, service, version string
+	upload                  bool
+}
 
 // NewEntry returns an entry. Requests that run on this host are passed to the gate
 // without a connection.
@@ -107,7 +113,7 @@
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
 		retries: retries{options: o}, clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)},
-		pacer: coldstart.NewPacer(), domains: newDomains(),
+		unknownKeys: newUnknownKeyLog(), pacer: coldstart.NewPacer(), domains: newDomains(),
 		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget), shares: make(map[string]*fairness.Shares),
 	}
 }
@@ -183,7 +189,7 @@
 	if len(id) > 0 {
 		x.Response.Header.SetBytesV(e.options.Headers.ID, id)
 	}
-	_ = e.logger.Log("event", "request not readable", "request", id, "status", status, "err", err, "client", x.Remote)
+	_ = e.logger.Log("event", "request not readable", "request", id, "status", status, "err", describeReadError(err), "client", x.Remote)
 	e.metrics.count("entry", reason)
 }
 
@@ -273,7 +279,7 @@
 		if len(e.throttles) >= maxRoutes {
 			clear(e.throttles)
 		}
-		t = &throttle.Throttle{}
+		t = &throttle.Throttle{CountAtEnd: key.upload}
 		e.throttles[key] = t
 	}
 	return t
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -25,8 +25,9 @@
 	view  *controlclient.View
 	id    string
 
-	route *pb.PlanRoute
-	info  requestInfo
+	route   *pb.PlanRoute
+	info    requestInfo
+	keyPlan uint64 // serial of the plan by which info was made
 	// parentRoute and parentPriority are those of the request that made this nested call; "" if they are not known.
 	parentRoute    string
 	parentPriority uint32
@@ -72,6 +73,7 @@
 	if f.info, reason = identify(&f.entry.options.Headers, f.view.Plan, f.route, &f.x.Request.Header); reason != "" {
 		return 0, reason
 	}
+	f.keyPlan = f.view.Plan.Serial
 	timeout = time.Duration(f.route.GetTimeoutMs()) * time.Millisecond
 	if v := f.x.Request.Header.Peek(f.entry.options.Headers.RemainingMs); len(v) > 0 {
 		remaining, ok := parseMs(v)
@@ -141,17 +143,6 @@
 	}
 }
 
-// setOrganisation replaces the key by the name of the organisation, also where the client sent such a name.
-func (f *forwarding) setOrganisation(h *fasthttp.RequestHeader) {
-	names := &f.entry.options.Headers
-	delAny(h, names.Key)
-	delAny(h, names.Organisation)
-	if o := f.info.organisation; o != nil {
-		h.Set(names.Organisation, o.GetName())
-		h.Set(hopOrganisation, o.GetName())
-	}
-}
-
 // forward sends the request to gates, unless its service is known to be overloaded.
 func (f *forwarding) forward(ctx context.Context) {
 	if reason := f.checkSuspect(); reason != "" {
@@ -216,13 +207,17 @@
 	e := f.entry
 	now := time.Now()
 	f.view = e.mesh.View() // the view may have changed since the last attempt
+	if !f.identifyAgain() {
+		f.lastReason = reasonUnknownKey
+		return "", "", false
+	}
 	left := f.goal.Sub(now)
 	if left <= 0 {
 		left = f.deadline.Sub(now)
 	}
 	ask := placement.PickRequest{
 		Tried: f.isTried, Random: e.random.Float64, Service: f.service, TimeLeft: left,
-		Kilobytes: e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.info.priority,
+		Kilobytes: f.kilobytes(), LinkMbps: e.options.LinkMbps, Priority: f.info.priority,
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -284,6 +279,9 @@
 	latency     time.Duration
 }
 
+// detailIncomplete is the detail of an attempt whose body the gate did not receive to its end.
+const detailIncomplete = "a part of the body was not sent"
+
 // sendAttempt sends the request to one gate and records the outcome.
 func (f *forwarding) sendAttempt(ctx context.Context, gate, version string) attempt {
 	e := f.entry
@@ -315,7 +313,7 @@
 	f.countAttempt(gate, a, time.Now())
 	out := placement.Outcome{
 		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
-		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
+		Failed: a.reason == reasonUpstreamNotRun || (o.Incomplete && o.Failure == meshhttp.ConnectionLost) || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered && a.reason != reasonEvacuated { // the load of a closed gate is no measure of others
 		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
@@ -374,9 +372,15 @@
 
 // classify determines from the outcome and the headers of the gate whether the request ran.
 func (f *forwarding) classify(o meshhttp.Outcome) attempt {
-	switch o.Failure {
-	case meshhttp.NotSent:
+	switch {
+	case o.Failure == meshhttp.NotSent:
 		return attempt{ran: ranNo, reason: reasonUnreachable}
+	case o.Incomplete && o.Failure == meshhttp.TimedOut: // gates run only requests that they have read to the end
+		return attempt{ran: ranNo, reason: reasonDeadline, detail: detailIncomplete}
+	case o.Incomplete && o.Failure == meshhttp.ConnectionLost:
+		return attempt{ran: ranNo, reason: reasonUnreachable, detail: detailIncomplete}
+	}
+	switch o.Failure {
 	case meshhttp.TimedOut:
 		return attempt{ran: ranUnknown, reason: reasonDeadline}
 	case meshhttp.Cancelled:
@@ -468,9 +472,10 @@
 	r := &f.x.Response
 	dropHopByHop(r)
 	dropHopHeaders(&r.Header, r.Header.All())
-	f.entry.sizes.record(f.route.GetName(), len(f.x.Request.Body())+len(r.Body()))
+	f.recordSize(r)
 	f.entry.metrics.observe("entry", f.route.GetName(), time.Since(f.x.Received))
 	f.entry.durations.record(f.kind(), time.Since(f.x.Received))
+	f.entry.metrics.organisations.answered(f.info.organisation.GetName(), time.Since(f.x.Received))
 	if a.status >= fasthttp.StatusInternalServerError {
 		f.log("failure of the upstream", "upstream", a.status)
 	}
@@ -502,7 +507,7 @@
 	switch {
 	case reason == reasonNoRoute:
 		status = fasthttp.StatusNotFound
-	case reason == reasonUnknownKey:
+	case reason == reasonUnknownKey && !f.mayHaveRun:
 		status = fasthttp.StatusUnauthorized
 	case reason == reasonBadRequest:
 		status = fasthttp.StatusBadRequest
@@ -528,6 +533,7 @@
 	}
 	r.SetBodyString(reason + "\n")
 	f.entry.metrics.count("entry", reason)
+	f.entry.metrics.organisations.rejected(f.info.organisation.GetName())
 	f.log("not answered", reason, status)
 }
 
@@ -544,12 +550,18 @@
 // of that view.
 func (f *forwarding) log(event, reason string, status int) {
 	now := time.Now()
+	caller, suppressed := f.describeCaller(reason)
+	if suppressed {
+		return
+	}
 	serial, number := uint64(0), uint64(0)
 	if f.view.Plan != nil {
 		serial, number = f.view.Plan.Serial, f.view.Plan.Plan.GetNumber()
 	}
-	_ = f.entry.logger.Log("event", event, "request", f.id, "reason", reason, "detail", f.lastDetail, "status", status, "host", hostOf(&f.x.Request),
+	_ = f.entry.logger.Log(append([]any{
+		"event", event, "request", f.id, "reason", reason, "detail", f.lastDetail, "status", status, "host", hostOf(&f.x.Request),
 		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
 		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes, "without_upstream", f.withoutUpstream, "not_retried", f.notRetried,
-		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote))
+		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote),
+	}, caller...)...)
 }
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -44,8 +44,8 @@
 	ColdExcess, ColdSlack float64
 	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
 	Suspects *suspectlist.List
-	// LinkBytesPerSecond is the bandwidth of the link of this node; 0: not known, bodies are not scheduled.
-	LinkBytesPerSecond float64
+	// LinkMbps is the bandwidth of the link of this node in Mbit/s; 0: not known, bodies are not scheduled.
+	LinkMbps float64
 	// LostAfter is the time without an announcement after which an upstream is considered gone.
 	LostAfter time.Duration
 }
@@ -92,14 +92,16 @@
 	cold           gateCold
 }
 
+const bytesPerMbit = 1e6 / 8
+
 // NewGate returns a gate without an upstream. Announce adds one.
 func NewGate(o GateOptions, mesh Mesh, pool *meshhttp.Pool, m *Metrics, logger log.Logger) *Gate {
 	if o.Suspects == nil {
 		o.Suspects = suspectlist.New(func() {})
 	}
 	g := &Gate{options: o, mesh: mesh, pool: pool, metrics: m, logger: logger, suspects: o.Suspects, isolated: make(chan struct{}, 1), cold: newGateCold(time.Now())}
-	if o.LinkBytesPerSecond > 0 {
-		g.link = transfer.New(o.LinkBytesPerSecond)
+	if o.LinkMbps > 0 {
+		g.link = transfer.New(o.LinkMbps * bytesPerMbit)
 	}
 	return g
 }
@@ -156,7 +158,7 @@
 	if status == fasthttp.StatusServiceUnavailable {
 		reason = reasonMemory
 	}
-	g.reject(x, gateRequest{id: string(x.Request.Header.Peek(g.options.Headers.ID)), received: x.Received}, ranNo, reason, err.Error())
+	g.reject(x, gateRequest{id: string(x.Request.Header.Peek(g.options.Headers.ID)), received: x.Received}, ranNo, reason, describeReadError(err))
 }
 
 // admit waits for a slot. It returns the upstream and the queue id of the request,
--- a/app/proxy/gate_cold.go
+++ b/app/proxy/gate_cold.go
@@ -128,7 +128,7 @@
 func (g *Gate) hasColdRoom(now time.Time, u *upstream) bool {
 	p := g.coldPolicy(u)
 	return !p.bound.Applies() || g.cold.tracker.Left(now, p.coldStart) == 0 ||
-		g.cold.tracker.Room(now, p.bound) > u.queue.Load(now).Queued
+		g.cold.tracker.Room(now, p.bound) > u.queue.Waiting()
 }
 
 // takeColdRoom reports whether a request may be sent now, and counts it. The caller must hold g.mu.
--- a/app/proxy/waits.go
+++ b/app/proxy/waits.go
@@ -8,7 +8,7 @@
 
 // throttleKey identifies the throttle of the request.
 func (f *forwarding) throttleKey() throttleKey {
-	return throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only}
+	return throttleKey{route: f.route.GetName(), service: f.service, version: f.versions.only, upload: f.info.upload}
 }
 
 // maxQueueWait returns the function that tells how long the request may wait in a queue. While few requests of its kind
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -394,6 +394,9 @@
 	return max(time.Duration(q.serviceSeconds*float64(time.Second)), q.MeanRunningTime(now))
 }
 
+// Waiting returns the number of queued requests.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
 // Load returns the current load. Before the first sample, ServiceTime is MeanRunningTime.
 func (q *Queue) Load(now time.Time) Load {
 	queued := 0
