core/dependency: weigh the priority of each request, not of its route

Change: what is learned by route are the shares that the called service rejects; the limit follows from the priority of the request.

--- a/app/proxy/dependency.go
+++ b/app/proxy/dependency.go
@@ -26,7 +26,7 @@
 	d := &g.dependencies
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return rejectionSample(req.id) < d.routes.Rejection(time.Now(), req.route)
+	return rejectionSample(req.id) < d.routes.Rejection(time.Now(), req.route, int(req.priority))
 }
 
 // learnDependency applies what the response to a nested call tells about the service that it called.
@@ -41,7 +41,7 @@
 	d := &f.entry.gate.dependencies
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.routes.Learn(time.Now(), f.parentRoute, int(f.parentPriority), shares, a.ran == ranNo && lacksCapacity(a.reason))
+	d.routes.Learn(time.Now(), f.parentRoute, shares, a.ran == ranNo && lacksCapacity(a.reason))
 }
 
 // setRejectedHeader tells the entry of a nested call which share of other requests this gate rejects.
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -25,19 +25,17 @@
 	view  *controlclient.View
 	id    string
 
-	route   *pb.PlanRoute
-	info    requestInfo
-	keyPlan uint64 // serial of the plan by which info was made
-	// parentRoute and parentPriority are those of the request that made this nested call; "" if they are not known.
-	parentRoute    string
-	parentPriority uint32
-	service        string
-	versions       versions
-	deadline       time.Time
-	goal           time.Time
-	remaining      time.Duration // that the client states; 0: not stated
-	waited         time.Duration // time that the client spent on earlier attempts
-	out            *fasthttp.Request
+	route       *pb.PlanRoute
+	info        requestInfo
+	keyPlan     uint64 // serial of the plan by which info was made
+	parentRoute string // route of the request that made this nested call; "" if it is not known
+	service     string
+	versions    versions
+	deadline    time.Time
+	goal        time.Time
+	remaining   time.Duration // that the client states; 0: not stated
+	waited      time.Duration // time that the client spent on earlier attempts
+	out         *fasthttp.Request
 
 	arrived         bool               // an attempt reached an upstream, or may have
 	retryCause      string             // see retryCause; of the attempt in progress, "" for the first one
--- a/app/proxy/nested.go
+++ b/app/proxy/nested.go
@@ -28,7 +28,7 @@
 	e := f.entry
 	if parent, ok := e.gate.namedParent(f.x.Remote, f.id); ok {
 		f.info.nested, f.info.ofRetry = true, parent.retry
-		f.parentRoute, f.parentPriority = parent.route, parent.priority
+		f.parentRoute = parent.route
 		e.metrics.count("entry", "nested")
 		return
 	}
--- a/core/dependency/routes.go
+++ b/core/dependency/routes.go
@@ -32,8 +32,9 @@
 )
 
 type route struct {
-	rejection float64 // after the last nested call
-	at        time.Time
+	shares   Shares  // of the services that its nested calls go to, after the last call
+	rejected float64 // share of the nested calls that were rejected themselves
+	at       time.Time
 }
 
 // Routes holds what the nested calls of a node tell about the routes of their parents. The zero value knows no route. It is
@@ -41,8 +42,8 @@
 type Routes struct{ known map[string]*route }
 
 // Learn applies the end of a nested call: the shares that the called service rejects, and whether the call itself was
-// rejected. priority is that of the parent.
-func (r *Routes) Learn(now time.Time, name string, priority int, s Shares, rejected bool) {
+// rejected.
+func (r *Routes) Learn(now time.Time, name string, s Shares, rejected bool) {
 	x := r.known[name]
 	if x == nil {
 		if r.known == nil || len(r.known) >= maxRoutes {
@@ -51,24 +52,29 @@
 		x = &route{at: now}
 		r.known[name] = x
 	}
-	sample := 0.0
-	for p := range min(priority, Priorities-1) + 1 {
-		sample = max(sample, s[p]*(1+urgencyGain*float64(priority-p)))
+	weight := max(sampleWeight, 1-math.Exp2(-float64(now.Sub(x.at))/float64(sampleTime)))
+	for p := range s {
+		x.shares[p] += weight * (s[p] - x.shares[p])
 	}
+	own := 0.0
 	if rejected {
-		sample = 1
+		own = 1
 	}
-	weight := max(sampleWeight, 1-math.Exp2(-float64(now.Sub(x.at))/float64(sampleTime)))
-	x.rejection, x.at = x.rejection+weight*(min(1, sample)-x.rejection), now
+	x.rejected, x.at = x.rejected+weight*(own-x.rejected), now
 }
 
-// Rejection returns the share of new requests of a route that should be rejected, from 0 to maxRejection.
-func (r *Routes) Rejection(now time.Time, name string) float64 {
+// Rejection returns the share of new requests of a route and a priority that should be rejected, from 0 to maxRejection: as
+// large as that of requests of the same priority at the called service, and larger than that of more urgent ones.
+func (r *Routes) Rejection(now time.Time, name string, priority int) float64 {
 	x := r.known[name]
 	if x == nil {
 		return 0
 	}
-	rejection := x.rejection * math.Exp2(-float64(max(0, now.Sub(x.at)))/float64(halfLife))
+	rejection := x.rejected
+	for p := range min(priority, Priorities-1) + 1 {
+		rejection = max(rejection, x.shares[p]*(1+urgencyGain*float64(priority-p)))
+	}
+	rejection *= math.Exp2(-float64(max(0, now.Sub(x.at))) / float64(halfLife))
 	if rejection < least {
 		return 0
 	}
--- a/core/dependency/routes_test.go
+++ b/core/dependency/routes_test.go
@@ -24,14 +24,14 @@
 			now := base.Add(time.Duration(step) * 100 * time.Millisecond)
 			calls := 0.0
 			for range int(parents) {
-				if !limited || random.Float64() >= r.Rejection(now, "parent") {
+				if !limited || random.Float64() >= r.Rejection(now, "parent", 2) {
 					calls++
 				}
 			}
 			room := max(0, capacity-calls)
 			rejected += 0.05 * (1 - min(1, room/urgent) - rejected) // the service counts over about 2 s
 			for range int(calls) {
-				r.Learn(now, "parent", 2, Shares{rejected}, false)
+				r.Learn(now, "parent", Shares{rejected}, false)
 			}
 			if step >= 100 {
 				served += min(urgent, room)
@@ -54,15 +54,15 @@
 	is := is.New(t)
 	var r Routes
 	for i := range 100 {
-		r.Learn(base.Add(time.Duration(i)*10*time.Millisecond), "a", 1, Shares{0.4}, false)
-		r.Learn(base.Add(time.Duration(i)*10*time.Millisecond), "b", 0, Shares{0, 0.9, 0.9}, false)
+		r.Learn(base.Add(time.Duration(i)*10*time.Millisecond), "a", Shares{0.4}, false)
+		r.Learn(base.Add(time.Duration(i)*10*time.Millisecond), "b", Shares{0, 0.9, 0.9}, false)
 	}
-	is.True(r.Rejection(base.Add(time.Second), "a") > 0.3)
-	is.Equal(r.Rejection(base.Add(time.Second), "b"), 0.0)
-	is.Equal(r.Rejection(base.Add(time.Second), "unknown"), 0.0)
-	is.Equal(r.Rejection(base.Add(8*time.Second), "a"), 0.0)
+	is.True(r.Rejection(base.Add(time.Second), "a", 1) > 0.3)
+	is.Equal(r.Rejection(base.Add(time.Second), "b", 0), 0.0)
+	is.Equal(r.Rejection(base.Add(time.Second), "unknown", 2), 0.0)
+	is.Equal(r.Rejection(base.Add(8*time.Second), "a", 2), 0.0)
 	for range 100 {
-		r.Learn(base, "c", 0, Shares{}, true)
+		r.Learn(base, "c", Shares{}, true)
 	}
-	is.True(r.Rejection(base, "c") > 0.8) // the nested calls themselves are rejected
+	is.True(r.Rejection(base, "c", 0) > 0.8) // the nested calls themselves are rejected
 }
