core/throttle, core/placement: plan when rejected clients come back

Cause: Retry-After was 120 ms on average whatever the backlog. In the simulation that measures it, one or two of 18 gates drew the requests of all entries: requests waited on their links before the gate, which reported a short queue, while the others reported full queues. The budget of reroutes also counted requests that the throttle had rejected, so that under heavy overload nearly every rejected request was offered to two further gates. Change: Comeback gives the next rejected client a time behind those planned before, no faster than requests are accepted, behind the expected wait, with a spread, at most a third of its remaining time. The throttle rejects clients who come back 1.5 times as often as new ones. The picker measures the time of rejections on their way and adds it to the expected wait for about a second. Reroutes are a share of the requests that are sent. Tests of core/placement, core/throttle, core/admission and app/proxy pass. Preferring those who come back makes all answers late; they are planned in order instead. Not measured yet on a whole deployment.

--- a/app/proxy/client_waits_test.go
+++ b/app/proxy/client_waits_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
 // Checks that the time of a retried request counts from the client's first attempt,
@@ -23,3 +25,23 @@
 	}
 	is.Equal(w.waited("r", 2*time.Second), time.Duration(0))
 }
+
+// Guards against a Retry-After that does not depend on the number of clients that were sent away, or that exceeds what
+// clients honour. Load: 50 requests of a kind that are rejected at the same time, with 3 s left.
+func TestRetryAfterFollowsTheBacklog(t *testing.T) {
+	is := is.New(t)
+	e := newTestEntry(newMesh())
+	f := forwarding{entry: e, x: request("/write/1", ""), route: &pb.PlanRoute{Name: "write"}, service: "a"}
+	f.deadline = time.Now().Add(3 * time.Second)
+	for range 50 {
+		e.throttle(f.throttleKey()).Done(time.Now(), true)
+	}
+	first, last := f.retryAfter(reasonBusy), time.Duration(0)
+	for range 50 {
+		last = f.retryAfter(reasonOverload)
+		is.True(last <= time.Second)
+	}
+	t.Logf("first %v, last %v", first, last)
+	is.True(first < 200*time.Millisecond)
+	is.True(last > 400*time.Millisecond)
+}
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -51,8 +51,8 @@
 	rerouteBurst   = 10
 	// minRemaining is the least remaining time in which another attempt is worthwhile.
 	minRemaining = 15 * time.Millisecond
-	// retryAfter is the mean Retry-After of a response to a client whose request found no capacity.
-	// In this time a queue of the length that gates allow becomes noticeably shorter.
+	// retryAfter is the mean Retry-After of a rejection that has nothing to do with the load; for others see
+	// throttle.Comeback.
 	retryAfter       = 120 * time.Millisecond
 	retryAfterNoPlan = 300 * time.Millisecond
 	checkInterval    = 200 * time.Millisecond
@@ -84,7 +84,8 @@
 	picker         *placement.Picker
 	splitter       *plan.Splitter
 	throttles      map[throttleKey]*throttle.Throttle
-	rerouteBudgets map[string]*retry.Budget    // reroutes after rejections for lack of capacity, by service
+	rerouteBudgets map[string]*retry.Budget // reroutes after rejections for lack of capacity, by service
+	comebacks      map[throttleKey]*throttle.Comeback
 	shares         map[string]*fairness.Shares // requests by organisation, by service
 }
 
@@ -99,7 +100,7 @@
 		options: o, mesh: mesh, gate: gate, pool: pool, logger: logger, metrics: m,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), picker: placement.New(), splitter: plan.NewSplitter(),
 		retries: retries{options: o}, clientWaits: clientWaits{longestRemaining: make(map[string]time.Duration)}, sizes: sizes{bytes: make(map[string]float64)},
-		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget), shares: make(map[string]*fairness.Shares),
+		throttles: make(map[throttleKey]*throttle.Throttle), rerouteBudgets: make(map[string]*retry.Budget), shares: make(map[string]*fairness.Shares), comebacks: make(map[throttleKey]*throttle.Comeback),
 	}
 }
 
--- a/app/proxy/fair.go
+++ b/app/proxy/fair.go
@@ -12,19 +12,21 @@
 
 // offer counts a request and reports whether its service is expected to accept it. Under shortage, the requests that the
 // throttle rejects are those of the organisations that exceed their fair share of what is accepted.
-func (e *Entry) offer(now time.Time, key throttleKey, organisation string) bool {
+// again states that the client comes back after a rejection.
+func (e *Entry) offer(now time.Time, key throttleKey, organisation string, again bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rerouteBudget(key.service).CountCall()
 	t, sample := e.throttle(key), e.random.Float64()
-	send := t.Offer(now, sample)
-	if organisation == "" {
-		return send
+	send := t.OfferAgain(now, sample, again)
+	if organisation != "" {
+		s := e.serviceShares(key.service)
+		s.Add(now, organisation, 1)
+		if p := t.RejectionProbability(); p > 0 {
+			send = sample >= s.Excess(organisation, (1-p)*s.Total(now))
+		}
 	}
-	s := e.serviceShares(key.service)
-	s.Add(now, organisation, 1)
-	if p := t.RejectionProbability(); p > 0 {
-		return sample >= s.Excess(organisation, (1-p)*s.Total(now))
+	if send {
+		e.rerouteBudget(key.service).CountCall() // with those that are not sent, most of the others would be rerouted
 	}
 	return send
 }
--- a/app/proxy/fair_test.go
+++ b/app/proxy/fair_test.go
@@ -33,7 +33,7 @@
 		if e.random.Float64() < 70.0/150 {
 			organisation, size = strconv.Itoa(e.random.IntN(70)), "small"
 		}
-		send := e.offer(now, key, organisation)
+		send := e.offer(now, key, organisation, false)
 		if send {
 			accepted := tokens >= 1
 			if accepted {
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -153,7 +153,7 @@
 		f.tryGates(ctx) // never throttled
 		return
 	}
-	if !f.entry.offer(time.Now(), key, f.info.organisation.GetName()) {
+	if !f.entry.offer(time.Now(), key, f.info.organisation.GetName(), f.waited > 0) {
 		f.lastReason = reasonOverload
 		f.giveUp()
 		return
@@ -296,7 +296,7 @@
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	f.countAttempt(gate, a, time.Now())
 	out := placement.Outcome{
-		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
+		Latency: a.latency, NotRun: a.ran == ranNo, Waited: a.reason == reasonEvicted || a.reason == reasonDeadline, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered {
@@ -493,7 +493,7 @@
 	case f.entry.closed(reason):
 		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(f.entry.successorRetryAfter()))
 	default:
-		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(f.entry.randomRetryAfter()))
+		r.Header.Set(fasthttp.HeaderRetryAfter, formatSeconds(f.retryAfter(reason)))
 	}
 	r.SetStatusCode(status)
 	if f.id != "" {
--- a/app/proxy/waits.go
+++ b/app/proxy/waits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/throttle"
 )
 
 // throttleKey identifies the throttle of the request.
@@ -18,3 +19,28 @@
 	r := admission.Request{Goal: f.goal, Deadline: f.deadline, GoalDuration: time.Duration(f.route.GetGoalMs()) * time.Millisecond}
 	return func(service time.Duration) time.Duration { return r.MaxWaitInPeak(now, service, patience) }
 }
+
+// retryAfter returns the Retry-After of a rejection. For lack of capacity it follows the backlog of the service and the
+// number of clients that are to come back before this one.
+func (f *forwarding) retryAfter(reason string) time.Duration {
+	e := f.entry
+	if reason != reasonOverload && !lacksCapacity(reason) {
+		return e.randomRetryAfter()
+	}
+	now, key := time.Now(), f.throttleKey()
+	left := f.deadline.Sub(now)
+	if f.remaining > 0 {
+		left = f.x.Received.Add(f.remaining).Sub(now)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.comebacks[key]
+	if c == nil {
+		if len(e.comebacks) >= maxRoutes {
+			clear(e.comebacks)
+		}
+		c = &throttle.Comeback{}
+		e.comebacks[key] = c
+	}
+	return c.After(now, e.picker.ExpectedWait(key.service), e.throttle(key).AcceptedPerSecond(), left, e.random.Float64())
+}
--- a/core/placement/average.go
+++ b/core/placement/average.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/rattanfield/rattanfield/core/admission"
+import (
+	"time"
+
+	"github.com/rattanfield/rattanfield/core/admission"
+)
 
 // averageWeight is the weight of one reported load in an average; about the last 20 count.
 const averageWeight = 0.05
@@ -37,3 +41,10 @@
 	}
 	return a
 }
+
+// ExpectedWait returns the expected time of a request in the queue of a node of a service, by the loads that its nodes
+// reported.
+func (p *Picker) ExpectedWait(service string) time.Duration {
+	a := p.average(service)
+	return time.Duration(max(0, a.busy-1) * a.serviceTime * float64(time.Second))
+}
--- a/core/placement/cost.go
+++ b/core/placement/cost.go
@@ -157,5 +157,5 @@
 	reported := float64(n.load.Running+n.load.Queued-n.outstandingAtLoad)*freshness + avg.busy*float64(slots)*(1-freshness) + float64(n.outstanding)
 	busy := max(reported, float64(n.outstanding))
 	ahead := max(0, busy+1-float64(slots))
-	return serviceTime, time.Duration(ahead / float64(slots) * float64(serviceTime))
+	return serviceTime, time.Duration(ahead/float64(slots)*float64(serviceTime)) + max(0, n.expectedTransit(now)-roundTrip(c))
 }
--- a/core/placement/cost_test.go
+++ b/core/placement/cost_test.go
@@ -94,3 +94,24 @@
 	i, _ = p.Pick(base, list, ask)
 	is.Equal(list[i].Gate, "near")
 }
+
+// Guards against a node whose link is so busy that requests wait before its gate, which reports a short queue: it drew
+// the requests of all nodes while the others reported full queues.
+func TestBusyLinkIsAvoidedForAWhile(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	load := &admission.Load{Running: 9, Queued: 3, Slots: 9, ServiceTime: 100 * time.Millisecond}
+	for gate, transit := range map[string]time.Duration{"domain": 600 * time.Millisecond, "region": 20 * time.Millisecond} {
+		p.Sent(gate)
+		p.Done(base, gate, "a", Outcome{Load: load, NotRun: true, Latency: transit})
+	}
+	later := base.Add(2 * rejectionPenaltyTime)
+	is.Equal(pickFor(p, later, twoDomains, 2, 2), "region")
+	is.Equal(pickFor(p, base.Add(10*time.Second), twoDomains, 2, 2), "domain")
+	p.Sent("domain") // an answer that took less shows that the link is free again
+	p.Done(later, "domain", "a", Outcome{Load: load, Latency: 130 * time.Millisecond})
+	is.Equal(pickFor(p, later, twoDomains, 2, 2), "domain")
+	p.Sent("domain") // the wait in the queue of the gate is no time on the link
+	p.Done(later, "domain", "a", Outcome{Load: load, NotRun: true, Waited: true, Latency: 600 * time.Millisecond})
+	is.Equal(pickFor(p, later.Add(2*rejectionPenaltyTime), twoDomains, 2, 2), "domain")
+}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -30,6 +30,8 @@
 	// NotRun is set if the node did not run the request, such as for lack of capacity.
 	NotRun  bool
 	Latency time.Duration
+	// Waited is set if the node did not run the request after it had waited in the queue.
+	Waited bool
 }
 
 const (
@@ -63,6 +65,8 @@
 	avoidUntil            time.Time // not picked until then, because it was unavailable
 	unavailableCount      int       // times that avoidUntil was set since the node was last available
 	rejectionPenaltyUntil time.Time
+	transit               time.Duration // time of the last rejection on its way to the node and back, or of a faster answer
+	transitAt             time.Time
 }
 
 // Picker picks nodes for requests by the outcomes of earlier ones. It is not safe for
@@ -182,6 +186,7 @@
 		p.average(service).add(*o.Load)
 		n.load, n.loadAt, n.outstandingAtLoad = *o.Load, now, n.outstanding
 	}
+	n.recordTransit(now, o)
 	switch {
 	case o.Unavailable:
 		n.markUnavailable(now)
--- a/core/throttle/overload_test.go
+++ b/core/throttle/overload_test.go
@@ -64,12 +64,14 @@
 	tried    map[string]bool
 	reroutes int
 	gate     int
+	sent     time.Time
 }
 
 // simEntry is an entry with what it knows.
 type simEntry struct {
 	picker   *placement.Picker
 	throttle Throttle
+	comeback Comeback
 	search   *retry.Budget
 }
 
@@ -78,6 +80,8 @@
 // limited bandwidth.
 type overload struct {
 	throttled bool
+	planned   bool                                // rejected clients come back by Comeback, instead of after simRetryAfter
+	load      func(elapsed time.Duration) float64 // in multiples of the capacity
 	random    *rand.Rand
 	now       time.Time
 	events    events
@@ -86,6 +90,8 @@
 	nextID    uint64
 
 	requests, served, late, rejections, expired int
+	seed                                        uint64
+	refusedAgain                                int // clients who came back and were rejected a second time
 }
 
 func (o *overload) after(d time.Duration, run func()) {
@@ -93,19 +99,22 @@
 }
 
 func (o *overload) run(factor float64) {
-	o.random, o.now = rand.New(rand.NewPCG(7, 7)), start
+	if o.load == nil {
+		o.load = func(time.Duration) float64 { return factor }
+	}
+	o.random, o.now = rand.New(rand.NewPCG(7, 7+o.seed)), start
 	for i := range simGates {
 		o.gates = append(o.gates, &simGate{queue: admission.New(simSlots), waiting: make(map[uint64]*simRequest)})
 		o.targets = append(o.targets, placement.Candidate{Gate: string(rune('a' + i)), Slots: simSlots, Link: ports.LinkDomain})
 	}
-	perSecond := factor * simGates * simSlots / simService.Seconds()
+	perSecond := simGates * simSlots / simService.Seconds()
 	for range simEntries {
 		e := &simEntry{picker: placement.New(), search: retry.NewBudgetWithBurst(30, 10)}
 		var arrive func()
 		arrive = func() {
 			o.requests++
 			o.attempt(e, o.now.Add(simGoal), o.now.Add(simDeadline), simRetries)
-			o.after(time.Duration(o.random.ExpFloat64()/(perSecond/simEntries)*float64(time.Second)), arrive)
+			o.after(time.Duration(o.random.ExpFloat64()/(o.load(o.now.Sub(start))*perSecond/simEntries)*float64(time.Second)), arrive)
 		}
 		o.after(time.Duration(o.random.Float64()*float64(50*time.Millisecond)), arrive)
 	}
@@ -119,24 +128,32 @@
 func (o *overload) attempt(e *simEntry, goal, deadline time.Time, retries int) {
 	o.nextID++
 	r := &simRequest{id: o.nextID, entry: e, goal: goal, deadline: deadline, retries: retries, tried: make(map[string]bool)}
-	e.search.CountCall()
-	if o.throttled && !e.throttle.Offer(o.now, o.random.Float64()) {
+	if o.throttled && !e.throttle.OfferAgain(o.now, o.random.Float64(), o.planned && retries < simRetries) {
 		o.refuse(r)
 		return
 	}
+	e.search.CountCall()
 	o.send(r)
 }
 
 // refuse tells the client that the request did not run; it may return.
 func (o *overload) refuse(r *simRequest) {
-	if pause := time.Duration((0.5 + o.random.Float64()) * float64(simRetryAfter)); r.retries > 0 && o.now.Add(pause).Before(r.deadline) {
+	if r.retries == simRetries-1 {
+		o.refusedAgain++
+	}
+	pause := time.Duration((0.5 + o.random.Float64()) * float64(simRetryAfter))
+	if o.planned {
+		t := &r.entry.throttle
+		pause = r.entry.comeback.After(o.now, r.entry.picker.ExpectedWait("s"), t.AcceptedPerSecond(), r.deadline.Sub(o.now), o.random.Float64())
+	}
+	if r.retries > 0 && o.now.Add(pause).Before(r.deadline) {
 		o.after(pause, func() { o.attempt(r.entry, r.goal, r.deadline, r.retries-1) })
 	}
 }
 
 func (o *overload) send(r *simRequest) {
 	maxWait := func(service time.Duration) time.Duration {
-		return admission.Request{Goal: r.goal, Deadline: r.deadline, GoalDuration: simGoal}.MaxWait(o.now, service)
+		return admission.Request{Goal: r.goal, Deadline: r.deadline, GoalDuration: simGoal}.MaxWaitInPeak(o.now, service, admission.Patience(r.entry.throttle.RejectedShare()))
 	}
 	left := r.goal.Sub(o.now)
 	if left <= 0 {
@@ -150,7 +167,7 @@
 		o.refuse(r)
 		return
 	}
-	r.gate, r.tried[o.targets[i].Gate] = i, true
+	r.gate, r.tried[o.targets[i].Gate], r.sent = i, true, o.now
 	r.entry.picker.Sent(o.targets[i].Gate)
 	g := o.gates[i]
 	if g.linkFree.Before(o.now) {
@@ -165,7 +182,7 @@
 		ID: r.id, Goal: r.goal, Deadline: r.deadline, GoalDuration: simGoal, RejectionSample: o.random.Float64(),
 	})
 	for _, id := range evicted {
-		o.reject(g, g.waiting[id])
+		o.reject(g, g.waiting[id], true)
 	}
 	switch decision {
 	case admission.Started:
@@ -173,19 +190,19 @@
 	case admission.Queued:
 		g.waiting[r.id] = r
 	default:
-		o.reject(g, r)
+		o.reject(g, r, false)
 	}
 }
 
-func (o *overload) done(g *simGate, r *simRequest, notRun bool) {
+func (o *overload) done(g *simGate, r *simRequest, notRun, waited bool) {
 	load := g.queue.Load(o.now)
-	r.entry.picker.Done(o.now, o.targets[r.gate].Gate, "s", placement.Outcome{Load: &load, NotRun: notRun})
+	r.entry.picker.Done(o.now, o.targets[r.gate].Gate, "s", placement.Outcome{Load: &load, NotRun: notRun, Waited: waited, Latency: o.now.Sub(r.sent)})
 }
 
-func (o *overload) reject(g *simGate, r *simRequest) {
+func (o *overload) reject(g *simGate, r *simRequest, waited bool) {
 	delete(g.waiting, r.id)
 	o.rejections++
-	o.done(g, r, true)
+	o.done(g, r, true, waited)
 	r.reroutes++
 	if r.reroutes <= simReroutes && o.now.Before(r.deadline) && (!o.throttled || r.entry.search.TakeSaved()) {
 		o.send(r)
@@ -213,7 +230,7 @@
 			delete(g.waiting, id)
 			o.start(g, w)
 		}
-		o.done(g, r, false)
+		o.done(g, r, false, false)
 	})
 }
 
@@ -237,3 +254,32 @@
 		is.True(factor > 1 || float64(throttled.served+throttled.late) > 0.97*float64(plain.requests)) // no request suffers without overload
 	}
 }
+
+// Guards against clients who come back before there is room and are rejected a second time. Loads: a second at 2.6 times
+// the capacity in calm of 0.7, every four; and 1.3 and 2 times the capacity without end. A rejected client returns twice.
+func TestRejectedClientsComeBackWhenThereIsRoom(t *testing.T) {
+	is := is.NewRelaxed(t)
+	peak := func(elapsed time.Duration) float64 {
+		if elapsed%(4*time.Second) < time.Second {
+			return 2.6
+		}
+		return 0.7
+	}
+	for _, load := range []func(time.Duration) float64{peak, func(time.Duration) float64 { return 1.3 }, func(time.Duration) float64 { return 2 }} {
+		var fixed, planned overload // the sums of all seeds
+		for seed := range uint64(3) {
+			for _, sum := range []*overload{&fixed, &planned} {
+				o := overload{throttled: true, planned: sum == &planned, load: load, seed: seed}
+				o.run(0)
+				sum.requests, sum.served, sum.late, sum.refusedAgain = sum.requests+o.requests, sum.served+o.served, sum.late+o.late, sum.refusedAgain+o.refusedAgain
+			}
+		}
+		for name, o := range map[string]*overload{"fixed": &fixed, "planned": &planned} {
+			n := float64(o.requests)
+			t.Logf("%s: %.3f in time, %.3f late, rejected again %.3f of %d", name, float64(o.served)/n, float64(o.late)/n, float64(o.refusedAgain)/n, o.requests)
+		}
+		earned := func(o *overload) float64 { return float64(o.served) + 0.5*float64(o.late) }
+		is.True(float64(planned.refusedAgain) < 0.9*float64(fixed.refusedAgain))
+		is.True(earned(&planned) > 0.97*earned(&fixed))
+	}
+}
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -21,22 +21,37 @@
 	// prior is the number of accepted requests that are assumed beside the counted ones, so that a few
 	// rejections do not throttle a service with few requests.
 	prior = 5.0
+	// againFactor is the rejection probability of a client who came back, relative to the average. With a factor below 1,
+	// more clients were rejected twice and most answers were late (TestRejectedClientsComeBackWhenThereIsRoom): those who
+	// came back took the place of new ones, who were then late as well.
+	againFactor = 1.5
+	// maxReturned is the greatest share of clients who came back that changes the rejection probability of new ones.
+	maxReturned = 0.7
 )
 
 // Throttle decides which requests of one kind are rejected without being sent. The zero value
 // sends all requests. It is not safe for concurrent use.
 type Throttle struct {
-	offered, ended, accepted float64 // decayed with halfLife, as of countedAt
-	countedAt                time.Time
+	offered, returned, ended, accepted float64 // decayed with halfLife, as of countedAt
+	countedAt                          time.Time
 }
 
 // Offer counts a new request and reports whether it may be sent; sample is a uniform number in
 // [0,1). Done must be called for a request that is sent.
-func (t *Throttle) Offer(now time.Time, sample float64) bool {
+func (t *Throttle) Offer(now time.Time, sample float64) bool { return t.OfferAgain(now, sample, false) }
+
+// OfferAgain is Offer. again states that the client was rejected before and came back. It is rejected more often than a
+// new one, whose answer can still be in time, see againFactor.
+func (t *Throttle) OfferAgain(now time.Time, sample float64, again bool) bool {
 	t.decay(now)
 	probability := t.RejectionProbability()
 	t.offered++
-	return sample >= probability
+	if again {
+		t.returned++
+		return sample >= againFactor*probability
+	}
+	share := min(t.returned/t.offered, maxReturned)
+	return sample >= probability*max(0, 1-againFactor*share)/(1-share)
 }
 
 // Done counts the outcome of a request that was sent. accepted is false if it was rejected for
@@ -65,9 +80,14 @@
 	return max(0, t.ended-t.accepted) / (t.ended + prior)
 }
 
+// AcceptedPerSecond returns the number of requests per second that were accepted recently, with the assumed ones.
+func (t *Throttle) AcceptedPerSecond() float64 {
+	return (t.accepted + prior) * math.Ln2 / halfLife.Seconds()
+}
+
 func (t *Throttle) decay(now time.Time) {
 	if elapsed := now.Sub(t.countedAt); elapsed > 0 {
 		keep := math.Exp2(-float64(elapsed) / float64(halfLife))
-		t.offered, t.ended, t.accepted, t.countedAt = t.offered*keep, t.ended*keep, t.accepted*keep, now
+		t.offered, t.returned, t.ended, t.accepted, t.countedAt = t.offered*keep, t.returned*keep, t.ended*keep, t.accepted*keep, now
 	}
 }
