core/throttle: measure uneven demand in the simulation of overload

Change: the simulation of core/throttle knows upstreams of different speeds and a demand that moves through failure domains. The test compares the same two policies there, with the same conditions, and at one more load. placement.Picker.IgnoreBusy is visible to it.

--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -75,8 +75,8 @@
 	nodes map[string]*node // by gate
 	// averages are the average loads by service, used for nodes without a recent report.
 	averages map[string]*average
-	// ignoreBusy omits the cost of busy slots. Tests compare with it.
-	ignoreBusy bool
+	// IgnoreBusy omits busyCost, for simulations that compare with it.
+	IgnoreBusy bool
 }
 
 // New returns a picker that knows no outcomes.
@@ -136,7 +136,7 @@
 			continue
 		}
 		cost := n.cost(now, c, req, avg) + req.Random()*noise
-		if !p.ignoreBusy {
+		if !p.IgnoreBusy {
 			cost += busyCost * n.busyCostFactor(now, c, avg)
 		}
 		if cost < bestCost {
--- a/core/throttle/overload_test.go
+++ b/core/throttle/overload_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,6 +51,8 @@
 // simGate is a gate with its upstream and its link, on which requests queue.
 type simGate struct {
 	queue    *admission.Queue
+	speed    float64
+	arrivals [simLength / time.Second]float64
 	waiting  map[uint64]*simRequest
 	linkFree time.Time
 }
@@ -65,11 +68,13 @@
 	reroutes int
 	gate     int
 	sent     time.Time
+	arrived  time.Time
 }
 
 // simEntry is an entry with what it knows.
 type simEntry struct {
 	picker   *placement.Picker
+	targets  []placement.Candidate
 	throttle Throttle
 	comeback Comeback
 	search   *retry.Budget
@@ -82,16 +87,20 @@
 	throttled bool
 	planned   bool                                // rejected clients come back by Comeback, instead of after simRetryAfter
 	load      func(elapsed time.Duration) float64 // in multiples of the capacity
-	random    *rand.Rand
-	now       time.Time
-	events    events
-	gates     []*simGate
-	targets   []placement.Candidate
-	nextID    uint64
+	// uneven states that upstreams differ in speed and that the demand moves through four failure domains in two regions.
+	uneven     bool
+	ignoreBusy bool // see placement.Picker
+	random     *rand.Rand
+	now        time.Time
+	events     events
+	gates      []*simGate
+	nextID     uint64
 
 	requests, served, late, rejections, expired int
 	seed                                        uint64
-	refusedAgain                                int // clients who came back and were rejected a second time
+	refusedAgain                                int     // clients who came back and were rejected a second time
+	crossings, busiest                          float64 // requests to other failure domains, arrivals at the busiest upstream
+	waits                                       []time.Duration
 }
 
 func (o *overload) after(d time.Duration, run func()) {
@@ -102,19 +111,41 @@
 	if o.load == nil {
 		o.load = func(time.Duration) float64 { return factor }
 	}
+	perSecond := 0.0
 	o.random, o.now = rand.New(rand.NewPCG(7, 7+o.seed)), start
 	for i := range simGates {
-		o.gates = append(o.gates, &simGate{queue: admission.New(simSlots), waiting: make(map[uint64]*simRequest)})
-		o.targets = append(o.targets, placement.Candidate{Gate: string(rune('a' + i)), Slots: simSlots, Link: ports.LinkDomain})
+		g := &simGate{queue: admission.New(simSlots), waiting: make(map[uint64]*simRequest), speed: 1}
+		if o.uneven {
+			g.speed = []float64{0.55, 1.2, 1.2, 1.2}[i/4%4]
+		}
+		o.gates = append(o.gates, g)
+		perSecond += g.speed * simSlots / simService.Seconds()
 	}
-	perSecond := simGates * simSlots / simService.Seconds()
-	for range simEntries {
+	for j := range simEntries {
 		e := &simEntry{picker: placement.New(), search: retry.NewBudgetWithBurst(30, 10)}
+		e.picker.IgnoreBusy = o.ignoreBusy
+		for i := range simGates {
+			c := placement.Candidate{Gate: string(rune('a' + i)), Slots: simSlots, Link: ports.LinkDomain}
+			switch from, to := j%4, i%4; {
+			case !o.uneven || from == to:
+			case from/2 == to/2:
+				c.Link = ports.LinkRegion
+			default:
+				c.Link = ports.LinkRemote
+			}
+			e.targets = append(e.targets, c)
+		}
+		demand := func() float64 {
+			if !o.uneven {
+				return o.load(o.now.Sub(start))
+			}
+			return o.load(o.now.Sub(start)) * (1 + 0.55*math.Sin(2*math.Pi*(o.now.Sub(start).Seconds()/15-float64(j%4)/4)))
+		}
 		var arrive func()
 		arrive = func() {
 			o.requests++
 			o.attempt(e, o.now.Add(simGoal), o.now.Add(simDeadline), simRetries)
-			o.after(time.Duration(o.random.ExpFloat64()/(o.load(o.now.Sub(start))*perSecond/simEntries)*float64(time.Second)), arrive)
+			o.after(time.Duration(o.random.ExpFloat64()/(demand()*perSecond/simEntries)*float64(time.Second)), arrive)
 		}
 		o.after(time.Duration(o.random.Float64()*float64(50*time.Millisecond)), arrive)
 	}
@@ -159,7 +190,7 @@
 	if left <= 0 {
 		left = r.deadline.Sub(o.now)
 	}
-	i, _ := r.entry.picker.Pick(o.now, o.targets, placement.PickRequest{
+	i, _ := r.entry.picker.Pick(o.now, r.entry.targets, placement.PickRequest{
 		Tried: func(gate string) bool { return r.tried[gate] }, Service: "s", TimeLeft: left, Kilobytes: 6, MaxQueueWait: maxWait, Random: o.random.Float64,
 	})
 	if i < 0 {
@@ -167,17 +198,22 @@
 		o.refuse(r)
 		return
 	}
-	r.gate, r.tried[o.targets[i].Gate], r.sent = i, true, o.now
-	r.entry.picker.Sent(o.targets[i].Gate)
+	r.gate, r.tried[r.entry.targets[i].Gate], r.sent = i, true, o.now
+	r.entry.picker.Sent(r.entry.targets[i].Gate)
 	g := o.gates[i]
 	if g.linkFree.Before(o.now) {
 		g.linkFree = o.now
 	}
 	g.linkFree = g.linkFree.Add(simTransfer)
+	if r.entry.targets[i].Link != ports.LinkDomain {
+		o.crossings++
+	}
 	o.after(g.linkFree.Sub(o.now), func() { o.arrive(g, r) })
 }
 
 func (o *overload) arrive(g *simGate, r *simRequest) {
+	g.arrivals[min(int(o.now.Sub(start)/time.Second), len(g.arrivals)-1)]++
+	r.arrived = o.now
 	decision, evicted := g.queue.Offer(o.now, admission.Request{
 		ID: r.id, Goal: r.goal, Deadline: r.deadline, GoalDuration: simGoal, RejectionSample: o.random.Float64(),
 	})
@@ -196,7 +232,7 @@
 
 func (o *overload) done(g *simGate, r *simRequest, notRun, waited bool) {
 	load := g.queue.Load(o.now)
-	r.entry.picker.Done(o.now, o.targets[r.gate].Gate, "s", placement.Outcome{Load: &load, NotRun: notRun, Waited: waited, Latency: o.now.Sub(r.sent)})
+	r.entry.picker.Done(o.now, r.entry.targets[r.gate].Gate, "s", placement.Outcome{Load: &load, NotRun: notRun, Waited: waited, Latency: o.now.Sub(r.sent)})
 }
 
 func (o *overload) reject(g *simGate, r *simRequest, waited bool) {
@@ -214,7 +250,8 @@
 
 func (o *overload) start(g *simGate, r *simRequest) {
 	const spread = 0.8 // sigma of the log-normal service time
-	spent := time.Duration(math.Exp(spread*o.random.NormFloat64()-spread*spread/2) * float64(simService))
+	spent := time.Duration(math.Exp(spread*o.random.NormFloat64()-spread*spread/2) * float64(simService) / g.speed)
+	o.waits = append(o.waits, o.now.Sub(r.arrived))
 	o.after(spent, func() {
 		switch {
 		case o.now.After(r.deadline):
@@ -265,21 +302,64 @@
 		}
 		return 0.7
 	}
-	for _, load := range []func(time.Duration) float64{peak, func(time.Duration) float64 { return 1.3 }, func(time.Duration) float64 { return 2 }} {
-		var fixed, planned overload // the sums of all seeds
-		for seed := range uint64(3) {
-			for _, sum := range []*overload{&fixed, &planned} {
-				o := overload{throttled: true, planned: sum == &planned, load: load, seed: seed}
-				o.run(0)
-				sum.requests, sum.served, sum.late, sum.refusedAgain = sum.requests+o.requests, sum.served+o.served, sum.late+o.late, sum.refusedAgain+o.refusedAgain
-			}
-		}
-		for name, o := range map[string]*overload{"fixed": &fixed, "planned": &planned} {
+	for _, load := range []func(time.Duration) float64{peak, steady(1.3), steady(2)} {
+		fixed := sumOfSeeds(overload{throttled: true, load: load})
+		planned := sumOfSeeds(overload{throttled: true, planned: true, load: load})
+		for name, o := range map[string]*overload{"fixed": fixed, "planned": planned} {
 			n := float64(o.requests)
 			t.Logf("%s: %.3f in time, %.3f late, rejected again %.3f of %d", name, float64(o.served)/n, float64(o.late)/n, float64(o.refusedAgain)/n, o.requests)
 		}
 		earned := func(o *overload) float64 { return float64(o.served) + 0.5*float64(o.late) }
 		is.True(float64(planned.refusedAgain) < 0.9*float64(fixed.refusedAgain))
-		is.True(earned(&planned) > 0.97*earned(&fixed))
+		is.True(earned(planned) > 0.97*earned(fixed))
+	}
+}
+
+func steady(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+// sumOfSeeds returns the sums over three runs of a simulation.
+func sumOfSeeds(o overload) *overload {
+	var sum overload
+	for seed := range uint64(3) {
+		run := o
+		run.seed = seed
+		run.run(0)
+		sum.requests, sum.served, sum.late, sum.refusedAgain = sum.requests+run.requests, sum.served+run.served, sum.late+run.late, sum.refusedAgain+run.refusedAgain
+		sum.waits, sum.crossings = append(sum.waits, run.waits...), sum.crossings+run.crossings
+		for second := range run.gates[0].arrivals {
+			most, total := 0.0, 0.0
+			for _, g := range run.gates {
+				most, total = max(most, g.arrivals[second]), total+g.arrivals[second]
+			}
+			sum.busiest += most * simGates / total / float64(3*len(run.gates[0].arrivals))
+		}
+	}
+	slices.Sort(sum.waits)
+	return &sum
+}
+
+// Guards against queues at the upstreams of one failure domain while others have room. Load: upstreams of speeds 0.55 and
+// 1.2 in four failure domains, at 0.45 to 0.85 of their capacity, with a demand that moves through the domains in 15 s,
+// plus or minus 55%.
+func TestWorkMovesBeforeQueuesForm(t *testing.T) {
+	is := is.NewRelaxed(t)
+	for _, load := range []float64{0.45, 0.55, 0.7, 0.85} {
+		o := overload{throttled: true, planned: true, load: steady(load), uneven: true}
+		moving := sumOfSeeds(o)
+		o.ignoreBusy = true
+		present := sumOfSeeds(o)
+		p99 := func(o *overload) time.Duration { return o.waits[len(o.waits)*99/100] }
+		for name, o := range map[string]*overload{"present": present, "moving": moving} {
+			n := float64(o.requests)
+			t.Logf("load %.2f, %s: %.4f in time, %.4f late, rejected again %.4f; wait p99 %v; busiest %.2f; to other domains %.3f", load, name,
+				float64(o.served)/n, float64(o.late)/n, float64(o.refusedAgain)/n, p99(o).Round(time.Millisecond), o.busiest, o.crossings/n)
+		}
+		is.True(moving.busiest < present.busiest)
+		is.True(p99(moving) <= p99(present))
+		inTime := func(o *overload) float64 { return float64(o.served) / float64(o.requests) }
+		is.True(inTime(moving) > inTime(present))
+		is.True(load > 0.5 || moving.crossings < 0.1*float64(moving.requests)) // in calm, work stays in its domain
 	}
 }
