core/admission, core/throttle, app/proxy: count only what the load causes

Cause: a request whose time limit was out of reach counted as a rejection by load, and so raised the rejections of less urgent priorities; the time of a large body, or of a refusal by the upstream, counted as time on the link; a client without time left got a Retry-After of 0. Change: such requests do not count, such times are not measured, and that client gets the usual time.

--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -296,7 +296,7 @@
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	f.countAttempt(gate, a, time.Now())
 	out := placement.Outcome{
-		Latency: a.latency, NotRun: a.ran == ranNo, Waited: a.reason == reasonEvicted || a.reason == reasonDeadline, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
+		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered {
--- a/app/proxy/waits.go
+++ b/app/proxy/waits.go
@@ -44,3 +44,17 @@
 	}
 	return c.After(now, e.picker.ExpectedWait(key.service), e.throttle(key).AcceptedPerSecond(), left, e.random.Float64())
 }
+
+// maxQuickBody is the size of a body up to which the time of a rejection tells how busy a link is: 10 ms on a link of
+// 6 Mbit/s.
+const maxQuickBody = 8 << 10
+
+// waitedThere reports whether an attempt that did not run took longer than its way, because it was queued, reached the
+// upstream or had a large body.
+func (f *forwarding) waitedThere(a attempt) bool {
+	switch a.reason {
+	case reasonEvicted, reasonDeadline, reasonUpstreamNotRun:
+		return true
+	}
+	return len(f.x.Request.Body()) > maxQuickBody
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -134,7 +134,9 @@
 	full := len(q.waiting) >= q.maxQueued()
 	displaces := full && at <= last && (r.Nested || q.measured()) && !q.waiting[last].Nested
 	if (full && !displaces) || q.rejects(q.expectedWait(at, t), q.maxWait(now, r, t), r, q.Patience(now)) {
-		q.pressure.countRejected(r)
+		if r.Deadline.Sub(now) >= t.of(r) { // otherwise it is no matter of the load
+			q.pressure.countRejected(r)
+		}
 		return Busy, nil
 	}
 	if displaces {
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -30,7 +30,8 @@
 	// NotRun is set if the node did not run the request, such as for lack of capacity.
 	NotRun  bool
 	Latency time.Duration
-	// Waited is set if the node did not run the request after it had waited in the queue.
+	// Waited is set if Latency includes more than the way to the node and back although the node did not run the request,
+	// such as a wait in the queue or a large body.
 	Waited bool
 }
 
--- a/core/throttle/comeback.go
+++ b/core/throttle/comeback.go
@@ -26,10 +26,13 @@
 		begin = c.next
 	}
 	planned := begin.Add(time.Duration(float64(time.Second) / perSecond))
+	if left <= 0 { // another request of the client may follow
+		left = time.Duration(float64(minComeback) / honouredShare)
+	}
 	limit := time.Duration(honouredShare * float64(left))
 	if planned.Sub(now) <= limit {
 		c.next = planned // beyond the limit, the client cannot come when it could be served
 	}
 	mean := max(minComeback, min(planned.Sub(now), time.Duration(float64(limit)/(1+comebackSpread/2))))
-	return max(0, min(limit, time.Duration((1-comebackSpread/2+comebackSpread*sample)*float64(mean))))
+	return min(limit, time.Duration((1-comebackSpread/2+comebackSpread*sample)*float64(mean)))
 }
