app/proxy, core/placement: expect the time of a route when nodes are chosen

Cause: an entry judged the wait, the goal and the queue at a node by the mean time of all requests there. A short urgent request seemed late at every node of a service that also has long ones, and was rejected as full without being sent. Change: gates state the time that the upstream took; entries average it by route and scale it by the mean of the node. Measured: a request with 180 ms for wait and work is not sent to a node with a mean of 300 ms by the mean, and is sent with its own time of 50 ms (TestExpectedTimeIsThatOfTheKind). Tests of core/placement, core/throttle and app/proxy pass. Not measured on a whole deployment.

--- a/app/proxy/client_waits_test.go
+++ b/app/proxy/client_waits_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
@@ -45,3 +46,18 @@
 	is.True(first < 200*time.Millisecond)
 	is.True(last > 400*time.Millisecond)
 }
+
+// Guards against an entry that does not learn the time of a route on the upstream, or tells clients of it.
+func TestEntryLearnsTheTimeOfARoute(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	newNode(t, m, "i1", func(x *meshhttp.Exchange) {
+		time.Sleep(20 * time.Millisecond)
+		succeed(x)
+	})
+	e := newTestEntry(m)
+	x := send(e, "/read/1")
+	is.Equal(x.Response.StatusCode(), 200)
+	is.Equal(len(x.Response.Header.Peek(hopTook)), 0)
+	is.True(e.onUpstream.longest() >= 20*time.Millisecond)
+}
--- a/app/proxy/entry.go
+++ b/app/proxy/entry.go
@@ -76,6 +76,7 @@
 	clientWaits clientWaits
 	sizes       sizes
 	durations   durations // of answered requests, with their queues and ways
+	onUpstream  durations // of the same requests on the upstream, as gates state them
 	retries     retries
 	nested      nestedCalls
 
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -212,7 +212,8 @@
 	}
 	ask := placement.PickRequest{
 		Tried: f.isTried, Random: e.random.Float64, Service: f.service, TimeLeft: left,
-		Kilobytes: e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.info.priority,
+		ServiceTime: e.onUpstream.mean(f.kind()),
+		Kilobytes:   e.sizes.expectedKilobytes(f.route.GetName()), Priority: f.info.priority,
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -301,6 +302,7 @@
 	}
 	if o.Failure == meshhttp.Answered {
 		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
+		f.learnServiceTime(a)
 	}
 	e.mu.Lock()
 	e.picker.Done(time.Now(), gate, f.service, out)
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -311,6 +311,7 @@
 		}
 		x.Response.Header.Set(hopRan, ranYes)
 		x.Response.Header.Set(hopLoad, g.load(u))
+		x.Response.Header.Set(hopTook, strconv.FormatInt(latency.Microseconds(), 10))
 	case knownNotRun && o.Failure == meshhttp.Answered:
 		g.reject(x, req, ranNo, reasonUpstreamNotRun, strconv.Itoa(status))
 	case knownNotRun:
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -37,6 +37,7 @@
 	hopRan            = hopPrefix + "Ran"
 	hopReason         = hopPrefix + "Reason"
 	hopLoad           = hopPrefix + "Load"         // running,queued,slots,service time in microseconds
+	hopTook           = hopPrefix + "Took-Us"      // in a response: time of the request on the upstream, in microseconds
 	hopOrganisation   = hopPrefix + "Organisation" // name of the caller's organisation
 	hopNested         = hopPrefix + "Nested"       // set for a nested call of a request that an upstream runs
 	hopRetry          = hopPrefix + "Retry"        // set for a retry that follows an arrival at an upstream, and for a nested call of one
--- a/app/proxy/waits.go
+++ b/app/proxy/waits.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/rattanfield/rattanfield/core/admission"
 	"github.com/rattanfield/rattanfield/core/throttle"
 )
@@ -58,3 +61,11 @@
 	}
 	return len(f.x.Request.Body()) > maxQuickBody
 }
+
+// learnServiceTime records how long the upstream took for the request. Failures often take another time.
+func (f *forwarding) learnServiceTime(a attempt) {
+	us, err := strconv.ParseInt(string(f.x.Response.Header.Peek(hopTook)), 10, 64)
+	if err == nil && us > 0 && us < int64(maxMs)*1000 && a.ran == ranYes && a.status < fasthttp.StatusInternalServerError {
+		f.entry.onUpstream.record(f.kind(), time.Duration(us)*time.Microsecond)
+	}
+}
--- a/core/placement/busy.go
+++ b/core/placement/busy.go
@@ -40,3 +40,11 @@
 	share := min(1, n.busy(now, slots, avg)/float64(slots))
 	return math.Pow(share, busySteepness)
 }
+
+// ownServiceTime returns the expected time of the request on a node on which all requests take a mean time.
+func (r PickRequest) ownServiceTime(mean time.Duration, avg *average) time.Duration {
+	if r.ServiceTime <= 0 || avg.serviceTime <= 0 {
+		return mean
+	}
+	return time.Duration(float64(mean) * r.ServiceTime.Seconds() / avg.serviceTime)
+}
--- a/core/placement/cost.go
+++ b/core/placement/cost.go
@@ -77,6 +77,7 @@
 		return false
 	}
 	serviceTime, queueTime := n.expectedTimes(now, c, avg)
+	serviceTime = req.ownServiceTime(serviceTime, avg)
 	queueTime -= now.Sub(n.loadAt) // the queue has advanced since the report
 	return queueTime+roundTrip(c) > req.MaxQueueWait(serviceTime)+rejectionTolerance
 }
@@ -92,6 +93,7 @@
 // cost returns the expected cost of sending the request to the node, excluding noise.
 func (n *node) cost(now time.Time, c Candidate, req PickRequest, avg *average) float64 {
 	serviceTime, queueTime := n.expectedTimes(now, c, avg)
+	serviceTime = req.ownServiceTime(serviceTime, avg)
 	cost := lateCost*lateProbability(serviceTime, req.TimeLeft-queueTime-roundTrip(c)) + timeCost*(serviceTime+queueTime).Seconds()
 	cost += failureCost * max(n.failureRate(now), float64(c.Condition.Failing)/100)
 	if !c.Own {
--- a/core/placement/cost_test.go
+++ b/core/placement/cost_test.go
@@ -115,3 +115,20 @@
 	p.Done(later, "domain", "a", Outcome{Load: load, NotRun: true, Waited: true, Latency: 600 * time.Millisecond})
 	is.Equal(pickFor(p, later.Add(2*rejectionPenaltyTime), twoDomains, 2, 2), "domain")
 }
+
+// Guards against short requests that no node gets because the requests of the service take long on average, and against
+// long ones that are sent where they would be late.
+func TestExpectedTimeIsThatOfTheKind(t *testing.T) {
+	is := is.New(t)
+	p := New()
+	reportLoad(p, base, "domain", admission.Load{Running: 9, Queued: 1, Slots: 9, ServiceTime: 300 * time.Millisecond})
+	ask := PickRequest{
+		Tried: noneTried, Random: randomHalf, Service: "a", TimeLeft: 200 * time.Millisecond, Kilobytes: 2,
+		MaxQueueWait: func(service time.Duration) time.Duration { return 180*time.Millisecond - service },
+	}
+	i, _ := p.Pick(base, twoDomains[:1], ask)
+	is.Equal(i, -1)
+	ask.ServiceTime = 50 * time.Millisecond
+	i, _ = p.Pick(base, twoDomains[:1], ask)
+	is.Equal(i, 0)
+}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -104,6 +104,8 @@
 	Service string
 	// TimeLeft is the time until the latency goal or, if that has passed, until the deadline.
 	TimeLeft time.Duration
+	// ServiceTime is the mean time of this kind of request on the upstreams; 0: that of all requests.
+	ServiceTime time.Duration
 	// Kilobytes is the expected size of the request and its answer together.
 	Kilobytes float64
 	Priority  uint32 // 0 is the most urgent
