app/proxy, core/coldstart: make tests fail without each guard

Cause: with guards taken out one at a time, three tests still passed: free reroutes, the early rejection at a cold gate, and a window of one second. Change: requests meet more closed gates than they may be rerouted, a busy cold upstream is asked, and the requests of the generated schedules are delayed together.

--- a/app/proxy/evacuation_test.go
+++ b/app/proxy/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/app/controlclient"
+	"github.com/rattanfield/rattanfield/core/coldstart"
 	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/plan"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -116,18 +118,22 @@
 		asked += int(n.gate.metrics.set.GetOrCreateCounter(`rattanfield_requests_total{side="gate",reason="evacuated"}`).Get())
 	}
 	is.True(asked <= 1)
-	// A gate that lags behind the end closes only itself.
+	// A gate that lags behind the end closes only itself, and a request may meet more of them than it may be rerouted.
 	m.change(func(v *controlclient.View) { v.ChangeCount = 5 })
+	for range 3 {
+		_, own := newNodeIn(t, m, "d1", "r1", succeed)
+		own.change(evacuate("d1", true))
+	}
 	asksClosed := func() bool {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		v := m.View()
 		usable, _ := e.candidates(v, "a", versions{}, &requestInfo{}, time.Now())
-		return len(usable) == 4
+		return len(usable) == 7
 	}
 	is.True(asksClosed())
-	send(e, "/write/1")
 	for range 20 {
+		e = newTestEntry(m)
 		is.Equal(send(e, "/write/1").Response.StatusCode(), 200)
 	}
 }
@@ -326,3 +332,40 @@
 	is.Equal(x.Response.StatusCode(), 503)
 	is.Equal(string(x.Response.Body()), reasonCold+"\n")
 }
+
+// Guards against requests that wait at a cold upstream for a slot although it will not take them, and are not sent elsewhere.
+func TestColdGateQueuesNoMoreThanFits(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	n, own := newNodeIn(t, newMesh(), "d1", "r1", func(x *meshhttp.Exchange) {
+		<-release
+		succeed(x)
+	})
+	n.gate.options.ColdExcess, n.gate.options.ColdSlack = 1.5, 8
+	own.change(func(v *controlclient.View) { v.Plan = coldPlan() })
+	a := n.announcement("i-d1", 2, pb.UpstreamState_UPSTREAM_STATE_SERVING)
+	a.Slots = 8
+	n.gate.Announce(a)
+	n.gate.mu.Lock()
+	n.gate.cold.tracker = coldstart.NewTracker(time.Now().Add(-time.Minute))
+	n.gate.cold.tracker.Assume(time.Now())
+	n.gate.mu.Unlock()
+	var group sync.WaitGroup
+	var cold atomic.Int32
+	for range 40 {
+		group.Go(func() {
+			x := gateExchange("")
+			x.Request.Header.Set(hopGoalMs, "1900")
+			x.Request.Header.Set(hopGoalDurationMs, "100")
+			n.gate.Handle(t.Context(), x)
+			if string(x.Response.Header.Peek(hopReason)) == reasonCold {
+				cold.Add(1)
+			}
+		})
+	}
+	eventually(t, "requests that do not fit are rejected while others run", func() bool { return cold.Load() >= 14 })
+	eventually(t, "all slots are used", func() bool { return n.upstream.count() == 8 })
+	close(release)
+	group.Wait()
+	is.True(n.upstream.count() <= 26)
+}
--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -25,14 +25,20 @@
 		tracker := NewTracker(base)
 		now, cold, coldAt := base, false, time.Time{}
 		var arrivals []time.Time
-		for range rapid.IntRange(1, 600).Draw(t, "requests") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond)
+		pause := rapid.IntRange(2, 40).Draw(t, "longest pause")
+		late := rapid.IntRange(0, 700).Draw(t, "late") // requests before it take longest to arrive
+		for i := range rapid.IntRange(1, 700).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, pause).Draw(t, "pause")) * time.Millisecond)
 			if !cold && rapid.IntRange(0, 50).Draw(t, "event") == 0 {
 				tracker.Assume(now)
 				cold, coldAt = true, now
 			}
 			if tracker.Take(now, bound, time.Hour) && cold {
-				arrivals = append(arrivals, now.Add(time.Duration(rapid.IntRange(0, 240).Draw(t, "delay"))*time.Millisecond))
+				delay := rapid.IntRange(0, 240).Draw(t, "delay")
+				if i < late {
+					delay = 240
+				}
+				arrivals = append(arrivals, now.Add(time.Duration(delay)*time.Millisecond))
 			}
 		}
 		slices.SortFunc(arrivals, time.Time.Compare)
