app/proxy: start no request at a gate without a plan

Cause: a gate that has just started knows neither evacuations nor bounds of slow starts until its first answer from a control host, and ran what entries sent to it meanwhile. Change: where the settings have bounds.evac, cold_excess or cold_slack, such a gate rejects requests as not run, and entries go elsewhere without charge. The calls of the test of orders moved to platformtest, which may name them.

--- a/app/controlserver/evacuation_test.go
+++ b/app/controlserver/evacuation_test.go
@@ -13,6 +13,7 @@
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/app/controlclient"
 	"github.com/rattanfield/rattanfield/platform"
+	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
 
 // orderTime is how long an operator sends an order again, and askTime how long it waits for an answer.
@@ -23,24 +24,18 @@
 
 // order sends an order to one host after the other, beginning with the given one, until it is acknowledged. It returns the
 // time that this took.
-func order(t *testing.T, addresses []string, first int, call, domain string) time.Duration {
+func order(t *testing.T, addresses []string, first int, domain string, active bool) time.Duration {
 	t.Helper()
 	start, statuses := time.Now(), []int(nil)
 	for i := first; time.Since(start) < orderTime; i++ {
-		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		request.SetRequestURI("http://" + addresses[i%len(addresses)] + "/rattanfield/rpc?call=" + call + "&of=" + domain)
-		request.Header.SetMethod(fasthttp.MethodPost)
-		client := fasthttp.Client{}
-		err := client.DoTimeout(request, response, min(askTime, orderTime-time.Since(start)))
-		status := response.StatusCode()
-		client.CloseIdleConnections()
-		if err == nil && status == fasthttp.StatusOK {
+		status := platformtest.ChangeEvacuation(addresses[i%len(addresses)], domain, active, min(askTime, orderTime-time.Since(start)))
+		if status == fasthttp.StatusOK {
 			return time.Since(start)
 		}
 		statuses = append(statuses, status)
 		time.Sleep(50 * time.Millisecond)
 	}
-	t.Fatalf("%s of %s was not acknowledged: %v", call, domain, statuses)
+	t.Fatalf("evacuation of %s, %v: not acknowledged: %v", domain, active, statuses)
 	return 0
 }
 
@@ -74,7 +69,7 @@
 		client.Close()
 	})
 	eventually(t, "the plan at the node", func() bool { return n.View().Plan != nil })
-	t.Logf("start without a fault: acknowledged after %v", order(t, operators, 0, "evacuation.start", "d1"))
+	t.Logf("start without a fault: acknowledged after %v", order(t, operators, 0, "d1", true))
 	for i, pause := range []time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond} {
 		eventually(t, "a leader that all know", func() bool {
 			leader, _ := hosts[0].host.Leader()
@@ -91,14 +86,11 @@
 				leader = k
 			}
 		}
-		call, active := "evacuation.finish", false
-		if i%2 == 1 {
-			call, active = "evacuation.start", true
-		}
+		active := i%2 == 1
 		isolatedHosts.Store(a[leader], true)
 		time.Sleep(pause)
-		took := order(t, operators, leader+1, call, "d1")
-		t.Logf("%s %v after the loss of the leader: acknowledged after %v", call, pause, took)
+		took := order(t, operators, leader+1, "d1", active)
+		t.Logf("active %v, %v after the loss of the leader: acknowledged after %v", active, pause, took)
 		acknowledged := time.Now()
 		eventually(t, "the order at the node", func() bool { return n.View().Evacuated["d1"] == active })
 		t.Logf("in force at the node after %v", time.Since(acknowledged))
@@ -106,7 +98,7 @@
 		// Sent again, also to the host that is back, it is acknowledged and changes nothing.
 		isolatedHosts.Delete(a[leader])
 		changes := n.View().ChangeCount
-		order(t, operators, leader, call, "d1")
+		order(t, operators, leader, "d1", active)
 		eventually(t, "the order at all hosts", func() bool {
 			for _, h := range hosts {
 				if h.host.State().PlanChanges != changes {
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -45,8 +45,9 @@
 	RetryBudgetPercent                                     float64       // see proxy.EntryOptions, as RetryBudgetExtra and RetryBudgetWindow
 	RetryBudgetExtra                                       int
 	RetryBudgetWindow                                      time.Duration
-	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions
-	Memory                                                 int     // bytes that the process may use; 0: defaultMemory
+	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions, as AwaitPlan
+	AwaitPlan                                              bool
+	Memory                                                 int // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// StopNotice is the time from the stop signal until callers have learned that the node is not ready.
@@ -134,7 +135,7 @@
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
-		FailureDomain: o.FailureDomain, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
+		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
--- a/app/proxy/entry_cold.go
+++ b/app/proxy/entry_cold.go
@@ -188,10 +188,10 @@
 }
 
 // isFreeReroute reports whether a gate did not run a request for a reason that costs no capacity and says nothing of the
-// load: it has no upstream, its failure domain is evacuated or its upstream is cold.
+// load: it has no plan or upstream, its failure domain is evacuated or its upstream is cold.
 func isFreeReroute(a attempt) bool {
 	if a.ran != ranNo {
 		return false
 	}
-	return a.reason == reasonEvacuated || a.reason == reasonCold || (a.reason == reasonNoUpstream && a.latency < quickRejection)
+	return a.reason == reasonEvacuated || a.reason == reasonCold || a.reason == reasonNoPlan || (a.reason == reasonNoUpstream && a.latency < quickRejection)
 }
--- a/app/proxy/evacuation_test.go
+++ b/app/proxy/evacuation_test.go
@@ -333,6 +333,27 @@
 	is.Equal(string(x.Response.Body()), reasonCold+"\n")
 }
 
+// Guards against a gate that has just started and, not knowing of an evacuation or a slow start, runs what entries send to it.
+func TestGateWithoutPlanStartsNothing(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	n, own := newNodeIn(t, m, "d1", "r1", succeed)
+	other, _ := newNodeIn(t, m, "d2", "r1", succeed)
+	known := own.View().Plan
+	own.change(func(v *controlclient.View) { v.Plan = nil })
+	n.gate.options.AwaitPlan = true
+	e := newTestEntry(m)
+	for range 20 {
+		is.Equal(send(e, "/write/1").Response.StatusCode(), 200)
+	}
+	is.Equal(n.upstream.count(), 0)
+	is.Equal(other.upstream.count(), 20)
+	own.change(func(v *controlclient.View) { v.Plan = known })
+	x := gateExchange("id-1")
+	n.gate.Handle(t.Context(), x)
+	is.Equal(string(x.Response.Header.Peek(hopRan)), ranYes)
+}
+
 // Guards against requests that wait at a cold upstream for a slot although it will not take them, and are not sent elsewhere.
 func TestColdGateQueuesNoMoreThanFits(t *testing.T) {
 	is := is.New(t)
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -292,7 +292,7 @@
 	}
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	out := placement.Outcome{
-		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonStopping,
+		Latency: a.latency, NotRun: a.ran == ranNo, Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered && a.reason != reasonEvacuated { // the load of a closed gate is no measure of others
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -39,6 +39,9 @@
 	Report func(condition.Condition)
 	// FailureDomain is that of the upstream.
 	FailureDomain string
+	// AwaitPlan lets the gate start no request before the node has a plan, and with it the evacuations and the bounds of
+	// slow starts.
+	AwaitPlan bool
 	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
 	ColdExcess, ColdSlack float64
 	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
--- a/app/proxy/gate_cold.go
+++ b/app/proxy/gate_cold.go
@@ -90,8 +90,11 @@
 // domainReason returns the reason why no request starts in the failure domain, or "". The caller must hold g.mu.
 func (g *Gate) domainReason(now time.Time) string {
 	g.followView(now)
-	if g.evacuated {
+	switch {
+	case g.evacuated:
 		return reasonEvacuated
+	case g.options.AwaitPlan && g.mesh.View().Plan == nil:
+		return reasonNoPlan
 	}
 	return ""
 }
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -120,7 +120,7 @@
 		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
 		DrainBound: s.DrainBound, LostAfter: maxMissedAnnouncements * s.Heartbeat, StopBound: s.StopBound, StopNotice: platform.StopNotice,
 		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
-		Memory: s.MemoryMB << 20, ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack,
+		Memory: s.MemoryMB << 20, ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack, AwaitPlan: s.EvacuationBound > 0 || s.ColdExcess > 0 || s.ColdSlack > 0,
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
 				s.ReadyAddress: platform.ReadyHandler(p), s.ControlAddress: platform.AnnouncementHandler(p),
