app/meshnode: add gauges of evacuations and of the slow start

Cause: the metrics counted rejections, but did not say whether a node knows of an evacuation or takes its upstream for cold. Measured: the tests of evacuations, regions and cold upstreams of app/proxy pass twice with -race, TestEvacuationOfAFailureDomain twice with -race.

--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -137,6 +137,8 @@
 		Headers: o.Headers, DrainBound: o.DrainBound, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
 		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
+	set.NewGauge("rattanfield_upstream_cold_seconds", func() float64 { return gate.ColdLeft().Seconds() })
+	set.NewGauge("rattanfield_evacuated_domains", func() float64 { return float64(len(control.View().Evacuated)) })
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
--- a/app/proxy/evacuation_test.go
+++ b/app/proxy/evacuation_test.go
@@ -254,7 +254,7 @@
 		}
 		return most
 	}
-	eventually(t, "a probe finds it warm", func() bool { return n.coldLeft() == 0 })
+	eventually(t, "a probe finds it warm", func() bool { return n.gate.ColdLeft() == 0 })
 	is.True(play(300*time.Millisecond) > 33) // a warm upstream is not bounded
 	mu.Lock()
 	left = "6000"
@@ -274,13 +274,7 @@
 	a := n.announcement("i-d1", 2, pb.UpstreamState_UPSTREAM_STATE_SERVING)
 	a.ColdMs = 60_000
 	n.gate.Announce(a)
-	is.True(n.coldLeft() > 59*time.Second)
-}
-
-func (n *node) coldLeft() time.Duration {
-	n.gate.mu.Lock()
-	defer n.gate.mu.Unlock()
-	return n.gate.cold.tracker.Left(time.Now(), 8*time.Second)
+	is.True(n.gate.ColdLeft() > 59*time.Second)
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -310,12 +304,12 @@
 	cold.gate.mu.Lock()
 	cold.gate.cold.tracker.Probed(time.Now(), time.Now(), 0)
 	cold.gate.mu.Unlock()
-	is.Equal(cold.coldLeft(), time.Duration(0))
+	is.Equal(cold.gate.ColdLeft(), time.Duration(0))
 	_, reason := cold.ask(t)
 	is.Equal(reason, reasonNoUpstream)
-	is.True(cold.coldLeft() > 7*time.Second)
+	is.True(cold.gate.ColdLeft() > 7*time.Second)
 	cold.gate.Announce(cold.announcement("i-d1", 3, pb.UpstreamState_UPSTREAM_STATE_SERVING)) // it is back
-	is.True(cold.coldLeft() > 7*time.Second)
+	is.True(cold.gate.ColdLeft() > 7*time.Second)
 
 	e := newTestEntry(m)
 	e.options.RetryBudgetPercent, e.options.RetryBudgetExtra = 0, 0
--- a/app/proxy/gate_cold.go
+++ b/app/proxy/gate_cold.go
@@ -161,6 +161,20 @@
 	return a
 }
 
+// ColdLeft returns the remaining slow start of the upstream, as far as the gate knows; 0 if the plan does not bound it.
+func (g *Gate) ColdLeft() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.activeUpstream == nil {
+		return 0
+	}
+	p := g.coldPolicy(g.activeUpstream)
+	if !p.bound.Applies() {
+		return 0
+	}
+	return g.cold.tracker.Left(time.Now(), p.coldStart)
+}
+
 // followCold applies the view, tells other nodes of changes of the slow start, and sends the health probes that are due.
 func (g *Gate) followCold(ctx context.Context, now time.Time) {
 	var changed *pb.Announcement
