--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -48,7 +48,8 @@
 	RetryBudgetExtra                                       int
 	LinkMbps                                               float64 // bandwidth of the link of this host, each way; 0: not known
 	RetryBudgetWindow                                      time.Duration
-	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions
+	ColdExcess, ColdSlack                                  float64 // see proxy.GateOptions, as AwaitPlan
+	AwaitPlan                                              bool
 	Quotas                                                 quota.Settings
 	Memory                                                 int // bytes that the process may use; 0: defaultMemory
 	// StopBound is the time from the stop signal until the process is killed.
@@ -139,8 +140,10 @@
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LinkMbps: o.LinkMbps, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
-		FailureDomain: o.FailureDomain, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
+		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
+	set.NewGauge("rattanfield_upstream_cold_seconds", func() float64 { return gate.ColdLeft().Seconds() })
+	set.NewGauge("rattanfield_evacuated_domains", func() float64 { return float64(len(control.View().Evacuated)) })
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
 		RetryBudgetPercent: o.RetryBudgetPercent, RetryBudgetExtra: o.RetryBudgetExtra, RetryBudgetWindow: o.RetryBudgetWindow,
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -122,7 +122,7 @@
 		DrainBound: s.DrainBound, LostAfter: maxMissedAnnouncements * s.Heartbeat, StopBound: s.StopBound, StopNotice: platform.StopNotice,
 		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
 		Memory: s.MemoryMB << 20, LinkMbps: s.LinkMbps,
-		ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack,
+		ColdExcess: s.ColdExcess, ColdSlack: s.ColdSlack, AwaitPlan: s.EvacuationBound > 0 || s.ColdExcess > 0 || s.ColdSlack > 0,
 		Quotas: quota.Settings{Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: s.QuotaSlack},
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
