cmd/rattanfield-platform: test clients that are not controlled

Cause: Clients that send bodies and heads that stop short, that never read answers, or that keep opening connections are not covered by any test. Change: Add a crowd of 40 clients with 4 connections each against every listener of a node and of a control host, with lowered limits; a stop during each form; and legal bodies of 64 MiB on a node of 184 MB.

--- /dev/null
+++ b/cmd/rattanfield-platform/crowd_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rattanfield/rattanfield/platform/platformtest"
+)
+
+// The crowd, and the limits of the processes that it meets.
+const (
+	crowdClients     = 40
+	crowdConnections = 4 // of each client
+	crowdTime        = 2 * time.Second
+	crowdMemoryMB    = 64
+	crowdBodyBytes   = 4 << 20
+	crowdMaxFiles    = 300
+	// crowdOpenFiles bounds the descriptors of a process: the platform reserves 200 of its limit for files.
+	crowdOpenFiles = crowdMaxFiles - 200
+)
+
+// crowdForm is one way in which clients that are not controlled use a connection. send is called for each new connection. A
+// connection stays open until the crowd ends, unless reopen is set.
+type crowdForm struct {
+	name   string
+	send   func(c net.Conn, head string)
+	reopen bool
+}
+
+// write writes text until it is sent, or until the connection fails or the crowd ends, which a client of the crowd ignores.
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+// repeat writes a text again and again until a number of bytes is sent.
+func repeat(c net.Conn, text string, bytes int) bool {
+	block := strings.Repeat(text, max(1, 16<<10/len(text)))
+	for sent := 0; sent < bytes; sent += len(block) {
+		if !write(c, block) {
+			return false
+		}
+	}
+	return true
+}
+
+func crowdForms() []crowdForm {
+	withLength := func(length int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", length) }
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	return []crowdForm{
+		{name: "whole body that stops short", send: func(c net.Conn, head string) {
+			_ = write(c, head+withLength(crowdBodyBytes)) && repeat(c, "x", crowdBodyBytes-16<<10)
+		}},
+		{name: "body in pieces that stops short", send: func(c net.Conn, head string) {
+			ok := write(c, head+withLength(crowdBodyBytes))
+			for i := 0; ok && i < 15; i++ {
+				ok = repeat(c, "x", crowdBodyBytes/16)
+				time.Sleep(crowdTime / 32)
+			}
+		}},
+		{name: "large chunks", send: func(c net.Conn, head string) {
+			_ = write(c, head+chunked) && repeat(c, "10000\r\n"+strings.Repeat("x", 64<<10)+"\r\n", crowdBodyBytes-128<<10)
+		}},
+		{name: "chunks of one byte", send: func(c net.Conn, head string) {
+			_ = write(c, head+chunked) && repeat(c, "1\r\nx\r\n", 5*crowdBodyBytes)
+		}},
+		{name: "one chunk of the whole size", send: func(c net.Conn, head string) {
+			_ = write(c, head+chunked+fmt.Sprintf("%x\r\n", crowdBodyBytes)) && repeat(c, "x", crowdBodyBytes-16<<10)
+		}},
+		{name: "endless chunk extension", send: func(c net.Conn, head string) {
+			_ = write(c, head+chunked+"1;") && repeat(c, "a=b;", 1<<30)
+		}},
+		{name: "far over the limit, announced", send: func(c net.Conn, head string) {
+			_ = write(c, head+withLength(1<<30)) && repeat(c, "x", 1<<30)
+		}},
+		{name: "far over the limit, in chunks", send: func(c net.Conn, head string) {
+			_ = write(c, head+chunked) && repeat(c, "10000\r\n"+strings.Repeat("x", 64<<10)+"\r\n", 1<<30)
+		}},
+		{name: "heads that never end", send: func(c net.Conn, head string) {
+			for ok := write(c, head); ok; time.Sleep(time.Millisecond) {
+				ok = write(c, "X-Filler: "+strings.Repeat("x", 100)+"\r\n")
+			}
+		}},
+		{name: "answers that are never read", send: func(c net.Conn, head string) {
+			// The kernel holds part of what is not read. A small buffer leaves the rest to the process.
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			_ = repeat(c, head+"Content-Length: 0\r\n\r\n", 1<<30)
+		}},
+		{name: "closed and reopened at once", reopen: true, send: func(c net.Conn, head string) {
+			_ = write(c, head)
+		}},
+		{name: "open without a byte", send: func(net.Conn, string) {}},
+	}
+}
+
+// runCrowd runs the clients of a crowd and returns when all of their connections are closed.
+func runCrowd(address, head string, form crowdForm) {
+	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
+	defer cancel()
+	var clients sync.WaitGroup
+	for range crowdClients * crowdConnections {
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+				if err != nil {
+					time.Sleep(10 * time.Millisecond)
+					continue
+				}
+				stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+				form.send(c, head)
+				if !form.reopen {
+					<-ctx.Done()
+				}
+				stop()
+				_ = c.Close()
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// crowdTarget is a listener that a crowd uses. ordinary reports whether an ordinary request is answered.
+type crowdTarget struct {
+	name, address, head string
+	process             *exec.Cmd
+	ordinary            func() bool
+}
+
+// testCrowd runs all forms against a listener, one behind the other. After each, the process must live, its memory and its
+// descriptors must have stayed within their bounds, and an ordinary request must be answered.
+func testCrowd(t *testing.T, target crowdTarget) {
+	for _, form := range crowdForms() {
+		t.Run(form.name, func(t *testing.T) {
+			resetPeakMemory(t, target.process)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				runCrowd(target.address, target.head, form)
+			}()
+			files := 0
+			for ended := false; !ended; {
+				files = max(files, openFiles(t, target.process))
+				select {
+				case <-done:
+					ended = true
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+			if !reached(target.ordinary) {
+				t.Error("no ordinary request was answered afterwards")
+			}
+			peak := peakMemory(t, target.process)
+			t.Logf("peak of %d MB, %d descriptors", peak/1_000_000, files)
+			if peak > crowdMemoryMB*1_000_000 {
+				t.Errorf("the process used %d MB, its limit is %d", peak/1_000_000, crowdMemoryMB)
+			}
+			if files > crowdOpenFiles {
+				t.Errorf("the process opened %d descriptors, its bound is %d", files, crowdOpenFiles)
+			}
+		})
+	}
+}
+
+// Guards against clients that are not controlled and that end a process, or make it stop answering, through the memory or the
+// descriptors that it gives them.
+func TestCrowd(t *testing.T) {
+	m := startMesh(t, meshOptions{memoryMB: crowdMemoryMB, bodyBytes: crowdBodyBytes, maxFiles: crowdMaxFiles})
+	at := func(ip, port string) string { return net.JoinHostPort(ip, port) }
+	answers := func(url string) func() bool {
+		return func() bool {
+			r, err := http.NewRequest(http.MethodGet, url, nil)
+			if err != nil {
+				t.Error(err)
+				return true
+			}
+			resp, err := m.transport.RoundTrip(r)
+			if err != nil {
+				return false
+			}
+			_, _ = io.Copy(io.Discard, resp.Body) // only the status matters
+			return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+		}
+	}
+	serves := func() bool { return m.get("page", m.nextID()) == http.StatusOK }
+	request := "POST " + platformtest.LongWritePath + largePage + " HTTP/1.1\r\nHost: " + platformtest.HostName + "\r\n"
+	announcement := "POST /rattanfield/rpc?call=instances.heartbeat&of=j HTTP/1.1\r\nHost: h\r\n"
+	for _, target := range []crowdTarget{
+		{"entry", platformtest.EntryAddress(m.node), request, m.nodeProcess, serves},
+		{"gate", platformtest.GateAddress(m.node), request, m.nodeProcess, serves},
+		{"announcements", at(m.node, "18146"), announcement, m.nodeProcess, m.announce},
+		{"readiness", at(m.node, "18140"), "POST /rattanfield/readyz HTTP/1.1\r\nHost: h\r\n", m.nodeProcess, func() bool { return platformtest.Ready(m.node) }},
+		{"metrics", at(m.node, "18175"), "POST /metrics HTTP/1.1\r\nHost: h\r\n", m.nodeProcess, answers("http://" + at(m.node, "18175") + "/metrics")},
+		{"operators", at(m.control, "18146"), "POST /rattanfield/rpc?call=config.get HTTP/1.1\r\nHost: h\r\n", m.controlProcess, func() bool {
+			return platformtest.ReadPlan(m.control) == 1
+		}},
+	} {
+		t.Run(target.name, func(t *testing.T) { testCrowd(t, target) })
+	}
+}
+
+// Guards against clients that keep a process from ending in time after a stop signal.
+func TestStopDuringCrowd(t *testing.T) {
+	for _, form := range crowdForms() {
+		t.Run(form.name, func(t *testing.T) {
+			m := startMesh(t, meshOptions{memoryMB: crowdMemoryMB, bodyBytes: crowdBodyBytes, maxFiles: crowdMaxFiles})
+			request := "POST " + platformtest.LongWritePath + largePage + " HTTP/1.1\r\nHost: " + platformtest.HostName + "\r\n"
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				runCrowd(platformtest.EntryAddress(m.node), request, form)
+			}()
+			time.Sleep(crowdTime / 2)
+			if err := m.nodeProcess.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- m.nodeProcess.Wait() }()
+			select {
+			case err := <-ended:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(platformtest.Grace):
+				t.Error("the process would have been killed")
+			}
+			<-done
+		})
+	}
+}
+
+// Guards against a limit that refuses a legal request in calm on the smallest node of the deployments, or that a node exceeds
+// by serving it.
+func TestLargestBodyIsServed(t *testing.T) {
+	is := is.New(t)
+	const memoryMB, size, runs = 184, 64 << 20, 3
+	m := startMesh(t, meshOptions{memoryMB: memoryMB, bodyBytes: size})
+	for _, length := range []int64{size, -1} {
+		for range runs {
+			body := io.LimitReader(zeros{}, size)
+			is.Equal(m.send(http.MethodPost, platformtest.LongWritePath+"page", m.nextID(), platformtest.LongTimeout, body, length), http.StatusOK)
+		}
+	}
+	peak := peakMemory(t, m.nodeProcess)
+	t.Logf("the node used %d of %d MB", peak/1_000_000, memoryMB)
+	is.True(peak <= memoryMB*1_000_000)
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
--- a/core/plan/organisations.go
+++ b/core/plan/organisations.go
@@ -1,8 +1,8 @@
 package plan
 
 import (
-	"hash/maphash"
 	"crypto/subtle"
+	"hash/maphash"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
