adapters/memory, adapters/body: account memory, map large request bodies

Cause: Bodies, heads and answers have separate bounds or none, and a large body needs up to three times its size while its buffer grows. Change: Add an account that bounds what all connections hold, gives each user its share and names the connections that give way. Measured: The tests of adapters/memory and adapters/body pass. Conclusion: The servers do not use the account yet.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
+	"math/bits"
 	"net/http/httputil"
 	"slices"
 	"sync"
@@ -84,7 +86,10 @@
 	switch {
 	case length > uncountedBytes:
 		return appendFixed(r, br, length, l)
+	case length > 0 && !l.holdSmall(bufferBytes(length)), length == -1 && !l.holdSmall(uncountedBytes):
+		return ErrTooLarge
 	case length == -1:
+		l.most = min(limit, max(uncountedBytes, l.memory.largest))
 		size, err := appendBody(r, &limitedReader{src: httputil.NewChunkedReader(br), left: limit}, 0, l)
 		switch {
 		case err != nil && !l.allows(size):
@@ -100,6 +105,9 @@
 	}
 }
 
+// bufferBytes returns the size of the buffer that the HTTP library allocates for a body of a stated length.
+func bufferBytes(length int64) int64 { return 1 << bits.Len64(uint64(length-1)) }
+
 // unexpected turns the end of the input into an error that does not look like the regular end.
 func unexpected(err error) error {
 	if err == io.EOF {
@@ -135,6 +143,7 @@
 type message interface {
 	AppendBody(part []byte)
 	SwapBody(body []byte) (old []byte)
+	SetBodyRaw(body []byte)
 }
 
 // appendFixed reads a body of a stated length.
@@ -169,7 +178,11 @@
 		if err == nil {
 			continue
 		}
-		if large != nil {
+		switch {
+		case large == nil:
+		case l.mapping != nil:
+			r.SetBodyRaw(large) // a raw body never gets into the pool of the HTTP library
+		default:
 			r.SwapBody(large)
 		}
 		if err == io.EOF {
@@ -186,6 +199,9 @@
 // extend appends a part to a body and holds the memory for it. length is the stated length of the whole body, 0: none. It
 // returns false if there is no memory left.
 func (l *Lease) extend(b, part []byte, length int64) ([]byte, bool) {
+	if l.memory.mapped {
+		return l.extendMapped(b, part, cmp.Or(length, l.most))
+	}
 	size := int64(len(b) + len(part))
 	if size <= int64(cap(b)) {
 		return append(b, part...), true
@@ -200,7 +216,7 @@
 	if size >= length/wholeBufferShare && length > 0 {
 		grown = length // one copy of a small part, instead of one of a half
 	}
-	if !l.hold(grown + l.memory.replaced(b)) {
+	if !l.hold(grown + int64(cap(b))) {
 		return nil, false
 	}
 	out, ok := l.memory.allocate(grown)
--- /dev/null
+++ b/adapters/memory/memory.go
@@ -0,0 +1,335 @@
+// Package memory divides what a process has for its connections, bytes or descriptors, among their users. It decides who gets
+// room and which connection gives way. It reads no clock and does no I/O.
+package memory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Kind is a kind of user.
+type Kind uint8
+
+// Kinds of users. None may take the share of another one of its kind.
+const (
+	Source Kind = iota // the address of a client
+	Organisation
+	FailureDomain
+	kinds
+)
+
+var kindNames = [...]string{"source", "organisation", "failure_domain"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// user names a user of a kind.
+type user struct {
+	kind Kind
+	name string
+}
+
+// State tells how far a connection may give way to others.
+type State uint8
+
+// States of a Holder.
+const (
+	Busy    State = iota // its request runs; it does not give way
+	Waiting              // for the rest of a request, or for its client to read an answer
+	Idle                 // between requests
+)
+
+// minSilence is how long a connection must have been without a byte before it gives way to a user that does not have less than
+// its share. Connections that are sending are not closed for others that send.
+const minSilence = 300 * time.Millisecond
+
+// Account bounds what all its holders hold. It is safe for concurrent use.
+type Account struct {
+	limit, large int64
+	idleFirst    bool
+
+	mu        sync.Mutex
+	held      int64
+	heldLarge int64
+	byUser    map[user]int64
+	holders   map[*Holder]struct{}
+	released  chan struct{} // closed when a holder releases something; nil: nobody waits
+	refused   uint64
+	evicted   uint64
+}
+
+// NewAccount returns an account. Large messages together may hold at most large of the limit, so that the rest stays for
+// ordinary ones.
+func NewAccount(limit, large int64) *Account {
+	return &Account{limit: limit, large: large, byUser: make(map[user]int64), holders: make(map[*Holder]struct{})}
+}
+
+// NewSlots returns an account in which each holder takes one of a number of slots. Idle holders give way first.
+func NewSlots(n int64) *Account {
+	a := NewAccount(n, n)
+	a.idleFirst = true
+	return a
+}
+
+// Holder is a connection, or another user of the account. Its methods are safe for concurrent use.
+type Holder struct {
+	account *Account
+	evict   func()
+	users   [kinds]string // "": not known
+
+	held, heldLarge int64
+	evicted         bool
+	begin           time.Time
+	state           atomic.Uint32
+	lastByte        atomic.Int64 // nanoseconds since begin
+}
+
+// NewHolder returns a holder that holds nothing. evict is called, without a lock, when the holder has to give way; it must not
+// block. A holder without evict never gives way.
+func (a *Account) NewHolder(source, failureDomain string, now time.Time, evict func()) *Holder {
+	h := &Holder{account: a, evict: evict, begin: now}
+	h.users[Source], h.users[FailureDomain] = source, failureDomain
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holders[h] = struct{}{}
+	return h
+}
+
+// SetOrganisation states whose request the holder carries from now on; "": not known.
+func (h *Holder) SetOrganisation(name string) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if name == h.users[Organisation] {
+		return
+	}
+	a.addUser(Organisation, h.users[Organisation], -h.held)
+	a.addUser(Organisation, name, h.held)
+	h.users[Organisation] = name
+}
+
+// SetState sets the state of the holder and the time of its last byte.
+func (h *Holder) SetState(s State, lastByte time.Time) {
+	h.state.Store(uint32(s))
+	h.Touch(lastByte)
+}
+
+// Touch sets the time of the last byte.
+func (h *Holder) Touch(lastByte time.Time) { h.lastByte.Store(int64(lastByte.Sub(h.begin))) }
+
+// silentSince returns the time of the last byte.
+func (h *Holder) silentSince() time.Time { return h.begin.Add(time.Duration(h.lastByte.Load())) }
+
+// Evicted reports whether the holder has to give way.
+func (h *Holder) Evicted() bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	return h.evicted
+}
+
+// Add changes what the holder holds by n. It returns false, and changes nothing, if there is no room. Other holders may have
+// been told to give way then, see Account.Released. A negative n always succeeds.
+func (h *Holder) Add(n int64, large bool, now time.Time) bool {
+	a := h.account
+	a.mu.Lock()
+	if n <= 0 || a.fits(n, large) {
+		a.add(h, n, large)
+		a.mu.Unlock()
+		return true
+	}
+	victims, enough := a.victims(h, n, large, now)
+	for _, v := range victims {
+		v.evicted = true
+		a.evicted++
+	}
+	if !enough {
+		a.refused++
+	}
+	a.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+	return false
+}
+
+// Release returns all that the holder holds and removes it.
+func (h *Holder) Release() {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.holders[h]; !ok {
+		return
+	}
+	a.add(h, -h.heldLarge, true)
+	a.add(h, -h.held, false)
+	delete(a.holders, h)
+}
+
+// Released returns a channel that is closed when something is released. After an Add that failed, pending reports whether
+// holders that were told to give way still hold something.
+func (a *Account) Released() (released <-chan struct{}, pending bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for h := range a.holders {
+		if h.evicted && h.held > 0 {
+			pending = true
+			break
+		}
+	}
+	if a.released == nil {
+		a.released = make(chan struct{})
+	}
+	return a.released, pending
+}
+
+func (a *Account) fits(n int64, large bool) bool {
+	return a.held+n <= a.limit && (!large || a.heldLarge+n <= a.large)
+}
+
+func (a *Account) add(h *Holder, n int64, large bool) {
+	a.held += n
+	h.held += n
+	if large {
+		a.heldLarge += n
+		h.heldLarge += n
+	}
+	for k, name := range h.users {
+		a.addUser(Kind(k), name, n)
+	}
+	if n < 0 && a.released != nil {
+		close(a.released)
+		a.released = nil
+	}
+}
+
+func (a *Account) addUser(k Kind, name string, n int64) {
+	if name == "" {
+		return
+	}
+	u := user{k, name}
+	if a.byUser[u] += n; a.byUser[u] == 0 {
+		delete(a.byUser, u)
+	}
+}
+
+// share returns the part of the limit that each user of a kind gets, if the named one is among them.
+func (a *Account) share(k Kind, name string) int64 {
+	n := int64(0)
+	if _, ok := a.byUser[user{k, name}]; !ok {
+		n++
+	}
+	for u := range a.byUser {
+		if u.kind == k {
+			n++
+		}
+	}
+	return a.limit / n
+}
+
+// above returns the kinds in which a holder's user would hold more than its share with n more. A user that is alone in its
+// kind is never above it.
+func (a *Account) above(h *Holder, n int64, shares *[kinds]int64) (out [kinds]bool) {
+	for k, name := range h.users {
+		out[k] = name != "" && a.byUser[user{Kind(k), name}]+n > shares[k]
+	}
+	return out
+}
+
+// victims returns the holders that give way so that h can hold n more, besides those that already do. If too few can, it returns
+// none and false. Holders of users above their share come first, and then those that have been without a byte for the longest
+// time. A user that is above its share takes room only from itself; one below its share also takes it from connections above
+// theirs that are still sending.
+func (a *Account) victims(h *Holder, n int64, large bool, now time.Time) (out []*Holder, enough bool) {
+	need := n - (a.limit - a.held)
+	if large {
+		need = max(need, n-(a.large-a.heldLarge))
+	}
+	var shares [kinds]int64
+	for k, name := range h.users {
+		shares[k] = a.share(Kind(k), name)
+	}
+	requester := a.above(h, n, &shares)
+	type candidate struct {
+		*Holder
+		yields   bool
+		state    State
+		lastByte time.Time
+	}
+	var candidates []candidate
+	for c := range a.holders {
+		if c == h || c.evict == nil || State(c.state.Load()) == Busy || c.held == 0 || large && c.heldLarge == 0 && !a.idleFirst {
+			continue
+		}
+		if c.evicted {
+			need -= c.held // it is about to release
+			continue
+		}
+		silent, yields, allowed := now.Sub(c.silentSince()) >= minSilence, false, true
+		for k, is := range a.above(c, 0, &shares) {
+			same := c.users[k] == h.users[k]
+			yields = yields || is && !same
+			allowed = allowed && (!requester[k] || same)
+		}
+		if allowed && (silent || yields) {
+			candidates = append(candidates, candidate{c, yields, State(c.state.Load()), c.silentSince()})
+		}
+	}
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		switch {
+		case a.idleFirst && x.state != y.state:
+			return cmp.Compare(y.state, x.state)
+		case x.yields != y.yields && x.yields:
+			return -1
+		case x.yields != y.yields:
+			return 1
+		}
+		return x.lastByte.Compare(y.lastByte)
+	})
+	for _, c := range candidates {
+		if need <= 0 {
+			break
+		}
+		need -= c.held
+		out = append(out, c.Holder)
+	}
+	if need > 0 {
+		return nil, false
+	}
+	return out, true
+}
+
+// Usage is what a user holds.
+type Usage struct {
+	Kind Kind
+	Name string
+	Held int64
+}
+
+// Top returns the users of each kind that hold the most, at most n of a kind.
+func (a *Account) Top(n int) []Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []Usage
+	for k := range kinds {
+		var all []Usage
+		for u, held := range a.byUser {
+			if u.kind == k {
+				all = append(all, Usage{u.kind, u.name, held})
+			}
+		}
+		slices.SortFunc(all, func(x, y Usage) int {
+			return cmp.Or(cmp.Compare(y.Held, x.Held), cmp.Compare(x.Name, y.Name))
+		})
+		out = append(out, all[:min(n, len(all))]...)
+	}
+	return out
+}
+
+// Counts returns what is held, and how many requests for room were refused and how many holders had to give way.
+func (a *Account) Counts() (held int64, refused, evicted uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held, a.refused, a.evicted
+}
