adapters/meshhttp, app: bound connections, memory and framing

Cause: Connections, heads, queued exchanges and answers are not bounded by the memory and the descriptors of the process. The listeners for announcements, readiness, metrics and operators take bodies without any limit in time. Change: All listeners but the peer's use meshhttp, which checks the framing of requests, takes memory from one account before it reads, closes idle or silent connections for new ones, demands a rate for bodies, and sizes read buffers by need. Connections to others are bounded, too. Metrics name what was refused and who holds most.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -38,8 +38,8 @@
 func read(br *bufio.Reader, r *fasthttp.Response, l *Lease) error {
 	length := int64(r.Header.ContentLength())
 	switch {
-	case length >= 0 && length <= uncountedBytes:
-		return r.ReadBody(br, uncountedBytes)
+	case length >= 0 && length <= UncountedBytes:
+		return r.ReadBody(br, UncountedBytes)
 	case length >= 0:
 		if !l.allows(length) {
 			return ErrTooLarge
@@ -64,7 +64,7 @@
 	switch {
 	case length > int64(limit) || !l.allows(length):
 		return fasthttp.ErrBodyTooLarge
-	case length > uncountedBytes && !l.fits(length):
+	case length > UncountedBytes && !l.fits(length):
 		return ErrTooLarge
 	}
 	return nil
@@ -84,12 +84,12 @@
 func readRequest(br *bufio.Reader, r *fasthttp.Request, limit int64, l *Lease) error {
 	length := int64(r.Header.ContentLength())
 	switch {
-	case length > uncountedBytes:
+	case length > UncountedBytes:
 		return appendFixed(r, br, length, l)
-	case length > 0 && !l.holdSmall(bufferBytes(length)), length == -1 && !l.holdSmall(uncountedBytes):
+	case length > 0 && !l.holdSmall(bufferBytes(length)), length == -1 && !l.holdSmall(UncountedBytes):
 		return ErrTooLarge
 	case length == -1:
-		l.most = min(limit, max(uncountedBytes, l.memory.largest))
+		l.most = min(limit, max(UncountedBytes, l.memory.largest))
 		size, err := appendBody(r, &limitedReader{src: httputil.NewChunkedReader(br), left: limit}, 0, l)
 		switch {
 		case err != nil && !l.allows(size):
@@ -133,7 +133,7 @@
 // Discard removes the body of a response. The memory of a large one goes back to the runtime and not to the pool of the
 // HTTP library, whose buffers small bodies would hold without a lease.
 func Discard(r *fasthttp.Response) {
-	if cap(r.Body()) > uncountedBytes {
+	if cap(r.Body()) > UncountedBytes {
 		r.SwapBody(nil)
 	}
 	r.ResetBody()
@@ -159,12 +159,12 @@
 func appendBody(r message, src io.Reader, length int64, l *Lease) (size int64, err error) {
 	block := blockPool.Get().(*[]byte)
 	defer blockPool.Put(block)
-	var large []byte // the whole body, once it has more than uncountedBytes
+	var large []byte // the whole body, once it has more than UncountedBytes
 	for {
 		n, err := src.Read(*block)
 		size += int64(n)
 		switch {
-		case size <= uncountedBytes:
+		case size <= UncountedBytes:
 			r.AppendBody((*block)[:n])
 		default:
 			if large == nil {
@@ -209,7 +209,7 @@
 	if !l.allows(size) {
 		return nil, false
 	}
-	grown := max(size, min(max(4*uncountedBytes, 2*int64(cap(b))), max(length, l.memory.largest)))
+	grown := max(size, min(max(4*UncountedBytes, 2*int64(cap(b))), max(length, l.memory.largest)))
 	if length > 0 {
 		grown = min(grown, length)
 	}
--- a/adapters/body/body_test.go
+++ b/adapters/body/body_test.go
@@ -16,7 +16,7 @@
 // Guards against a body that is shorter than its length or its chunks state and that is read
 // without an error, for bodies that count towards the memory limit and for those that do not.
 func TestShortBodyIsAnError(t *testing.T) {
-	for _, size := range []int{1, 4 << 10, uncountedBytes - 1, uncountedBytes, uncountedBytes + 1, 200_000} {
+	for _, size := range []int{1, 4 << 10, UncountedBytes - 1, UncountedBytes, UncountedBytes + 1, 200_000} {
 		content := strings.Repeat("x", size)
 		for name, c := range map[string]struct{ header, raw string }{
 			"length":   {fmt.Sprintf("Content-Length: %d", size), content},
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	memory := NewMemory(8 << 20)
 	for _, header := range []string{"Content-Length: %d\r\n\r\n%s", "X-Length: %d\r\n\r\n%s"} {
-		for _, size := range []int{uncountedBytes + 1, 300_000, 1 << 20, 2 << 20} {
+		for _, size := range []int{UncountedBytes + 1, 300_000, 1 << 20, 2 << 20} {
 			br := bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + fmt.Sprintf(header, size, strings.Repeat("x", size))))
 			var r fasthttp.Response
 			is.NoErr(r.Header.Read(br))
@@ -71,7 +71,7 @@
 	is.NoErr(r.Header.Read(br))
 	is.Equal(Read(br, &r, memory.Lease()), ErrTooLarge)
 	is.Equal(memory.held.Load(), int64(0))
-	is.True(cap(r.Body()) <= uncountedBytes)
+	is.True(cap(r.Body()) <= UncountedBytes)
 }
 
 // Guards against garbage of large bodies that is not bounded: reads that fail or end allocate faster than the runtime
@@ -116,7 +116,7 @@
 func TestRequestBodyIsReadWhole(t *testing.T) {
 	is := is.New(t)
 	m := NewRequestMemory(8 << 20)
-	for _, size := range []int{0, 1, uncountedBytes, uncountedBytes + 1, 300_000, 4 << 20} {
+	for _, size := range []int{0, 1, UncountedBytes, UncountedBytes + 1, 300_000, 4 << 20} {
 		content := strings.Repeat("0123456789", size/10+1)[:size]
 		for header, raw := range map[string]string{
 			fmt.Sprint("Content-Length: ", size): content, "Transfer-Encoding: chunked": chunked(content),
@@ -127,7 +127,7 @@
 			r, l, err := request(t, m, 4<<20, header, raw)
 			is.NoErr(err)
 			is.Equal(string(r.Body()), content)
-			is.True(m.Held() >= int64(len(r.Body())) || size <= uncountedBytes)
+			is.True(m.Held() >= int64(len(r.Body())) || size <= UncountedBytes)
 			l.Release()
 			is.Equal(m.Held(), int64(0))
 			if _, _, err := request(t, m, 4<<20, header, raw[:max(0, len(raw)-1)]); size > 0 && err == nil {
--- a/adapters/body/memory.go
+++ b/adapters/body/memory.go
@@ -111,9 +111,9 @@
 // LeaseFor returns a lease of a connection, whose holder takes what the lease holds of the account.
 func (m *Memory) LeaseFor(h *memory.Holder) *Lease { return &Lease{memory: m, holder: h} }
 
-// uncountedBytes is the size in bytes up to which a body does not count towards the limit, so that
+// UncountedBytes is the size in bytes up to which a body does not count towards the limit, so that
 // large bodies never prevent ordinary ones from being read. Of a connection with a holder, it counts in the account.
-const uncountedBytes = 64 << 10
+const UncountedBytes = 64 << 10
 
 // Lease is the memory that one message holds of a Memory. It is not safe for concurrent use.
 type Lease struct {
@@ -121,14 +121,14 @@
 	holder  *memory.Holder
 	private bool // the holder belongs to this lease alone
 	held    int64
-	small   int64  // held for a body of at most uncountedBytes
+	small   int64  // held for a body of at most UncountedBytes
 	mapping []byte // buffer of a large request body
 	most    int64  // largest size of a request body whose length is not stated
 }
 
 // allows reports whether a body may have a size in bytes.
 func (l *Lease) allows(size int64) bool {
-	return size <= max(uncountedBytes, l.memory.largest)
+	return size <= max(UncountedBytes, l.memory.largest)
 }
 
 // fits reports whether the memory for a body of a size in bytes is left at the moment.
@@ -137,7 +137,7 @@
 // hold changes the memory of the lease to a number of bytes. It returns false, and changes nothing, if too little
 // memory is left.
 func (l *Lease) hold(bytes int64) bool {
-	if bytes <= uncountedBytes {
+	if bytes <= UncountedBytes {
 		bytes = 0
 	}
 	additional := bytes - l.held
@@ -153,7 +153,7 @@
 	return true
 }
 
-// holdSmall takes the memory of a body of at most uncountedBytes from the account, if the lease is that of a connection.
+// holdSmall takes the memory of a body of at most UncountedBytes from the account, if the lease is that of a connection.
 func (l *Lease) holdSmall(bytes int64) bool {
 	if l.holder == nil || l.private {
 		return true
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -102,10 +103,72 @@
 	localIP net.IP
 	memory  *body.Memory
 
+	slots   chan struct{} // holds a value for each open connection; nil: they are not bounded
+	waiting atomic.Int64  // calls that wait for a slot
+
 	mu   sync.Mutex
 	idle map[string][]*clientConn // by address; the most recently used connection is last
 }
 
+// Limit bounds the open connections. Calls that need a new one wait until another one ends; idle ones are closed for them. It
+// must be called before the first use.
+func (p *Pool) Limit(connections int) { p.slots = make(chan struct{}, connections) }
+
+// takeSlot waits for the slot of a new connection.
+func (p *Pool) takeSlot(ctx context.Context, deadline time.Time) error {
+	select {
+	case p.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	p.waiting.Add(1)
+	defer p.waiting.Add(-1)
+	p.closeOldestIdle()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case p.slots <- struct{}{}:
+		return nil
+	case <-timer.C:
+		return errNoSlot
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+var errNoSlot = errors.New("too many connections are open")
+
+// closeOldestIdle closes the connection that has been idle for the longest time.
+func (p *Pool) closeOldestIdle() {
+	p.mu.Lock()
+	oldest := ""
+	for address, list := range p.idle {
+		if len(list) > 0 && (oldest == "" || list[0].idleSince.Before(p.idle[oldest][0].idleSince)) {
+			oldest = address
+		}
+	}
+	if oldest == "" {
+		p.mu.Unlock()
+		return
+	}
+	c := p.idle[oldest][0]
+	p.idle[oldest] = p.idle[oldest][1:]
+	p.mu.Unlock()
+	p.close(c)
+}
+
+// close closes a connection and returns its slot.
+func (p *Pool) close(c *clientConn) {
+	_ = c.nc.Close()
+	p.returnSlot()
+}
+
+func (p *Pool) returnSlot() {
+	if p.slots != nil {
+		<-p.slots
+	}
+}
+
 // NewPool returns an empty pool. Its connections use localIP as their source address;
 // nil lets the system choose. Large response bodies share the memory limit of m.
 func NewPool(localIP net.IP, m *body.Memory) *Pool {
@@ -154,7 +217,7 @@
 	if keep {
 		p.putIdle(address, c)
 	} else {
-		_ = c.nc.Close()
+		p.close(c)
 	}
 	return out
 }
@@ -193,7 +256,7 @@
 			p.putIdle(address, c)
 			return false
 		}
-		_ = c.nc.Close()
+		p.close(c)
 	}
 	return false
 }
@@ -213,11 +276,15 @@
 		if idle < c.maxIdle && (!fresh || idle < freshIdleLimit) && socket.Peek(c.nc) == socket.Idle {
 			return c
 		}
-		_ = c.nc.Close()
+		p.close(c)
 	}
 }
 
 func (p *Pool) putIdle(address string, c *clientConn) {
+	if p.waiting.Load() > 0 {
+		p.close(c) // another call gets its slot
+		return
+	}
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -246,7 +313,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		_ = c.nc.Close()
+		p.close(c)
 	}
 }
 
@@ -255,8 +322,14 @@
 	if p.localIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.localIP}
 	}
+	if p.slots != nil {
+		if err := p.takeSlot(ctx, deadline); err != nil {
+			return nil, err
+		}
+	}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.returnSlot()
 		return nil, err
 	}
 	_ = socket.SetUserTimeout(nc, userTimeout) // without it, a partition shows only at the deadline
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +13,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
+	"github.com/rattanfield/rattanfield/adapters/request"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -30,26 +33,161 @@
 	// draining is set if the connection was open when Server.Drain was called; guarded by the mutex of the server.
 	draining bool
 
+	holder *memory.Holder // memory of the connection and of its exchanges
+	slot   *memory.Holder // its place among the open connections
+	usual  *bufio.Reader  // the read buffer of the usual size
+	input  io.Reader      // what br reads
+	wrote  chan struct{}  // receives a value after a response was written
+
 	mu          sync.Mutex
 	requests    int  // requests read so far
 	outstanding int  // requests read but not yet answered
+	unwritten   int  // bytes of response bodies that are complete and not written
 	closing     bool // no further requests are read
 	reading     bool // a request is being read
+	writing     bool // a response is being written
 	interrupted bool // the wait for the next request was interrupted
+	gaveWay     bool // what is being read or written is given up, so that others get the memory
+
+	bodyBegin time.Time // when the body that is being read began; zero: none. Only the reader uses it.
+	bodyRead  int64     // bytes read since bodyBegin
 }
 
 func newConn(s *Server, nc net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
-	return &conn{
+	now := time.Now()
+	c := &conn{
 		server: s, nc: nc, ctx: ctx, cancel: cancel,
-		br:        bufio.NewReaderSize(nc, s.options.Limits().HeaderBytes+requestLineAllowance),
-		pipelined: make(chan struct{}, maxPipelined), queue: make(chan *Exchange, maxPipelined), accepted: time.Now(),
+		pipelined: make(chan struct{}, s.options.Pipelined), queue: make(chan *Exchange, s.options.Pipelined), accepted: now,
+		wrote: make(chan struct{}, 1),
 	}
+	source, domain := nc.RemoteAddr().String(), s.options.FailureDomain(nc.RemoteAddr())
+	if host, _, err := net.SplitHostPort(source); err == nil {
+		source = host
+	}
+	c.holder = s.options.Account.NewHolder(source, domain, now, c.giveWay)
+	c.slot = s.options.Slots.NewHolder(source, domain, now, c.giveUpSlot)
+	c.setStateLocked()
+	c.input = &request.Reader{Source: connReader{c}}
+	c.usual = bufio.NewReaderSize(c.input, min(readBufferBytes, c.maxHeader()))
+	c.br = c.usual
+	return c
 }
 
+// maxHeader returns the size of the largest header, with its request line.
+func (c *conn) maxHeader() int { return c.server.options.Limits().HeaderBytes + requestLineAllowance }
+
 // requestLineAllowance is added to the read buffer, so that it holds the request line and a header of the maximum size.
 const requestLineAllowance = 1 << 10
 
+// setStateLocked tells the accounts how far the connection may give way.
+func (c *conn) setStateLocked() {
+	s := memory.Idle
+	switch {
+	case c.writing, c.reading && c.outstanding == 0:
+		s = memory.Waiting
+	case c.outstanding > 0:
+		s = memory.Busy
+	}
+	now := time.Now()
+	c.holder.SetState(s, now)
+	c.slot.SetState(s, now)
+}
+
+func (c *conn) touch() {
+	now := time.Now()
+	c.holder.Touch(now)
+	c.slot.Touch(now)
+}
+
+// giveUpSlot closes the connection at once for a new one.
+func (c *conn) giveUpSlot() {
+	c.server.count(gaveSlot)
+	c.cancel()
+	_ = c.nc.Close()
+	c.slot.Release()
+}
+
+// giveWay ends what the connection reads or writes, so that its memory is released. A request that is being read is answered.
+func (c *conn) giveWay() {
+	c.server.count(gaveMemory)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gaveWay = true
+	if c.reading && !c.writing {
+		_ = c.nc.SetReadDeadline(passed)
+		return
+	}
+	c.cancel()
+	_ = c.nc.Close()
+}
+
+// passed is a deadline that has passed.
+var passed = time.Unix(1, 0)
+
+// take takes memory for the connection, and waits for others that give way.
+func (c *conn) take(n int64) bool {
+	if body.Take(c.server.options.Account, c.holder, n, false) {
+		return true
+	}
+	c.server.count(noMemory)
+	return false
+}
+
+// connReader reads from the connection, and enforces the rate of a body.
+type connReader struct{ c *conn }
+
+func (r connReader) Read(b []byte) (int, error) {
+	c := r.c
+	if !c.bodyBegin.IsZero() {
+		c.extendBodyDeadline()
+	}
+	n, err := c.nc.Read(b)
+	if n > 0 {
+		c.bodyRead += int64(n)
+		c.touch()
+	}
+	return n, err
+}
+
+// bodyDeadline returns the time by which the next bytes of a body must arrive.
+func bodyDeadline(begin time.Time, read int64) time.Time {
+	allowed := bodyGrace + time.Duration(read)*time.Second/bodyBytesPerSecond
+	return begin.Add(min(allowed, bodyTimeout))
+}
+
+// extendBodyDeadline sets the deadline of a body by the bytes that were read, unless the server or the connection ends it sooner.
+func (c *conn) extendBodyDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gaveWay && !c.server.draining.Load() {
+		_ = c.nc.SetReadDeadline(bodyDeadline(c.bodyBegin, c.bodyRead))
+	}
+}
+
+// connWriter writes to the connection in parts, so that a client that reads slowly differs from one that does not read.
+type connWriter struct{ c *conn }
+
+func (w connWriter) Write(b []byte) (written int, err error) {
+	for err == nil && written < len(b) {
+		var n int
+		n, err = w.c.nc.Write(b[written:min(len(b), written+responseBufferBytes)])
+		written += n
+		w.c.touch()
+	}
+	return written, err
+}
+
 func (c *conn) run() {
+	defer func() {
+		c.cancel()
+		_ = c.nc.Close()
+		c.holder.Release()
+		c.slot.Release()
+		c.server.remove(c)
+	}()
+	if !c.take(connectionBytes) {
+		return
+	}
 	written := make(chan struct{})
 	go func() {
 		c.writeResponses()
@@ -60,9 +198,6 @@
 	close(c.queue)
 	c.awaitClientClose(written)
 	<-written
-	c.cancel()
-	_ = c.nc.Close()
-	c.server.remove(c)
 }
 
 // readRequests queues requests until no further one will be read.
@@ -73,6 +208,9 @@
 		case <-c.ctx.Done():
 			return
 		}
+		if !c.awaitWritten() {
+			return
+		}
 		x := c.readRequest()
 		if x == nil {
 			return
@@ -84,32 +222,76 @@
 	}
 }
 
+// awaitWritten waits until few bytes of response bodies wait to be written. It returns false when the connection ends.
+func (c *conn) awaitWritten() bool {
+	for {
+		c.mu.Lock()
+		few := c.unwritten <= maxUnwrittenBytes || c.closing
+		c.mu.Unlock()
+		if few {
+			return true
+		}
+		select {
+		case <-c.wrote:
+		case <-c.ctx.Done():
+			return false
+		}
+	}
+}
+
+// readHeader reads a header into a buffer that grows as needed.
+func (c *conn) readHeader(h *fasthttp.RequestHeader) error {
+	err := h.Read(c.br)
+	var small *fasthttp.ErrSmallBuffer
+	most := c.maxHeader()
+	if !errors.As(err, &small) || c.br.Size() >= most {
+		return err
+	}
+	if !c.take(int64(most)) {
+		return body.ErrTooLarge
+	}
+	begin, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return err
+	}
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(begin)), c.input), most)
+	return h.Read(c.br)
+}
+
+// shrinkBuffer replaces a read buffer that has grown once it is empty.
+func (c *conn) shrinkBuffer() {
+	if c.br == c.usual || c.br.Buffered() > 0 {
+		return
+	}
+	c.holder.Add(-int64(c.br.Size()), false, time.Time{})
+	c.usual.Reset(c.input)
+	c.br = c.usual
+}
+
 // readRequest reads one request and starts its handler. It returns nil when the connection ends.
 func (c *conn) readRequest() *Exchange {
 	limits := c.server.options.Limits()
 	if !c.awaitFirstByte(limits.IdleTimeout) {
 		return nil
 	}
-	x := &Exchange{Received: time.Now(), Remote: c.nc.RemoteAddr(), done: make(chan struct{})}
+	x := &Exchange{Received: time.Now(), Remote: c.nc.RemoteAddr(), conn: c, done: make(chan struct{})}
 	c.setReading(true)
 	defer c.setReading(false)
 	c.setRequestDeadline(x.Received.Add(limits.HeaderTimeout))
-	if err := x.Request.Header.Read(c.br); err != nil {
-		return c.respondReadError(x, err)
+	if !c.take(exchangeBytes) {
+		return c.respondReadError(x, body.ErrTooLarge)
 	}
-	x.requestLease = c.server.options.Memory.Lease()
-	if err := body.CheckRequest(&x.Request, limits.BodyBytes, x.requestLease); err != nil {
+	x.held = exchangeBytes
+	if err := c.readHeader(&x.Request.Header); err != nil {
 		return c.respondReadError(x, err)
 	}
-	c.setRequestDeadline(x.Received.Add(bodyTimeout))
-	if x.Request.MayContinue() {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return c.respondReadError(x, err)
-		}
+	if f := c.server.options.Organisation; f != nil {
+		c.holder.SetOrganisation(f(&x.Request.Header))
 	}
-	if err := body.ReadRequest(c.br, &x.Request, limits.BodyBytes, x.requestLease); err != nil {
+	if err := c.readBody(x, limits); err != nil {
 		return c.respondReadError(x, err)
 	}
+	c.shrinkBuffer()
 	x.close = x.Request.Header.ConnectionClose()
 	if !c.beginRequest() {
 		x.release()
@@ -123,14 +305,59 @@
 	go func() {
 		defer close(x.done)
 		c.server.options.Handler(c.ctx, x)
+		c.holdAnswer(x)
 	}()
 	return x
 }
 
+// readBody reads the body of a request.
+func (c *conn) readBody(x *Exchange, limits Limits) error {
+	x.requestLease = c.server.options.Memory.LeaseFor(c.holder)
+	if err := body.CheckRequest(&x.Request, limits.BodyBytes, x.requestLease); err != nil {
+		return err
+	}
+	c.bodyBegin, c.bodyRead = time.Now(), 0
+	defer func() { c.bodyBegin = time.Time{} }()
+	c.setRequestDeadline(bodyDeadline(c.bodyBegin, 0))
+	if x.Request.MayContinue() {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return err
+		}
+	}
+	return body.ReadRequest(c.br, &x.Request, limits.BodyBytes, x.requestLease)
+}
+
+// holdAnswer takes the memory of a response body that no lease holds. Without it, the connection closes: the request has run, so
+// it cannot be refused.
+func (c *conn) holdAnswer(x *Exchange) {
+	x.answerBytes = len(x.Response.Body())
+	c.mu.Lock()
+	c.unwritten += x.answerBytes
+	c.mu.Unlock()
+	if x.answerBytes <= smallAnswerBytes || x.answerBytes > body.UncountedBytes {
+		return
+	}
+	if !c.take(int64(x.answerBytes)) {
+		c.cancel()
+		_ = c.nc.Close()
+		return
+	}
+	x.held += int64(x.answerBytes)
+}
+
 func (c *conn) setReading(reading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = reading
+	c.setStateLocked()
+}
+
+func (c *conn) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
+	c.setStateLocked()
 }
 
 // beginRequest counts a request that was read as outstanding. It returns false once the
@@ -143,6 +370,7 @@
 	}
 	c.outstanding++
 	c.requests++
+	c.setStateLocked()
 	return true
 }
 
@@ -242,6 +470,9 @@
 	if soon := time.Now().Add(drainReadTimeout); c.server.draining.Load() && soon.Before(t) {
 		t = soon
 	}
+	if c.gaveWay {
+		t = passed
+	}
 	_ = c.nc.SetReadDeadline(t)
 }
 
@@ -250,12 +481,25 @@
 func (c *conn) respondReadError(x *Exchange, err error) *Exchange {
 	status := fasthttp.StatusBadRequest
 	var smallBuffer *fasthttp.ErrSmallBuffer
+	c.mu.Lock()
+	gaveWay := c.gaveWay
+	c.mu.Unlock()
 	switch {
+	case errors.Is(err, request.ErrInvalid):
+		c.server.count(invalid)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		c.cancel()
+		x.release()
 		return nil
+	case isTimeout(err) && gaveWay:
+		status, err = fasthttp.StatusServiceUnavailable, body.ErrTooLarge
 	case isTimeout(err):
 		status = fasthttp.StatusRequestTimeout
+		if x.requestLease == nil {
+			c.server.count(slowHeader)
+		} else {
+			c.server.count(slowBody)
+		}
 	case errors.As(err, &smallBuffer):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
@@ -266,10 +510,12 @@
 		var opErr *net.OpError
 		if errors.As(err, &opErr) {
 			c.cancel()
+			x.release()
 			return nil
 		}
 	}
 	if !c.beginRequest() {
+		x.release()
 		return nil
 	}
 	c.server.options.OnReadError(x, status, err)
@@ -281,13 +527,21 @@
 func (c *conn) writeResponses() {
 	for x := range c.queue {
 		<-x.done
+		c.setWriting(true)
 		last := c.write(x)
 		x.release()
 		c.mu.Lock()
 		c.outstanding--
+		c.unwritten -= x.answerBytes
+		c.writing = false
+		c.setStateLocked()
 		idle := c.outstanding == 0
 		c.mu.Unlock()
 		<-c.pipelined
+		select {
+		case c.wrote <- struct{}{}:
+		default:
+		}
 		if last {
 			c.closeAfterResponse()
 			break
@@ -315,12 +569,15 @@
 	}
 	x.Response.SkipBody = x.Request.Header.IsHead()
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	bw := bufio.NewWriterSize(c.nc, min(responseBufferBytes, len(x.Response.Body())+headerBufferBytes))
+	bw := bufio.NewWriterSize(connWriter{c}, min(responseBufferBytes, len(x.Response.Body())+headerBufferBytes))
 	err := x.Response.Write(bw)
 	if err == nil {
 		err = bw.Flush()
 	}
 	if err != nil {
+		if isTimeout(err) {
+			c.server.count(slowReader)
+		}
 		c.cancel()
 		return true
 	}
@@ -358,7 +615,7 @@
 			_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 		default:
 		}
-		_, err := c.br.Read(b[:])
+		_, err := c.nc.Read(b[:])
 		switch {
 		case err == nil:
 		case isTimeout(err):
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -1,6 +1,7 @@
 package meshhttp
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -23,12 +25,30 @@
 	IdleTimeout   time.Duration // between requests
 }
 
+// Memory that is counted for what is not a body.
+const (
+	// connectionBytes covers the two goroutines of a connection, its state and its usual read buffer.
+	connectionBytes = 16 << 10
+	// exchangeBytes covers a request and a response with headers of the usual size, and a response body of up to smallAnswerBytes.
+	exchangeBytes    = 8 << 10
+	smallAnswerBytes = 4 << 10
+	// readBufferBytes is the usual size of a read buffer. It grows for a longer header, and shrinks again behind it.
+	readBufferBytes = 4 << 10
+	// maxUnwrittenBytes is the size of the response bodies that wait to be written on a connection, above which no further request
+	// is read from it.
+	maxUnwrittenBytes = 64 << 10
+)
+
 // DefaultLimits apply until a plan states limits.
 var DefaultLimits = Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 
 const (
 	// bodyTimeout bounds the time to receive a body. It is longer than the timeouts that callers use.
 	bodyTimeout = 30 * time.Second
+	// bodyGrace is the time after which a body must have arrived with at least bodyBytesPerSecond since. Callers send a body
+	// within their time limit of at most 10 s, so none that can still be answered meets it.
+	bodyGrace          = 12 * time.Second
+	bodyBytesPerSecond = 16 << 10
 	// maxPipelined bounds the concurrent requests of one connection.
 	maxPipelined = 16
 	// writeTimeout bounds the write of one response to a client that does not read.
@@ -55,18 +75,24 @@
 	// Lease holds the memory of the response body until the response is written; nil: none is held.
 	Lease *body.Lease
 
+	conn         *conn
 	requestLease *body.Lease   // holds the memory of the request body until the response is written; nil: none is held
+	held         int64         // memory of the exchange itself and of a response body without a lease
+	answerBytes  int           // size of the response body
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 }
 
-// release returns the memory of the bodies.
+// release returns the memory of the exchange. The bodies must not be used any more.
 func (x *Exchange) release() {
 	for _, l := range []*body.Lease{x.Lease, x.requestLease} {
 		if l != nil {
 			l.Release()
 		}
 	}
+	x.Request.ResetBody()
+	x.conn.holder.Add(-x.held, false, time.Time{})
+	x.held = 0
 }
 
 // Handler fills in the response of an exchange. The context is cancelled when the client disconnects.
@@ -83,6 +109,16 @@
 	OnReadError func(x *Exchange, status int, err error)
 	// Memory holds large request bodies. Those that do not fit are read errors with status 503; nil: 2 GiB.
 	Memory *body.Memory
+	// Account holds the memory of connections and exchanges, including small bodies and those of Memory; nil: it is not bounded.
+	Account *memory.Account
+	// Slots bounds the open connections, see memory.NewSlots; nil: they are not bounded.
+	Slots *memory.Account
+	// FailureDomain returns the failure domain of a client, "" if it is not known; nil: none is.
+	FailureDomain func(remote net.Addr) string
+	// Organisation returns the organisation whose request was read up to the end of its header, "" if it is not known; nil: none is.
+	Organisation func(h *fasthttp.RequestHeader) string
+	// Pipelined bounds the concurrent requests of one connection; 0: 16.
+	Pipelined int
 	// ClosingResponse is a raw response that is written to an idle connection before it is closed; ""
 	// disables it. A client whose request crossed the close reads it as the response.
 	ClosingResponse string
@@ -98,13 +134,25 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
+
+	counts [reasons]atomic.Uint64
 }
 
 // NewServer returns a server that is started by Serve.
 func NewServer(o ServerOptions) *Server {
+	if o.Account == nil {
+		o.Account = memory.NewAccount(math.MaxInt64, math.MaxInt64)
+	}
+	if o.Slots == nil {
+		o.Slots = memory.NewSlots(math.MaxInt64)
+	}
 	if o.Memory == nil {
-		o.Memory = body.NewRequestMemory(math.MaxInt32)
+		o.Memory = body.NewSharedRequestMemory(math.MaxInt32, o.Account)
+	}
+	if o.FailureDomain == nil {
+		o.FailureDomain = func(net.Addr) string { return "" }
 	}
+	o.Pipelined = cmp.Or(o.Pipelined, maxPipelined)
 	return &Server{options: o, conns: make(map[*conn]struct{})}
 }
 
@@ -134,10 +182,20 @@
 
 const acceptRetryDelay = 20 * time.Millisecond
 
+// start serves a connection, unless it finds no slot.
 func (s *Server) start(nc net.Conn) {
 	_ = socket.SetUserTimeout(nc, userTimeout) // without it, a partition shows only at the deadline
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newConn(s, nc, ctx, cancel)
+	takeSlot := func() bool { return c.slot.Add(1, false, time.Now()) }
+	if ok := takeSlot(); !ok && !takeSlot() { // the first one makes another connection give way at once
+		s.count(noSlot)
+		c.slot.Release()
+		c.holder.Release()
+		cancel()
+		_ = nc.Close()
+		return
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -150,6 +208,33 @@
 	delete(s.conns, c)
 }
 
+// reason is why a connection was closed or a request was refused before it was read.
+type reason uint8
+
+const (
+	noSlot     reason = iota // too many connections are open
+	gaveSlot                 // closed for a new connection
+	gaveMemory               // closed, or its request refused, for the memory of others
+	noMemory                 // no memory for a connection or for a part of a request or response
+	slowHeader               // the header did not arrive in time
+	slowBody                 // the body arrived too slowly
+	slowReader               // the client did not read a response
+	invalid                  // the request has no valid reading, or more than one
+	reasons
+)
+
+var reasonNames = [reasons]string{"no-slot", "gave-slot", "gave-memory", "no-memory", "slow-header", "slow-body", "slow-reader", "invalid"}
+
+func (s *Server) count(r reason) { s.counts[r].Add(1) }
+
+// Refusals calls f with each reason for which connections are closed or requests are refused before they are read, and with the
+// number of times so far.
+func (s *Server) Refusals(f func(reason string, count func() uint64)) {
+	for r := range reasons {
+		f(reasonNames[r], s.counts[r].Load)
+	}
+}
+
 // StopListening closes the listener, so that no new connections are accepted.
 func (s *Server) StopListening() {
 	s.mu.Lock()
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -16,6 +16,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/meshhttp"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/consensus"
@@ -38,6 +40,8 @@
 	// ExposureBound is the fraction of a service's requests that a bad version may get during
 	// its rollout; 0 stands for rollout.DefaultBound.
 	ExposureBound float64
+	Memory        int // bytes that the process may use; 0: not bounded
+	MaxFiles      int // descriptors that the process may use; 0: the limit of the operating system
 	// ExtraHandlers returns the handlers of additional listeners by address, for example
 	// those of the platform.
 	ExtraHandlers func(*Process) map[string]fasthttp.RequestHandler
@@ -53,9 +57,11 @@
 	closeTimeout = 300 * time.Millisecond
 	// answerTimeout bounds the wait for calls of operators and upstreams in progress. It covers a submission,
 	// which waits at most 0.85 s.
-	answerTimeout   = time.Second
-	maxRequestBytes = 64 << 20
-	maxHeaderBytes  = 16 << 10
+	answerTimeout = time.Second
+	// idleTimeout is long, because idle connections are closed first where descriptors run out.
+	idleTimeout = 10 * time.Minute
+	// slotsPercent is the share of each of the two listeners in the accepted connections.
+	slotsPercent = 50
 )
 
 // Process is a running control host.
@@ -68,6 +74,8 @@
 	client  *rpc.Client
 	set     *metrics.Set
 	logger  log.Logger
+
+	resources *lifecycle.Resources
 }
 
 // Run builds a control host and runs it until the context ends or a server or task fails.
@@ -116,8 +124,10 @@
 	set.NewGauge("rattanfield_plan_serial", func() float64 { return float64(host.State().Plan.GetSerial()) })
 	set.NewGauge("rattanfield_log_bytes", func() float64 { return float64(host.Status().LogBytes) })
 	set.NewGauge("rattanfield_confirmed_age_seconds", func() float64 { return host.ConfirmedAge().Seconds() })
+	resources := lifecycle.NewResources(o.Memory, o.MaxFiles)
+	resources.AddMetrics(set)
 	return &Process{
-		options: o, Host: host, Server: s, decider: d, client: client, set: set, logger: logger,
+		resources: resources, options: o, Host: host, Server: s, decider: d, client: client, set: set, logger: logger,
 		joiner: &controlserver.Joiner{
 			Self:  &pb.Member{Id: o.PeerAddress, Address: o.PeerAddress, FailureDomain: o.FailureDomain, Region: o.Region},
 			Seeds: o.Seeds, State: host, Client: client, Log: logger.Log,
@@ -144,9 +154,13 @@
 	}
 	handlers := o.ExtraHandlers(p)
 	handlers[o.MetricsAddress] = p.writeMetrics
-	var answering []*fasthttp.Server
+	var answering []*meshhttp.Server
 	for address, h := range handlers {
-		s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: maxRequestBytes}
+		s := meshhttp.NewCallServer(h, meshhttp.ServerOptions{
+			Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(slotsPercent),
+			Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account),
+		})
+		lifecycle.AddRefusals(p.set, address, s)
 		if err := listen(address, s.Serve); err != nil {
 			return err
 		}
@@ -177,21 +191,32 @@
 
 // finishCalls closes the listeners for operators and upstreams and waits until calls in progress are answered, so that
 // the end of the process cuts none.
-func (p *Process) finishCalls(servers []*fasthttp.Server) {
+func (p *Process) finishCalls(servers []*meshhttp.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	var group sync.WaitGroup
 	for _, s := range servers {
 		group.Go(func() {
-			if err := s.ShutdownWithContext(ctx); err != nil {
-				_ = p.logger.Log("event", "calls cut by the stop", "err", err)
+			s.StopListening()
+			s.Drain()
+			s.Close(ctx)
+			if n := s.OpenConnections(); n > 0 {
+				_ = p.logger.Log("event", "calls cut by the stop", "connections", n)
 			}
 		})
 	}
 	group.Wait()
 }
 
+// callLimits bound the calls of operators and upstreams. A plan may have the size of the largest body.
+func callLimits() meshhttp.Limits {
+	l := meshhttp.DefaultLimits
+	l.IdleTimeout = idleTimeout
+	return l
+}
+
 func (p *Process) writeMetrics(ctx *fasthttp.RequestCtx) {
 	p.set.WritePrometheus(ctx)
+	p.resources.WriteTop(ctx)
 	metrics.WriteProcessMetrics(ctx)
 }
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -46,6 +46,7 @@
 	RetryBudgetExtra                                       int
 	RetryBudgetWindow                                      time.Duration
 	Memory                                                 int // bytes that the process may use; 0: defaultMemory
+	MaxFiles                                               int // descriptors that the process may use; 0: the limit of the operating system
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// StopNotice is the time from the stop signal until callers have learned that the node is not ready.
@@ -61,8 +62,8 @@
 	confirmTimeout = 3 * time.Second
 	// defaultMemory is the memory of a node in the deployment that the system is designed for.
 	defaultMemory = 128 << 20
-	// bodyMemoryDivisor divides the memory to give the limit for large response bodies, for large request bodies in the entry
-	// and for those in the gate. The last two are separate, so that entries full of requests do not keep gates from running them.
+	// bodyMemoryDivisor divides the memory to give the limit for large response bodies. Those of requests are bounded by the
+	// account of the process alone.
 	bodyMemoryDivisor = 4
 	gateIdleTimeout   = 60 * time.Second // above the idle limit of clients (see meshhttp)
 )
@@ -79,6 +80,8 @@
 	started  time.Time
 	stopping atomic.Bool
 
+	resources *lifecycle.Resources
+
 	entryServer, gateServer *meshhttp.Server
 }
 
@@ -88,7 +91,7 @@
 	for _, f := range []any{
 		func() Options { return o },
 		func() log.Logger { return logger },
-		metrics.NewSet, proxy.NewMetrics, newClient, newPools, newComponents, newProcess,
+		metrics.NewSet, proxy.NewMetrics, newClient, newResources, newPools, newComponents, newProcess,
 	} {
 		if err := c.Provide(f); err != nil {
 			return err
@@ -97,7 +100,11 @@
 	return dig.RootCause(c.Invoke(func(p *Process) error { return p.run(ctx) }))
 }
 
-// bodyMemory returns the limit in bytes of each Memory for large bodies.
+func newResources(o Options) *lifecycle.Resources {
+	return lifecycle.NewResources(cmp.Or(o.Memory, defaultMemory), o.MaxFiles)
+}
+
+// bodyMemory returns the limit in bytes of the Memory for large response bodies.
 func (o Options) bodyMemory() int { return cmp.Or(o.Memory, defaultMemory) / bodyMemoryDivisor }
 
 func newClient(o Options) *rpc.Client {
@@ -107,10 +114,13 @@
 // pools holds the connection pools for the gates of other nodes and for the upstream of this host.
 type pools struct{ gates, upstream *meshhttp.Pool }
 
-func newPools(o Options) pools {
+func newPools(o Options, r *lifecycle.Resources) pools {
 	ip := lifecycle.HostIP(o.PeerAddress)
-	m := body.NewMemory(o.bodyMemory())
-	return pools{gates: meshhttp.NewPool(ip, m), upstream: meshhttp.NewPool(ip, m)}
+	m := body.NewSharedMemory(o.bodyMemory(), r.Account)
+	p := pools{gates: meshhttp.NewPool(ip, m), upstream: meshhttp.NewPool(ip, m)}
+	p.gates.Limit(r.Outgoing() / 2)
+	p.upstream.Limit(r.Outgoing() - r.Outgoing()/2)
+	return p
 }
 
 type components struct {
@@ -143,22 +153,72 @@
 }
 
 // newProcess returns a process that does not run yet.
-func newProcess(o Options, client *rpc.Client, control *controlclient.Client, g *proxy.Gate, e *proxy.Entry, set *metrics.Set, logger log.Logger) *Process {
-	p := &Process{options: o, logger: logger, client: client, control: control, gate: g, entry: e, set: set, started: time.Now()}
+func newProcess(o Options, r *lifecycle.Resources, client *rpc.Client, control *controlclient.Client, g *proxy.Gate, e *proxy.Entry, set *metrics.Set, logger log.Logger) *Process {
+	p := &Process{options: o, resources: r, logger: logger, client: client, control: control, gate: g, entry: e, set: set, started: time.Now()}
+	r.AddMetrics(set)
 	requestMemory := func(side string) *body.Memory {
-		m := body.NewRequestMemory(o.bodyMemory())
+		m := body.NewSharedRequestMemory(r.LargestBody(), r.Account)
 		set.NewGauge(fmt.Sprintf(`rattanfield_request_body_bytes{side=%q}`, side), func() float64 { return float64(m.Held()) })
 		return m
 	}
 	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{
 		Handler: e.Handle, Limits: p.limits, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
+		Account: r.Account, Slots: r.Slots(entrySlotsPercent), Organisation: p.organisationOfKey,
 	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
 		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
+		Account: r.Account, Slots: r.Slots(gateSlotsPercent), FailureDomain: p.failureDomainOf, Organisation: organisationOfEntry,
 	})
+	lifecycle.AddRefusals(set, "entry", p.entryServer)
+	lifecycle.AddRefusals(set, "gate", p.gateServer)
 	return p
 }
 
+// Shares of the accepted connections in percent. The listeners for readiness, metrics and announcements have small shares of
+// their own, so that clients of the entry and the gate cannot take them.
+const (
+	entrySlotsPercent = 40
+	gateSlotsPercent  = 39
+	callSlotsPercent  = 7
+)
+
+// callLimits bound the calls to the listeners for readiness, metrics and announcements. An announcement has less than 1 KiB.
+func callLimits() meshhttp.Limits {
+	l := meshhttp.DefaultLimits
+	l.BodyBytes = maxCallBytes
+	l.IdleTimeout = gateIdleTimeout
+	return l
+}
+
+const maxCallBytes = 64 << 10
+
+// organisationOfKey returns the organisation whose key a client sends.
+func (p *Process) organisationOfKey(h *fasthttp.RequestHeader) string {
+	t := p.control.View().Plan
+	if t == nil || !t.HasOrganisations() || p.options.Headers.Key == "" {
+		return ""
+	}
+	return t.Organisation(h.Peek(p.options.Headers.Key)).GetName()
+}
+
+// organisationOfEntry returns the organisation that an entry states.
+func organisationOfEntry(h *fasthttp.RequestHeader) string {
+	return string(h.Peek("X-Rattanfield-Organisation"))
+}
+
+// failureDomainOf returns the failure domain of a node that connects to the gate.
+func (p *Process) failureDomainOf(remote net.Addr) string {
+	ip := lifecycle.HostIP(remote.String())
+	for _, endpoints := range p.control.View().Endpoints {
+		for _, e := range endpoints {
+			if lifecycle.HostIP(e.Gate).Equal(ip) {
+				return e.FailureDomain
+			}
+		}
+	}
+	return ""
+}
+
 // limits returns the limits of the plan in force; limits that it does not set have the
 // default.
 func (p *Process) limits() meshhttp.Limits {
@@ -221,10 +281,10 @@
 	peer := rpc.NewServer(rpc.NewHandler(rattanfieldv1connect.NewMeshServiceHandler(announceService{p: p})))
 	var serveFuncs []func(net.Listener) error
 	addresses := []string{o.EntryAddress, o.GateAddress, o.PeerAddress, o.MetricsAddress}
-	serveFuncs = append(serveFuncs, p.entryServer.Serve, p.gateServer.Serve, peer.Serve, p.serveMetrics)
+	serveFuncs = append(serveFuncs, p.entryServer.Serve, p.gateServer.Serve, peer.Serve, p.newCallServer(o.MetricsAddress, p.writeMetrics).Serve)
 	for address, handler := range o.ExtraHandlers(p) {
 		addresses = append(addresses, address)
-		serveFuncs = append(serveFuncs, serveHTTP(handler))
+		serveFuncs = append(serveFuncs, p.newCallServer(address, handler).Serve)
 	}
 	for i, address := range addresses {
 		l, err := lifecycle.Listen(address)
@@ -309,14 +369,18 @@
 // maxLoggedConnections bounds the lines that one stop logs for each server.
 const maxLoggedConnections = 50
 
-func (p *Process) serveMetrics(l net.Listener) error {
-	return serveHTTP(func(ctx *fasthttp.RequestCtx) {
-		p.set.WritePrometheus(ctx)
-		metrics.WriteProcessMetrics(ctx)
-	})(l)
+func (p *Process) writeMetrics(ctx *fasthttp.RequestCtx) {
+	p.set.WritePrometheus(ctx)
+	p.resources.WriteTop(ctx)
+	metrics.WriteProcessMetrics(ctx)
 }
 
-func serveHTTP(h fasthttp.RequestHandler) func(net.Listener) error {
-	s := &fasthttp.Server{Handler: h, NoDefaultServerHeader: true, IdleTimeout: gateIdleTimeout, ReadBufferSize: meshhttp.DefaultLimits.HeaderBytes}
-	return s.Serve
+// newCallServer returns the server of a listener that is not for requests.
+func (p *Process) newCallServer(address string, h fasthttp.RequestHandler) *meshhttp.Server {
+	s := meshhttp.NewCallServer(h, meshhttp.ServerOptions{
+		Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(callSlotsPercent),
+		Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account),
+	})
+	lifecycle.AddRefusals(p.set, address, s)
+	return s
 }
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
 	"github.com/rattanfield/rattanfield/app/meshcontrol"
 	"github.com/rattanfield/rattanfield/app/meshnode"
@@ -68,7 +68,7 @@
 	w := platform.NewWatcher(s, role)
 	go w.Run(ctx, reload, logger)
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * collectAbovePercent / 100)
+		body.LimitHeap(memoryBytes(s)/100*collectAbovePercent, memoryBytes(s)/100*heapAndBodiesPercent)
 	}
 	if role == platform.RoleNode {
 		err = meshnode.Run(ctx, nodeOptions(s, w), logger)
@@ -113,6 +113,13 @@
 // The rest is room for what is allocated until a collection ends.
 const collectAbovePercent = 60
 
+// heapAndBodiesPercent is the part of the memory of a process, in percent, that the runtime and large request bodies together stay
+// below.
+const heapAndBodiesPercent = 85
+
+// memoryBytes returns the memory limit of the process in bytes. The platform ends a process that exceeds it.
+func memoryBytes(s *platform.Settings) int64 { return int64(s.MemoryMB) * 1_000_000 }
+
 // nodeOptions converts the settings to the options of a node.
 func nodeOptions(s *platform.Settings, w *platform.Watcher) meshnode.Options {
 	return meshnode.Options{
@@ -120,7 +127,7 @@
 		FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, Seeds: w.Seeds, Headers: platform.Headers,
 		DrainBound: s.DrainBound, LostAfter: maxMissedAnnouncements * s.Heartbeat, StopBound: s.StopBound, StopNotice: platform.StopNotice,
 		RetryBudgetPercent: 100 * s.RetryBudgetRatio, RetryBudgetExtra: s.RetryBudgetExtra, RetryBudgetWindow: s.RetryBudgetWindow,
-		Memory: s.MemoryMB << 20,
+		Memory: int(memoryBytes(s)), MaxFiles: s.MaxFiles,
 		ExtraHandlers: func(p *meshnode.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{
 				s.ReadyAddress: platform.ReadyHandler(p), s.ControlAddress: platform.AnnouncementHandler(p),
@@ -134,6 +141,7 @@
 	return meshcontrol.Options{
 		PeerAddress: s.PeerAddress(), MetricsAddress: s.MetricsAddress(), FailureDomain: s.FailureDomain, Region: s.Region,
 		DataDir: s.DataDir, Founders: s.Founders(), Seeds: w.Seeds, ExposureBound: s.ExposureBound,
+		Memory: int(memoryBytes(s)), MaxFiles: s.MaxFiles,
 		ExtraHandlers: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{s.ControlAddress: platform.NewControlAPI(s, p.Host, p.Server, logger).Handle}
 		},
