adapters/httpproxy, meshhttp: answer ambiguous requests once with 400

Cause: The older entry reads bodies and accepts connections without a common bound and takes requests that have more than one reading. Requests that are invalid from the first byte on got no answer at all. Change: The older entry checks the framing as meshhttp does, and bounds its connections and the memory of requests in reading. One table of invalid requests serves the tests of all servers. TestCrowd also runs without a limit of descriptors, so that memory alone bounds the crowd. Measured: Tests of adapters/meshhttp, httpproxy and request pass.

--- /dev/null
+++ b/adapters/httpproxy/framing_test.go
@@ -0,0 +1,93 @@
+package httpproxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/memory"
+	"github.com/rattanfield/rattanfield/adapters/request/requesttest"
+)
+
+// startServer serves a handler that reports the targets of the requests that run.
+func startServer(t *testing.T, limit func(s *Server)) (address string, ran chan string) {
+	ran = make(chan string, 1000)
+	s := NewServer(func(ctx *fasthttp.RequestCtx) { ran <- string(ctx.RequestURI()) })
+	limit(s)
+	l := listen(t)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		<-done
+	})
+	return l.Addr().String(), ran
+}
+
+func dialServer(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// Guards against a call that has more than one reading, or none, and that runs, or behind which another one runs.
+func TestInvalidRequestIsAnsweredOnce(t *testing.T) {
+	address, ran := startServer(t, func(*Server) {})
+	for name, raw := range requesttest.Invalid() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := dialServer(t, address)
+			_, err := io.WriteString(c, "GET /before HTTP/1.1\r\nHost: h\r\n\r\n"+raw+"GET /behind HTTP/1.1\r\nHost: h\r\n\r\n")
+			is.NoErr(err)
+			br := bufio.NewReader(c)
+			for _, want := range []int{fasthttp.StatusOK, fasthttp.StatusBadRequest} {
+				var r fasthttp.Response
+				is.NoErr(r.Read(br))
+				is.Equal(r.StatusCode(), want)
+			}
+			_, err = br.ReadByte()
+			is.Equal(err, io.EOF)
+			is.Equal(<-ran, "/before")
+			is.Equal(len(ran), 0)
+		})
+	}
+}
+
+// Guards against calls whose bodies together exceed the memory for them, and against connections without a bound.
+func TestServerBoundsMemoryAndConnections(t *testing.T) {
+	is := is.New(t)
+	const connections = 3
+	address, _ := startServer(t, func(s *Server) {
+		s.memory, s.slots = memory.NewAccount(100_000, 100_000), memory.NewSlots(connections)
+	})
+	status := func(c net.Conn, body int) int {
+		_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", body, make([]byte, body))
+		is.NoErr(err)
+		var r fasthttp.Response
+		is.NoErr(r.Read(bufio.NewReader(c)))
+		return r.StatusCode()
+	}
+	is.Equal(status(dialServer(t, address), 10_000), fasthttp.StatusOK)
+	is.Equal(status(dialServer(t, address), 60_000), fasthttp.StatusServiceUnavailable)
+	idle := make([]net.Conn, 2*connections)
+	for i := range idle {
+		idle[i] = dialServer(t, address)
+		time.Sleep(350 * time.Millisecond) // without a byte, so that it gives way
+	}
+	is.Equal(status(dialServer(t, address), 10_000), fasthttp.StatusOK)
+	_, err := idle[0].Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
--- a/adapters/httpproxy/reject.go
+++ b/adapters/httpproxy/reject.go
@@ -16,6 +16,7 @@
 	ReasonTooLarge             Reason = "too-large"
 	ReasonTooManyHeaders       Reason = "too-many-headers"
 	ReasonInvalidHeader        Reason = "invalid-header"
+	ReasonNoMemory             Reason = "no-memory" // the requests of other connections leave too little memory
 	ReasonDepthExceeded        Reason = "depth-exceeded"
 	ReasonQueueFull            Reason = "queue-full"
 	ReasonShareExhausted       Reason = "share-exhausted"
@@ -53,6 +54,7 @@
 	ReasonTooLarge:             {fasthttp.StatusRequestEntityTooLarge, RanNotRun},
 	ReasonTooManyHeaders:       {fasthttp.StatusRequestHeaderFieldsTooLarge, RanNotRun},
 	ReasonInvalidHeader:        {fasthttp.StatusBadRequest, RanNotRun},
+	ReasonNoMemory:             {fasthttp.StatusServiceUnavailable, RanNotRun},
 	ReasonDepthExceeded:        {fasthttp.StatusBadRequest, RanNotRun},
 	ReasonQueueFull:            {fasthttp.StatusTooManyRequests, RanNotRun},
 	ReasonShareExhausted:       {fasthttp.StatusTooManyRequests, RanNotRun},
--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/memory"
+	"github.com/rattanfield/rattanfield/adapters/request"
 )
 
 // Server is an HTTP server that closes connections without interrupting a request. Before
@@ -23,6 +28,8 @@
 	// retryAfter returns the time after which requests can be sent again; nil if it is not known.
 	retryAfter atomic.Pointer[func() time.Duration]
 
+	memory, slots *memory.Account // for requests, and for connections
+
 	mu         sync.Mutex
 	drainBegin time.Time
 	listener   *drainListener
@@ -64,7 +71,7 @@
 
 // NewServer returns a server for the handler that enforces the size limits and timeouts of calls.
 func NewServer(handler fasthttp.RequestHandler) *Server {
-	s := &Server{conns: make(map[*serverConn]struct{})}
+	s := &Server{conns: make(map[*serverConn]struct{}), memory: memory.NewAccount(requestMemory, requestMemory), slots: memory.NewSlots(maxConnections())}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle(handler),
 		ErrorHandler:          rejectUnreadable,
@@ -137,11 +144,29 @@
 		reason = ReasonTooManyHeaders
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		reason = ReasonTooLarge
+	case errors.Is(err, errNoMemory):
+		reason = ReasonNoMemory
 	}
 	reject(reason).write(ctx)
 	ctx.SetConnectionClose()
 }
 
+// requestMemory bounds what the requests that one server reads may take together.
+const requestMemory = 16 * maxBodyBytes
+
+// maxConnections returns the number of connections that one server accepts: a third of the descriptors of the process. The entry
+// and the gate of a node have one server each, and the rest is for connections to others.
+func maxConnections() int64 {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
+		return defaultConnections
+	}
+	return int64(min(r.Cur, math.MaxInt32) / 3)
+}
+
+// defaultConnections is a third of the usual limit of descriptors.
+const defaultConnections = 1024 / 3
+
 type noopLogger struct{}
 
 func (noopLogger) Printf(string, ...any) {}
@@ -242,7 +267,19 @@
 }
 
 func (s *Server) newConn(conn net.Conn) *serverConn {
-	c := &serverConn{Conn: conn, server: s, idleSince: time.Now()}
+	now := time.Now()
+	c := &serverConn{Conn: conn, server: s, idleSince: now, input: request.Reader{Source: conn}}
+	source, _, _ := net.SplitHostPort(conn.RemoteAddr().String()) // "" is no source
+	c.holder = s.memory.NewHolder(source, "", now, func() { _ = conn.Close() })
+	c.slot = s.slots.NewHolder(source, "", now, func() {
+		_ = conn.Close()
+		c.slot.Release()
+	})
+	c.release()
+	takeSlot := func() bool { return c.slot.Add(1, false, now) }
+	if ok := takeSlot(); !ok && !takeSlot() { // the first one makes another connection give way at once
+		_ = conn.Close() // the HTTP library reads an error and closes it
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
--- a/adapters/httpproxy/serverconn.go
+++ b/adapters/httpproxy/serverconn.go
@@ -1,17 +1,24 @@
 package httpproxy
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rattanfield/rattanfield/adapters/memory"
+	"github.com/rattanfield/rattanfield/adapters/request"
 )
 
 // serverConn is a connection of a Server. It tracks whether a request is being read or answered.
 type serverConn struct {
 	net.Conn
 	server *Server
+	input  request.Reader // checks the framing of the requests
+	holder *memory.Holder // memory of the request that is read
+	slot   *memory.Holder
 
 	mu sync.Mutex
 	// answered is true between a response and the first byte of the next request, as seen by
@@ -23,6 +30,7 @@
 	closed    bool
 	idleSince time.Time
 	busySince time.Time
+	held      int64 // by holder; only the reader uses it
 	// lingerUntil is the deadline for reading and discarding bytes after the closing response.
 	lingerUntil time.Time
 }
@@ -31,7 +39,13 @@
 // discarded, because the closing response states that nothing more was read.
 func (c *serverConn) Read(b []byte) (int, error) {
 	c.markIdle()
-	n, err := c.Conn.Read(b)
+	n, err := c.input.Read(b)
+	if errors.Is(err, request.ErrInvalid) && !c.input.Begun() {
+		n, err = copy(b, invalidLine), nil
+	}
+	if n > 0 && !c.hold(n) {
+		return 0, errNoMemory
+	}
 	c.mu.Lock()
 	if !c.closing {
 		if n > 0 && !c.busy {
@@ -53,9 +67,41 @@
 	if c.answered && c.busy {
 		c.busy = false
 		c.idleSince = time.Now()
+		c.release()
+	}
+}
+
+// bufferFactor is the memory that the HTTP library takes for a byte of a request, because its buffers double.
+const bufferFactor = 2
+
+// hold takes the memory of bytes that were read.
+func (c *serverConn) hold(n int) bool {
+	now := time.Now()
+	c.holder.SetState(memory.Waiting, now)
+	c.slot.SetState(memory.Waiting, now)
+	c.held += bufferFactor * int64(n)
+	if !c.holder.Add(bufferFactor*int64(n), true, now) {
+		c.held -= bufferFactor * int64(n)
+		return false
 	}
+	return true
 }
 
+// release returns the memory of the last request.
+func (c *serverConn) release() {
+	c.holder.Add(-c.held, true, time.Time{})
+	c.held = 0
+	c.holder.SetState(memory.Idle, time.Now())
+	c.slot.SetState(memory.Idle, time.Now())
+}
+
+// errNoMemory ends a request for which the requests of others leave no memory.
+var errNoMemory = errors.New("too many large requests")
+
+// invalidLine stands for a request that is invalid from its first byte on. The HTTP library would not answer an error before
+// that byte, and answers this line in the order of the requests.
+const invalidLine = "invalid\r\n\r\n"
+
 func (c *serverConn) linger(b []byte) {
 	c.mu.Lock()
 	until := c.lingerUntil
@@ -86,6 +132,8 @@
 		return false
 	}
 	c.handled = true
+	c.holder.SetState(memory.Busy, time.Now())
+	c.slot.SetState(memory.Busy, time.Now())
 	return true
 }
 
@@ -164,6 +212,8 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
+	c.holder.Release()
+	c.slot.Release()
 	c.server.remove(c)
 	return c.Conn.Close()
 }
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -33,16 +33,14 @@
 	// draining is set if the connection was open when Server.Drain was called; guarded by the mutex of the server.
 	draining bool
 
-	holder *memory.Holder // memory of the connection and of its exchanges
-	slot   *memory.Holder // its place among the open connections
-	usual  *bufio.Reader  // the read buffer of the usual size
-	input  io.Reader      // what br reads
-	wrote  chan struct{}  // receives a value after a response was written
+	holder *memory.Holder  // memory of the connection and of its exchanges
+	slot   *memory.Holder  // its place among the open connections
+	usual  *bufio.Reader   // the read buffer of the usual size
+	input  *request.Reader // what br reads
 
 	mu          sync.Mutex
 	requests    int  // requests read so far
 	outstanding int  // requests read but not yet answered
-	unwritten   int  // bytes of response bodies that are complete and not written
 	closing     bool // no further requests are read
 	reading     bool // a request is being read
 	writing     bool // a response is being written
@@ -58,7 +56,6 @@
 	c := &conn{
 		server: s, nc: nc, ctx: ctx, cancel: cancel,
 		pipelined: make(chan struct{}, s.options.Pipelined), queue: make(chan *Exchange, s.options.Pipelined), accepted: now,
-		wrote: make(chan struct{}, 1),
 	}
 	source, domain := nc.RemoteAddr().String(), s.options.FailureDomain(nc.RemoteAddr())
 	if host, _, err := net.SplitHostPort(source); err == nil {
@@ -208,9 +205,6 @@
 		case <-c.ctx.Done():
 			return
 		}
-		if !c.awaitWritten() {
-			return
-		}
 		x := c.readRequest()
 		if x == nil {
 			return
@@ -222,23 +216,6 @@
 	}
 }
 
-// awaitWritten waits until few bytes of response bodies wait to be written. It returns false when the connection ends.
-func (c *conn) awaitWritten() bool {
-	for {
-		c.mu.Lock()
-		few := c.unwritten <= maxUnwrittenBytes || c.closing
-		c.mu.Unlock()
-		if few {
-			return true
-		}
-		select {
-		case <-c.wrote:
-		case <-c.ctx.Done():
-			return false
-		}
-	}
-}
-
 // readHeader reads a header into a buffer that grows as needed.
 func (c *conn) readHeader(h *fasthttp.RequestHeader) error {
 	err := h.Read(c.br)
@@ -331,19 +308,16 @@
 // holdAnswer takes the memory of a response body that no lease holds. Without it, the connection closes: the request has run, so
 // it cannot be refused.
 func (c *conn) holdAnswer(x *Exchange) {
-	x.answerBytes = len(x.Response.Body())
-	c.mu.Lock()
-	c.unwritten += x.answerBytes
-	c.mu.Unlock()
-	if x.answerBytes <= smallAnswerBytes || x.answerBytes > body.UncountedBytes {
+	n := len(x.Response.Body())
+	if n <= smallAnswerBytes || n > body.UncountedBytes {
 		return
 	}
-	if !c.take(int64(x.answerBytes)) {
+	if !c.take(int64(n)) {
 		c.cancel()
 		_ = c.nc.Close()
 		return
 	}
-	x.held += int64(x.answerBytes)
+	x.held += int64(n)
 }
 
 func (c *conn) setReading(reading bool) {
@@ -386,6 +360,9 @@
 		if err == nil {
 			return true
 		}
+		if c.input.Err() != nil {
+			return true // the read of the request finds the error again
+		}
 		if !isTimeout(err) {
 			c.cancel() // the client has disconnected
 			return false
@@ -484,6 +461,9 @@
 	c.mu.Lock()
 	gaveWay := c.gaveWay
 	c.mu.Unlock()
+	if invalid := c.input.Err(); invalid != nil {
+		err = invalid // the HTTP library hides some errors of a reader
+	}
 	switch {
 	case errors.Is(err, request.ErrInvalid):
 		c.server.count(invalid)
@@ -532,16 +512,11 @@
 		x.release()
 		c.mu.Lock()
 		c.outstanding--
-		c.unwritten -= x.answerBytes
 		c.writing = false
 		c.setStateLocked()
 		idle := c.outstanding == 0
 		c.mu.Unlock()
 		<-c.pipelined
-		select {
-		case c.wrote <- struct{}{}:
-		default:
-		}
 		if last {
 			c.closeAfterResponse()
 			break
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -34,9 +34,6 @@
 	smallAnswerBytes = 4 << 10
 	// readBufferBytes is the usual size of a read buffer. It grows for a longer header, and shrinks again behind it.
 	readBufferBytes = 4 << 10
-	// maxUnwrittenBytes is the size of the response bodies that wait to be written on a connection, above which no further request
-	// is read from it.
-	maxUnwrittenBytes = 64 << 10
 )
 
 // DefaultLimits apply until a plan states limits.
@@ -78,7 +75,6 @@
 	conn         *conn
 	requestLease *body.Lease   // holds the memory of the request body until the response is written; nil: none is held
 	held         int64         // memory of the exchange itself and of a response body without a lease
-	answerBytes  int           // size of the response body
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 }
--- a/adapters/request/request.go
+++ b/adapters/request/request.go
@@ -55,6 +55,7 @@
 type Checker struct {
 	state    state
 	err      error
+	begun    bool // a byte of the method was read
 	trailers bool // the fields are trailers
 	skipped  bool // an empty line was skipped before the request
 	http10   bool
@@ -199,6 +200,8 @@
 		c.state, c.length = c.state+1, 0
 	case c.state == method && (!isToken(b) || c.length > maxMethodBytes):
 		return errors.New("the method is missing or not a token")
+	case c.state == method:
+		c.begun = true
 	case c.state == target && (b <= ' ' || b >= 0x7f):
 		return fmt.Errorf("the target is missing or has the byte %#x", b)
 	}
@@ -425,3 +428,9 @@
 	}
 	return 0, invalid
 }
+
+// Err returns the error of the first invalid byte that was read, or nil.
+func (r *Reader) Err() error { return r.err }
+
+// Begun reports whether a byte of the invalid request was passed on, besides an empty line.
+func (r *Reader) Begun() bool { return r.checker.begun }
--- a/app/lifecycle/resources.go
+++ b/app/lifecycle/resources.go
@@ -23,7 +23,7 @@
 const (
 	// runtimeBytes and runtimePercent are the memory of a process that is not for connections, whichever is more: the program, the
 	// runtime, tables and garbage. A node of a mesh with one upstream uses about 30 MB.
-	runtimeBytes   = 40_000_000
+	runtimeBytes   = 44_000_000
 	runtimePercent = 40
 	// leastPercent of the memory is for connections in any case.
 	leastPercent = 33
--- a/app/meshnode/stop_test.go
+++ b/app/meshnode/stop_test.go
@@ -73,7 +73,7 @@
 	gate := proxy.NewGate(proxy.GateOptions{Headers: testHeaders, LostAfter: time.Minute, Publish: func(*pb.Announcement) {}}, mesh, pool, m, log.NewNopLogger())
 	// The entry sends to the gate over a connection, as that of another node does.
 	entry := proxy.NewEntry(proxy.EntryOptions{Headers: testHeaders, Service: "a", Node: "127.0.0.1:1"}, mesh, gate, pool, m, log.NewNopLogger())
-	n := &testNode{Process: newProcess(o, newResources(Options{}), nil, control, gate, entry, metrics.NewSet(), log.NewNopLogger())}
+	n := &testNode{Process: newProcess(o, newResources(o), nil, control, gate, entry, metrics.NewSet(), log.NewNopLogger())}
 	n.entryAddress, n.gateAddress = listen(n.entryServer), listen(n.gateServer)
 	view.Endpoints["a"] = []*controlclient.Endpoint{{Gate: n.gateAddress, Instance: "i", Version: "v1", Slots: 64, Link: ports.LinkDomain}}
 	gate.Announce(&pb.Announcement{Instance: "i", Service: "a", Address: upstreamAddress, Version: "v1", Slots: 64, State: pb.UpstreamState_UPSTREAM_STATE_SERVING, Seq: 1, BornUnixMs: 1})
--- a/cmd/rattanfield-platform/crowd_test.go
+++ b/cmd/rattanfield-platform/crowd_test.go
@@ -135,6 +135,7 @@
 	name, address, head string
 	process             *exec.Cmd
 	ordinary            func() bool
+	maxOpenFiles        int // 0: not bounded
 }
 
 // testCrowd runs all forms against a listener, one behind the other. After each, the process must live, its memory and its
@@ -165,8 +166,8 @@
 			if peak > crowdMemoryMB*1_000_000 {
 				t.Errorf("the process used %d MB, its limit is %d", peak/1_000_000, crowdMemoryMB)
 			}
-			if files > crowdOpenFiles {
-				t.Errorf("the process opened %d descriptors, its bound is %d", files, crowdOpenFiles)
+			if target.maxOpenFiles > 0 && files > target.maxOpenFiles {
+				t.Errorf("the process opened %d descriptors, its bound is %d", files, target.maxOpenFiles)
 			}
 		})
 	}
@@ -175,8 +176,14 @@
 // Guards against clients that are not controlled and that end a process, or make it stop answering, through the memory or the
 // descriptors that it gives them.
 func TestCrowd(t *testing.T) {
-	m := startMesh(t, meshOptions{memoryMB: crowdMemoryMB, bodyBytes: crowdBodyBytes, maxFiles: crowdMaxFiles})
-	at := func(ip, port string) string { return net.JoinHostPort(ip, port) }
+	t.Run("few descriptors", func(t *testing.T) { testListeners(t, crowdMaxFiles) })
+	t.Run("many descriptors", func(t *testing.T) { testListeners(t, 0) })
+}
+
+// testListeners runs the crowd against all listeners of a node and a control host. Without a limit of descriptors, only the
+// memory bounds what the crowd gets.
+func testListeners(t *testing.T, maxFiles int) {
+	m := startMesh(t, meshOptions{memoryMB: crowdMemoryMB, bodyBytes: crowdBodyBytes, maxFiles: maxFiles})
 	answers := func(url string) func() bool {
 		return func() bool {
 			r, err := http.NewRequest(http.MethodGet, url, nil)
@@ -194,17 +201,20 @@
 	}
 	serves := func() bool { return m.get("page", m.nextID()) == http.StatusOK }
 	request := "POST " + platformtest.LongWritePath + largePage + " HTTP/1.1\r\nHost: " + platformtest.HostName + "\r\n"
-	announcement := "POST /rattanfield/rpc?call=instances.heartbeat&of=j HTTP/1.1\r\nHost: h\r\n"
+	post := func(path string) string { return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" }
 	for _, target := range []crowdTarget{
-		{"entry", platformtest.EntryAddress(m.node), request, m.nodeProcess, serves},
-		{"gate", platformtest.GateAddress(m.node), request, m.nodeProcess, serves},
-		{"announcements", at(m.node, "18146"), announcement, m.nodeProcess, m.announce},
-		{"readiness", at(m.node, "18140"), "POST /rattanfield/readyz HTTP/1.1\r\nHost: h\r\n", m.nodeProcess, func() bool { return platformtest.Ready(m.node) }},
-		{"metrics", at(m.node, "18175"), "POST /metrics HTTP/1.1\r\nHost: h\r\n", m.nodeProcess, answers("http://" + at(m.node, "18175") + "/metrics")},
-		{"operators", at(m.control, "18146"), "POST /rattanfield/rpc?call=config.get HTTP/1.1\r\nHost: h\r\n", m.controlProcess, func() bool {
+		{"entry", platformtest.EntryAddress(m.node), request, m.nodeProcess, serves, 0},
+		{"gate", platformtest.GateAddress(m.node), request, m.nodeProcess, serves, 0},
+		{"announcements", platformtest.ControlAddress(m.node), post(platformtest.CallPath("instances.heartbeat", "j")), m.nodeProcess, m.announce, 0},
+		{"readiness", platformtest.ReadyAddress(m.node), post(platformtest.ReadyPath), m.nodeProcess, func() bool { return platformtest.Ready(m.node) }, 0},
+		{"metrics", platformtest.MetricsAddress(m.node), post("/metrics"), m.nodeProcess, answers("http://" + platformtest.MetricsAddress(m.node) + "/metrics"), 0},
+		{"operators", platformtest.ControlAddress(m.control), post(platformtest.CallPath("config.get", "")), m.controlProcess, func() bool {
 			return platformtest.ReadPlan(m.control) == 1
-		}},
+		}, 0},
 	} {
+		if maxFiles > 0 {
+			target.maxOpenFiles = crowdOpenFiles
+		}
 		t.Run(target.name, func(t *testing.T) { testCrowd(t, target) })
 	}
 }
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -68,7 +68,7 @@
 	w := platform.NewWatcher(s, role)
 	go w.Run(ctx, reload, logger)
 	if s.MemoryMB > 0 {
-		body.LimitHeap(memoryBytes(s)/100*collectAbovePercent, memoryBytes(s)/100*heapAndBodiesPercent)
+		body.LimitHeap(memoryBytes(s)/100*collectAbovePercent, memoryBytes(s)/100*heapAndBodiesPercent-programBytes)
 	}
 	if role == platform.RoleNode {
 		err = meshnode.Run(ctx, nodeOptions(s, w), logger)
@@ -113,9 +113,13 @@
 // The rest is room for what is allocated until a collection ends.
 const collectAbovePercent = 60
 
-// heapAndBodiesPercent is the part of the memory of a process, in percent, that the runtime and large request bodies together stay
-// below.
-const heapAndBodiesPercent = 85
+const (
+	// heapAndBodiesPercent is the part of the memory of a process, in percent, that the program, the runtime and large request
+	// bodies together stay below.
+	heapAndBodiesPercent = 95
+	// programBytes is the resident size of the program itself, which the limit of the runtime does not count.
+	programBytes = 16_000_000
+)
 
 // memoryBytes returns the memory limit of the process in bytes. The platform ends a process that exceeds it.
 func memoryBytes(s *platform.Settings) int64 { return int64(s.MemoryMB) * 1_000_000 }
