--- a/adapters/body/body_test.go
+++ b/adapters/body/body_test.go
@@ -8,9 +8,12 @@
 	"runtime/debug"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/rattanfield/rattanfield/adapters/memory"
 )
 
 // Guards against a body that is shorter than its length or its chunks state and that is read
@@ -169,3 +172,34 @@
 	is.Equal(err, io.ErrUnexpectedEOF)
 	is.Equal(m.allocated.Load(), int64(0))
 }
+
+// Guards against mappings that a process gets besides the memory limit of the runtime, and against small bodies of a connection
+// that no account counts.
+func TestMappingsLowerTheHeapLimit(t *testing.T) {
+	is := is.New(t)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	defer func() { heap = heapLimit{} }()
+	const usual, total, size = 80 << 20, 100 << 20, 40 << 20
+	LimitHeap(usual, total)
+	is.Equal(debug.SetMemoryLimit(-1), int64(usual))
+	account := memory.NewAccount(2*size, 2*size)
+	m := NewSharedRequestMemory(2*size, account)
+	_, l, err := request(t, m, size, fmt.Sprint("Content-Length: ", size), strings.Repeat("x", size))
+	is.NoErr(err)
+	limit := debug.SetMemoryLimit(-1)
+	is.True(limit >= total-size && limit < total-size+heapLimitStep)
+	l.Release()
+	is.Equal(debug.SetMemoryLimit(-1), int64(usual))
+
+	h := account.NewHolder("s", "", time.Now(), nil)
+	var r fasthttp.Request
+	br := bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000)))
+	is.NoErr(r.Header.Read(br))
+	l = m.LeaseFor(h)
+	is.NoErr(ReadRequest(br, &r, size, l))
+	held, _, _ := account.Counts()
+	is.True(held >= 5000)
+	l.Release()
+	held, _, _ = account.Counts()
+	is.Equal(held, int64(0))
+}
--- a/app/lifecycle/resources.go
+++ b/app/lifecycle/resources.go
@@ -1,12 +1,15 @@
 package lifecycle
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
 
 	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/meshhttp"
@@ -18,6 +21,7 @@
 	Account     *memory.Account
 	largest     int64
 	connections int
+	refusals    []*refusals
 }
 
 const (
@@ -78,13 +82,52 @@
 	set.NewGauge("rattanfield_connection_memory_evicted", func() float64 { _, _, evicted := r.Account.Counts(); return float64(evicted) })
 }
 
-// AddRefusals adds how many connections and requests a server closed or refused before they were read, by reason.
-func AddRefusals(set *metrics.Set, listener string, s *meshhttp.Server) {
+// refusals is a count of refusals by a listener, for one reason.
+type refusals struct {
+	listener, reason string
+	count            func() uint64
+	logged           uint64
+}
+
+// AddServer adds how many connections and requests a server closed or refused before they were read, by reason, to the metrics and
+// to the lines of Run. It must not be called after Run.
+func (r *Resources) AddServer(set *metrics.Set, listener string, s *meshhttp.Server) {
 	s.Refusals(func(reason string, count func() uint64) {
+		r.refusals = append(r.refusals, &refusals{listener: listener, reason: reason, count: count})
 		set.NewGauge(fmt.Sprintf("rattanfield_connections_refused{listener=%q,reason=%q}", listener, reason), func() float64 { return float64(count()) })
 	})
 }
 
+// logInterval is the time between two lines about the same listener and reason. A line for each refusal would let clients fill
+// the log.
+const logInterval = 5 * time.Second
+
+// Run logs what was refused until the context ends.
+func (r *Resources) Run(ctx context.Context, logger log.Logger) error {
+	ticker := time.NewTicker(logInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.logRefusals(logger)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (r *Resources) logRefusals(logger log.Logger) {
+	for _, f := range r.refusals {
+		n := f.count()
+		if n == f.logged {
+			continue
+		}
+		held, _, _ := r.Account.Counts()
+		_ = logger.Log("event", "connections refused", "listener", f.listener, "reason", f.reason, "number", n-f.logged, "memory", held)
+		f.logged = n
+	}
+}
+
 // topUsers is the number of users of each kind that WriteTop names.
 const topUsers = 5
 
--- a/app/lifecycle/resources_test.go
+++ b/app/lifecycle/resources_test.go
@@ -1,9 +1,11 @@
 package lifecycle
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
 )
 
@@ -32,3 +34,19 @@
 	is.True(slots >= 150)
 	is.True(NewResources(0, 0).connections > 0)
 }
+
+// Guards against a log that clients fill, with a line for each refusal, and against refusals that no line tells.
+func TestRefusalsAreLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	logger := log.NewLogfmtLogger(&out)
+	count := uint64(3)
+	r := NewResources(0, 0)
+	r.refusals = []*refusals{{listener: "entry", reason: "slow-body", count: func() uint64 { return count }}}
+	r.logRefusals(logger)
+	r.logRefusals(logger)
+	count = 5
+	r.logRefusals(logger)
+	is.Equal(out.String(), "event=\"connections refused\" listener=entry reason=slow-body number=3 memory=0\n"+
+		"event=\"connections refused\" listener=entry reason=slow-body number=2 memory=0\n")
+}
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -160,12 +160,13 @@
 			Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(slotsPercent),
 			Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account),
 		})
-		lifecycle.AddRefusals(p.set, address, s)
+		p.resources.AddServer(p.set, address, s)
 		if err := listen(address, s.Serve); err != nil {
 			return err
 		}
 		answering = append(answering, s)
 	}
+	tasks.Go("refusals", func(ctx context.Context) error { return p.resources.Run(ctx, p.logger) })
 	tasks.Go("replicated log", p.Host.Run)
 	tasks.Go("hub", p.Server.Run)
 	tasks.Go("rollouts", p.decider.Run)
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -169,8 +169,8 @@
 		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
 		Account: r.Account, Slots: r.Slots(gateSlotsPercent), FailureDomain: p.failureDomainOf, Organisation: organisationOfEntry,
 	})
-	lifecycle.AddRefusals(set, "entry", p.entryServer)
-	lifecycle.AddRefusals(set, "gate", p.gateServer)
+	r.AddServer(set, "entry", p.entryServer)
+	r.AddServer(set, "gate", p.gateServer)
 	return p
 }
 
@@ -293,6 +293,7 @@
 		}
 		servers.Go("server on "+address, func(context.Context) error { return serveFuncs[i](l) })
 	}
+	tasks.Go("refusals", func(ctx context.Context) error { return p.resources.Run(ctx, p.logger) })
 	tasks.Go("attachment", p.control.Run)
 	tasks.Go("connections", p.entry.Run)       // probes unreachable nodes, closes connections to unknown ones
 	tasks.Go("upstream condition", p.gate.Run) // reports whether the local upstream is slow or failing
@@ -381,6 +382,6 @@
 		Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(callSlotsPercent),
 		Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account),
 	})
-	lifecycle.AddRefusals(p.set, address, s)
+	p.resources.AddServer(p.set, address, s)
 	return s
 }
--- a/cmd/rattanfield-platform/crowd_test.go
+++ b/cmd/rattanfield-platform/crowd_test.go
@@ -1,135 +1,28 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os/exec"
-	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/rattanfield/rattanfield/adapters/request/requesttest"
 	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
 
-// The crowd, and the limits of the processes that it meets.
+// Limits of the processes that the crowd meets.
 const (
-	crowdClients     = 40
-	crowdConnections = 4 // of each client
-	crowdTime        = 2 * time.Second
-	crowdMemoryMB    = 64
-	crowdBodyBytes   = 4 << 20
-	crowdMaxFiles    = 300
+	crowdMemoryMB  = 64
+	crowdBodyBytes = 4 << 20
+	crowdMaxFiles  = 300
 	// crowdOpenFiles bounds the descriptors of a process: the platform reserves 200 of its limit for files.
 	crowdOpenFiles = crowdMaxFiles - 200
 )
 
-// crowdForm is one way in which clients that are not controlled use a connection. send is called for each new connection. A
-// connection stays open until the crowd ends, unless reopen is set.
-type crowdForm struct {
-	name   string
-	send   func(c net.Conn, head string)
-	reopen bool
-}
-
-// write writes text until it is sent, or until the connection fails or the crowd ends, which a client of the crowd ignores.
-func write(c net.Conn, text string) bool {
-	_, err := io.WriteString(c, text)
-	return err == nil
-}
-
-// repeat writes a text again and again until a number of bytes is sent.
-func repeat(c net.Conn, text string, bytes int) bool {
-	block := strings.Repeat(text, max(1, 16<<10/len(text)))
-	for sent := 0; sent < bytes; sent += len(block) {
-		if !write(c, block) {
-			return false
-		}
-	}
-	return true
-}
-
-func crowdForms() []crowdForm {
-	withLength := func(length int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", length) }
-	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
-	return []crowdForm{
-		{name: "whole body that stops short", send: func(c net.Conn, head string) {
-			_ = write(c, head+withLength(crowdBodyBytes)) && repeat(c, "x", crowdBodyBytes-16<<10)
-		}},
-		{name: "body in pieces that stops short", send: func(c net.Conn, head string) {
-			ok := write(c, head+withLength(crowdBodyBytes))
-			for i := 0; ok && i < 15; i++ {
-				ok = repeat(c, "x", crowdBodyBytes/16)
-				time.Sleep(crowdTime / 32)
-			}
-		}},
-		{name: "large chunks", send: func(c net.Conn, head string) {
-			_ = write(c, head+chunked) && repeat(c, "10000\r\n"+strings.Repeat("x", 64<<10)+"\r\n", crowdBodyBytes-128<<10)
-		}},
-		{name: "chunks of one byte", send: func(c net.Conn, head string) {
-			_ = write(c, head+chunked) && repeat(c, "1\r\nx\r\n", 5*crowdBodyBytes)
-		}},
-		{name: "one chunk of the whole size", send: func(c net.Conn, head string) {
-			_ = write(c, head+chunked+fmt.Sprintf("%x\r\n", crowdBodyBytes)) && repeat(c, "x", crowdBodyBytes-16<<10)
-		}},
-		{name: "endless chunk extension", send: func(c net.Conn, head string) {
-			_ = write(c, head+chunked+"1;") && repeat(c, "a=b;", 1<<30)
-		}},
-		{name: "far over the limit, announced", send: func(c net.Conn, head string) {
-			_ = write(c, head+withLength(1<<30)) && repeat(c, "x", 1<<30)
-		}},
-		{name: "far over the limit, in chunks", send: func(c net.Conn, head string) {
-			_ = write(c, head+chunked) && repeat(c, "10000\r\n"+strings.Repeat("x", 64<<10)+"\r\n", 1<<30)
-		}},
-		{name: "heads that never end", send: func(c net.Conn, head string) {
-			for ok := write(c, head); ok; time.Sleep(time.Millisecond) {
-				ok = write(c, "X-Filler: "+strings.Repeat("x", 100)+"\r\n")
-			}
-		}},
-		{name: "answers that are never read", send: func(c net.Conn, head string) {
-			// The kernel holds part of what is not read. A small buffer leaves the rest to the process.
-			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-			_ = repeat(c, head+"Content-Length: 0\r\n\r\n", 1<<30)
-		}},
-		{name: "closed and reopened at once", reopen: true, send: func(c net.Conn, head string) {
-			_ = write(c, head)
-		}},
-		{name: "open without a byte", send: func(net.Conn, string) {}},
-	}
-}
-
-// runCrowd runs the clients of a crowd and returns when all of their connections are closed.
-func runCrowd(address, head string, form crowdForm) {
-	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
-	defer cancel()
-	var clients sync.WaitGroup
-	for range crowdClients * crowdConnections {
-		clients.Go(func() {
-			for ctx.Err() == nil {
-				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-				if err != nil {
-					time.Sleep(10 * time.Millisecond)
-					continue
-				}
-				stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-				form.send(c, head)
-				if !form.reopen {
-					<-ctx.Done()
-				}
-				stop()
-				_ = c.Close()
-			}
-		})
-	}
-	clients.Wait()
-}
-
 // crowdTarget is a listener that a crowd uses. ordinary reports whether an ordinary request is answered.
 type crowdTarget struct {
 	name, address, head string
@@ -141,13 +34,13 @@
 // testCrowd runs all forms against a listener, one behind the other. After each, the process must live, its memory and its
 // descriptors must have stayed within their bounds, and an ordinary request must be answered.
 func testCrowd(t *testing.T, target crowdTarget) {
-	for _, form := range crowdForms() {
-		t.Run(form.name, func(t *testing.T) {
+	for _, form := range requesttest.CrowdForms(crowdBodyBytes) {
+		t.Run(form.Name, func(t *testing.T) {
 			resetPeakMemory(t, target.process)
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				runCrowd(target.address, target.head, form)
+				requesttest.RunCrowd(target.address, target.head, form)
 			}()
 			files := 0
 			for ended := false; !ended; {
@@ -221,16 +114,16 @@
 
 // Guards against clients that keep a process from ending in time after a stop signal.
 func TestStopDuringCrowd(t *testing.T) {
-	for _, form := range crowdForms() {
-		t.Run(form.name, func(t *testing.T) {
+	for _, form := range requesttest.CrowdForms(crowdBodyBytes) {
+		t.Run(form.Name, func(t *testing.T) {
 			m := startMesh(t, meshOptions{memoryMB: crowdMemoryMB, bodyBytes: crowdBodyBytes, maxFiles: crowdMaxFiles})
 			request := "POST " + platformtest.LongWritePath + largePage + " HTTP/1.1\r\nHost: " + platformtest.HostName + "\r\n"
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				runCrowd(platformtest.EntryAddress(m.node), request, form)
+				requesttest.RunCrowd(platformtest.EntryAddress(m.node), request, form)
 			}()
-			time.Sleep(crowdTime / 2)
+			time.Sleep(requesttest.CrowdTime / 2)
 			if err := m.nodeProcess.Process.Signal(syscall.SIGTERM); err != nil {
 				t.Fatal(err)
 			}
