--- a/adapters/httpproxy/framing_test.go
+++ b/adapters/httpproxy/framing_test.go
@@ -90,4 +90,13 @@
 	is.Equal(status(dialServer(t, address), 10_000), fasthttp.StatusOK)
 	_, err := idle[0].Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
+	for range connections {
+		_, err := io.WriteString(dialServer(t, address), "GET / HTTP/1.1\r\n") // sending, so it does not give way
+		is.NoErr(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	refused := dialServer(t, address)
+	_ = refused.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	_, err = io.Copy(io.Discard, refused)
+	is.NoErr(err)
 }
--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -49,6 +49,7 @@
 
 	bodyBegin time.Time // when the body that is being read began; zero: none. Only the reader uses it.
 	bodyRead  int64     // bytes read since bodyBegin
+	grown     int64     // memory of a read buffer that has grown; only the reader uses it
 }
 
 func newConn(s *Server, nc net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
@@ -231,7 +232,8 @@
 	if err != nil {
 		return err
 	}
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(begin)), c.input), most)
+	c.holder.Add(-c.grown, false, time.Time{})
+	c.br, c.grown = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(begin)), c.input), most), int64(most)
 	return h.Read(c.br)
 }
 
@@ -240,9 +242,9 @@
 	if c.br == c.usual || c.br.Buffered() > 0 {
 		return
 	}
-	c.holder.Add(-int64(c.br.Size()), false, time.Time{})
+	c.holder.Add(-c.grown, false, time.Time{})
 	c.usual.Reset(c.input)
-	c.br = c.usual
+	c.br, c.grown = c.usual, 0
 }
 
 // readRequest reads one request and starts its handler. It returns nil when the connection ends.
--- a/adapters/meshhttp/framing_test.go
+++ b/adapters/meshhttp/framing_test.go
@@ -92,6 +92,16 @@
 	_, err = conns[1].Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 	is.True(s.OpenConnections() <= 2)
+	for _, c := range []net.Conn{conns[0], conns[2]} {
+		ask(c)
+	}
+	time.Sleep(100 * time.Millisecond) // both requests run now
+	refused, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = refused.Close() }()
+	_ = refused.SetDeadline(time.Now().Add(200 * time.Millisecond)) // before the requests end
+	_, err = refused.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
 }
 
 // Guards against a rate of bodies that a client within the limits meets: 10 s for a whole body, whatever its size. A body that is
@@ -109,7 +119,7 @@
 // memory that the requests of others need.
 func TestUnreadAnswersGiveWay(t *testing.T) {
 	is := is.New(t)
-	account := memory.NewAccount(400<<10, 400<<10)
+	account := memory.NewAccount(2<<20, 2<<20)
 	s := NewServer(ServerOptions{
 		Limits: func() Limits { return DefaultLimits }, Account: account,
 		OnReadError: func(x *Exchange, status int, _ error) { x.Response.SetStatusCode(status) },
@@ -143,7 +153,8 @@
 			}
 		}
 	}
-	await(func() bool { return held() > 200<<10 })
+	// Without their answers, the requests hold less than 600 KB.
+	await(func() bool { return held() > 1<<20 })
 	await(func() bool {
 		c, err := net.Dial("tcp", l.Addr().String())
 		is.NoErr(err)
--- a/adapters/meshhttp/limits_test.go
+++ b/adapters/meshhttp/limits_test.go
@@ -117,6 +117,11 @@
 		is.Equal((<-outcomes).Failure, Answered)
 		is.True(len(p.slots) <= 1)
 	}
+	for _, address := range []string{a, b} { // the connection to a is idle when b needs one
+		c := newCall("1", false)
+		c.Deadline = time.Now().Add(2 * time.Second)
+		is.Equal(p.Do(context.Background(), address, c).Failure, Answered)
+	}
 }
 
 // Measures what the check of the framing and the account add to the reading of an ordinary request.
--- a/app/lifecycle/resources_test.go
+++ b/app/lifecycle/resources_test.go
@@ -14,13 +14,15 @@
 // Guards against limits that refuse the largest legal body on the smallest nodes, or that leave the runtime too little.
 func TestResources(t *testing.T) {
 	is := is.New(t)
-	const largestBody = 64 << 20
+	const largestBody, programAndRuntime = 64 << 20, 44_000_000
 	for _, mb := range []int{128, 184} {
 		held := NewResources(mb*1_000_000, 4100)
 		h := held.Account.NewHolder("", "", start, nil)
 		is.True(h.Add(largestBody, true, start))
-		is.True(!h.Add(int64(mb)*1_000_000-largestBody-runtimeBytes+1, false, start))
+		is.True(!h.Add(int64(mb)*1_000_000-largestBody-programAndRuntime+1, false, start))
 	}
+	small := NewResources(64_000_000, 0)
+	is.True(!small.Account.NewHolder("", "", start, nil).Add(22_000_000, false, start)) // a third of the memory is left
 	r := NewResources(0, 500)
 	slots := int64(0)
 	for _, percent := range []int{40, 39, 7, 7, 7} {
