--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
+	"math/bits"
 	"net/http/httputil"
 	"slices"
 	"sync"
@@ -36,8 +38,8 @@
 func read(br *bufio.Reader, r *fasthttp.Response, l *Lease) error {
 	length := int64(r.Header.ContentLength())
 	switch {
-	case length >= 0 && length <= uncountedBytes:
-		return r.ReadBody(br, uncountedBytes)
+	case length >= 0 && length <= UncountedBytes:
+		return r.ReadBody(br, UncountedBytes)
 	case length >= 0:
 		if !l.allows(length) {
 			return ErrTooLarge
@@ -62,7 +64,7 @@
 	switch {
 	case length > int64(limit) || !l.allows(length):
 		return fasthttp.ErrBodyTooLarge
-	case length > uncountedBytes && !l.fits(length):
+	case length > UncountedBytes && !l.fits(length):
 		return ErrTooLarge
 	}
 	return nil
@@ -82,9 +84,12 @@
 func readRequest(br *bufio.Reader, r *fasthttp.Request, limit int64, l *Lease) error {
 	length := int64(r.Header.ContentLength())
 	switch {
-	case length > uncountedBytes:
+	case length > UncountedBytes:
 		return appendFixed(r, br, length, l)
+	case length > 0 && !l.holdSmall(bufferBytes(length)), length == -1 && !l.holdSmall(UncountedBytes):
+		return ErrTooLarge
 	case length == -1:
+		l.most = min(limit, max(UncountedBytes, l.memory.largest))
 		size, err := appendBody(r, &limitedReader{src: httputil.NewChunkedReader(br), left: limit}, 0, l)
 		switch {
 		case err != nil && !l.allows(size):
@@ -100,6 +105,31 @@
 	}
 }
 
+// ReadStream reads the body of a request from a stream that ends with it, and makes it the body of the request. length is its
+// stated length, or negative. The errors are those of ReadRequest.
+func ReadStream(src io.Reader, r *fasthttp.Request, length, limit int64, l *Lease) error {
+	if length > limit || !l.allows(length) {
+		return fasthttp.ErrBodyTooLarge
+	}
+	var read fasthttp.Request // the stream belongs to r, which would close it
+	size, err := appendBody(&read, &limitedReader{src: src, left: limit}, max(length, 0), l)
+	switch {
+	case err != nil && !l.allows(size):
+		err = fasthttp.ErrBodyTooLarge
+	case err == nil && length >= 0 && size < length:
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		l.Release()
+		return err
+	}
+	r.SetBodyRaw(read.Body())
+	return nil
+}
+
+// bufferBytes returns the size of the buffer that the HTTP library allocates for a body of a stated length.
+func bufferBytes(length int64) int64 { return 1 << bits.Len64(uint64(length-1)) }
+
 // unexpected turns the end of the input into an error that does not look like the regular end.
 func unexpected(err error) error {
 	if err == io.EOF {
@@ -125,7 +155,7 @@
 // Discard removes the body of a response. The memory of a large one goes back to the runtime and not to the pool of the
 // HTTP library, whose buffers small bodies would hold without a lease.
 func Discard(r *fasthttp.Response) {
-	if cap(r.Body()) > uncountedBytes {
+	if cap(r.Body()) > UncountedBytes {
 		r.SwapBody(nil)
 	}
 	r.ResetBody()
@@ -135,6 +165,7 @@
 type message interface {
 	AppendBody(part []byte)
 	SwapBody(body []byte) (old []byte)
+	SetBodyRaw(body []byte)
 }
 
 // appendFixed reads a body of a stated length.
@@ -150,12 +181,12 @@
 func appendBody(r message, src io.Reader, length int64, l *Lease) (size int64, err error) {
 	block := blockPool.Get().(*[]byte)
 	defer blockPool.Put(block)
-	var large []byte // the whole body, once it has more than uncountedBytes
+	var large []byte // the whole body, once it has more than UncountedBytes
 	for {
 		n, err := src.Read(*block)
 		size += int64(n)
 		switch {
-		case size <= uncountedBytes:
+		case size <= UncountedBytes:
 			r.AppendBody((*block)[:n])
 		default:
 			if large == nil {
@@ -169,7 +200,11 @@
 		if err == nil {
 			continue
 		}
-		if large != nil {
+		switch {
+		case large == nil:
+		case l.mapping != nil:
+			r.SetBodyRaw(large) // a raw body never gets into the pool of the HTTP library
+		default:
 			r.SwapBody(large)
 		}
 		if err == io.EOF {
@@ -186,6 +221,9 @@
 // extend appends a part to a body and holds the memory for it. length is the stated length of the whole body, 0: none. It
 // returns false if there is no memory left.
 func (l *Lease) extend(b, part []byte, length int64) ([]byte, bool) {
+	if l.memory.mapped {
+		return l.extendMapped(b, part, cmp.Or(length, l.most))
+	}
 	size := int64(len(b) + len(part))
 	if size <= int64(cap(b)) {
 		return append(b, part...), true
@@ -193,14 +231,14 @@
 	if !l.allows(size) {
 		return nil, false
 	}
-	grown := max(size, min(max(4*uncountedBytes, 2*int64(cap(b))), max(length, l.memory.largest)))
+	grown := max(size, min(max(4*UncountedBytes, 2*int64(cap(b))), max(length, l.memory.largest)))
 	if length > 0 {
 		grown = min(grown, length)
 	}
 	if size >= length/wholeBufferShare && length > 0 {
 		grown = length // one copy of a small part, instead of one of a half
 	}
-	if !l.hold(grown + l.memory.replaced(b)) {
+	if !l.hold(grown + int64(cap(b))) {
 		return nil, false
 	}
 	out, ok := l.memory.allocate(grown)
--- a/adapters/httpproxy/serverconn.go
+++ b/adapters/httpproxy/serverconn.go
@@ -1,17 +1,23 @@
 package httpproxy
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rattanfield/rattanfield/adapters/memory"
+	"github.com/rattanfield/rattanfield/adapters/request"
 )
 
 // serverConn is a connection of a Server. It tracks whether a request is being read or answered.
 type serverConn struct {
 	net.Conn
 	server *Server
+	input  request.Reader // checks the framing of the requests
+	slot   *memory.Holder // its place among the open connections
 
 	mu sync.Mutex
 	// answered is true between a response and the first byte of the next request, as seen by
@@ -31,7 +37,13 @@
 // discarded, because the closing response states that nothing more was read.
 func (c *serverConn) Read(b []byte) (int, error) {
 	c.markIdle()
-	n, err := c.Conn.Read(b)
+	n, err := c.input.Read(b)
+	if errors.Is(err, request.ErrInvalid) && !c.input.Begun() {
+		n, err = copy(b, invalidLine), nil
+	}
+	if n > 0 {
+		c.slot.SetState(memory.Waiting, time.Now())
+	}
 	c.mu.Lock()
 	if !c.closing {
 		if n > 0 && !c.busy {
@@ -53,9 +65,14 @@
 	if c.answered && c.busy {
 		c.busy = false
 		c.idleSince = time.Now()
+		c.slot.SetState(memory.Idle, time.Now())
 	}
 }
 
+// invalidLine stands for a request that is invalid from its first byte on. The HTTP library would not answer an error before
+// that byte, and answers this line in the order of the requests.
+const invalidLine = "invalid\r\n\r\n"
+
 func (c *serverConn) linger(b []byte) {
 	c.mu.Lock()
 	until := c.lingerUntil
@@ -86,6 +103,7 @@
 		return false
 	}
 	c.handled = true
+	c.slot.SetState(memory.Busy, time.Now())
 	return true
 }
 
@@ -164,6 +182,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
+	c.slot.Release()
 	c.server.remove(c)
 	return c.Conn.Close()
 }
--- a/adapters/meshhttp/early.go
+++ b/adapters/meshhttp/early.go
@@ -25,6 +25,7 @@
 // is closing.
 func (c *conn) respondEarly(x *Exchange) *Exchange {
 	if !c.beginRequest() {
+		x.release()
 		return nil
 	}
 	h := &x.Request.Header
