core/quota: hold the bound and the share of callers that move, with property tests

Cause: the first division let nodes that had not heard of an organisation, or had lost contact, admit beyond the bound of small organisations, counted the nodes of a lost control host twice, and left a node to which all callers moved without capacity. Change: nodes report the allowance, so that control hosts tell a near limit to all nodes; extras need recent contact; demands are smoothed; sums of a silent control host shrink with its nodes; totals need a quorum.

--- a/app/controlclient/quotas.go
+++ b/app/controlclient/quotas.go
@@ -9,16 +9,19 @@
 	Apply(totals []*pb.OrganisationDemand)
 }
 
-// noTotals is the totals_version of a node that has none and sends all its demands.
-const noTotals = 1
+// Values of totals_version: the node sends all its demands, and the control host does not know all nodes.
+const (
+	demandsWhole = 1
+	noTotals     = 2
+)
 
 // addDemands adds the demands to a request if the plan has quotas.
 func (c *Client) addDemands(r *pb.MeshServiceSyncRequest, v *View) {
 	if c.options.Quotas == nil || v.Plan == nil || !v.Plan.HasQuotas() || r.GetNoTable() {
 		return
 	}
-	r.TotalsVersion = max(noTotals, c.positions[c.host].totals)
-	r.Demands = c.options.Quotas.Report(r.GetTotalsVersion() == noTotals)
+	r.TotalsVersion = max(demandsWhole, c.positions[c.host].totals)
+	r.Demands = c.options.Quotas.Report(r.GetTotalsVersion() == demandsWhole)
 }
 
 // takeTotals applies the totals of the response to a request.
@@ -27,7 +30,7 @@
 		return
 	}
 	c.options.Quotas.Acknowledge()
-	if len(r.GetTotals()) > 0 {
+	if r.GetTotalsVersion() > noTotals {
 		c.options.Quotas.Apply(r.GetTotals())
 	}
 }
--- a/app/controlserver/quotas.go
+++ b/app/controlserver/quotas.go
@@ -22,29 +22,34 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.quotas.Put(s.now(), self.GetNode(), self.GetEpoch(), self.GetSeq(), self.GetStopping(), quotas.FromMessages(m.GetDemands()), m.GetTotalsVersion() == firstTotals-1) {
+	if s.quotas.Put(s.now(), self.GetNode(), self.GetEpoch(), self.GetSeq(), self.GetStopping(), quotas.FromMessages(m.GetDemands()), m.GetTotalsVersion() == demandsWhole) {
 		s.wakeQuotasLocked()
 	}
 }
 
-// firstTotals is the totals_version that stands for version 0 of the aggregator; those below it have their own meaning.
-const firstTotals = 2
+// Values of totals_version below those of the aggregator's versions.
+const (
+	demandsWhole = 1 // the node sends all that it has
+	noTotals     = 2 // this host does not know all nodes
+	firstTotals  = 3 // version 0 of the aggregator
+)
 
-// addTotalsLocked adds the totals that a node lacks to a response.
+// addTotalsLocked adds the totals that a node lacks to a response. Without a quorum this host may be cut off from others, whose
+// nodes change what they hold; its nodes keep their capacities then.
 func (s *Server) addTotalsLocked(m *pb.MeshServiceSyncRequest, out *pb.MeshServiceSyncResponse, signals *pollSignals) {
 	if m.GetTotalsVersion() == 0 {
 		return
 	}
 	signals.quotasChanged = s.quotasChanged
-	out.TotalsVersion = firstTotals
-	if !s.quotas.Complete() {
+	out.TotalsVersion = noTotals
+	if !s.quotas.Complete() || !out.GetConfirmed() {
 		return
 	}
 	since := uint64(0)
 	if m.GetTableEpoch() == s.epoch && m.GetTotalsVersion() > firstTotals {
 		since = m.GetTotalsVersion() - firstTotals
 	}
-	out.TotalsVersion += s.quotas.Version()
+	out.TotalsVersion = firstTotals + s.quotas.Version()
 	out.Totals = quotas.ToMessages(s.quotas.Others(m.GetSelf().GetNode(), since))
 }
 
@@ -97,10 +102,11 @@
 
 // sweepQuotasLocked forgets what silent nodes and removed control hosts held.
 func (s *Server) sweepQuotasLocked() {
-	var members []string
+	nodes := s.table.Receivers()
+	members := make(map[string]int)
 	for _, m := range s.state.State().Members {
 		if m.GetId() != s.id {
-			members = append(members, m.GetAddress())
+			members[m.GetAddress()] = nodes[m.GetAddress()]
 		}
 	}
 	if s.quotas.Sweep(s.now(), members) {
--- a/app/meshnode/cluster_test.go
+++ b/app/meshnode/cluster_test.go
@@ -42,7 +42,8 @@
 	arrived func(path, id string)  // called with each request that an upstream begins to run; it may be nil
 	ends    func(path string) bool // whether a request ends its upstream
 	history history
-	log     lines // of the nodes
+	log     lines                        // of the nodes
+	submit  func(*pb.Command) pb.Outcome // to the first control host
 }
 
 // lines keeps the log lines of the nodes, to explain requests that were not served.
@@ -166,10 +167,13 @@
 			}, log.NewNopLogger())
 		})
 	}
-	eventually(t, "the plan is accepted", func() bool {
-		h := hosts[0].Load()
-		return h != nil && h.Submit(t.Context(), clusterPlan(t)).GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED
-	})
+	c.submit = func(command *pb.Command) pb.Outcome {
+		if h := hosts[0].Load(); h != nil {
+			return h.Submit(t.Context(), command).GetOutcome()
+		}
+		return pb.Outcome_OUTCOME_UNSPECIFIED
+	}
+	eventually(t, "the plan is accepted", func() bool { return c.submit(clusterPlan(t)) == pb.Outcome_OUTCOME_ACCEPTED })
 	for range nodes {
 		c.addNode()
 	}
--- a/app/meshnode/stop_test.go
+++ b/app/meshnode/stop_test.go
@@ -36,6 +36,7 @@
 
 var testHeaders = proxy.Headers{
 	ID: "T-Id", RemainingMs: "T-Remaining", ExpectInstance: "T-Expect", NotRun: "T-Not-Run", Signature: "T-Signature", Caller: "T-Caller",
+	Key: "T-Key", Organisation: "T-Organisation",
 }
 
 type fixedMesh struct{ view *controlclient.View }
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -501,7 +501,9 @@
 	}
 	r.SetBodyString(reason + "\n")
 	f.entry.metrics.count("entry", reason)
-	f.log("not answered", reason, status)
+	if reason != reasonQuota { // the store logs the begin and the end; a line each would displace those that explain other requests
+		f.log("not answered", reason, status)
+	}
 }
 
 // randomRetryAfter returns a random time between 0.5 and 1.5 times retryAfter, so
--- a/app/proxy/harness_test.go
+++ b/app/proxy/harness_test.go
@@ -180,7 +180,19 @@
 func send(e *Entry, path string) *meshhttp.Exchange { return sendBody(e, path, nil) }
 
 func sendBody(e *Entry, path string, body []byte) *meshhttp.Exchange {
+	return sendRequest(e, path, body, "", "")
+}
+
+// sendWith sends a request with one more header.
+func sendWith(e *Entry, path, header, value string) *meshhttp.Exchange {
+	return sendRequest(e, path, nil, header, value)
+}
+
+func sendRequest(e *Entry, path string, body []byte, header, value string) *meshhttp.Exchange {
 	x := &meshhttp.Exchange{Received: time.Now()}
+	if header != "" {
+		x.Request.Header.Set(header, value)
+	}
 	x.Request.SetBody(body)
 	x.Request.Header.SetHost("h")
 	x.Request.Header.SetRequestURI(path)
--- a/app/quotas/convert.go
+++ b/app/quotas/convert.go
@@ -16,6 +16,7 @@
 		out = append(out, &pb.OrganisationDemand{
 			Organisation: uint64(r.ID), RateMilli: toMilli(r.Rate), CapacityMilli: toMilli(r.Capacity), UsedMilli: toMilli(r.Used),
 			Nodes: uint32(r.Nodes), Urgent: r.Urgent, Limited: r.Limited,
+			Allowance: float32(r.Allowance),
 		})
 	}
 	return out
@@ -30,6 +31,7 @@
 		out = append(out, quota.Report{ID: quota.ID(m.GetOrganisation()), Demand: quota.Demand{
 			Rate: float64(m.GetRateMilli()) / milli, Capacity: float64(m.GetCapacityMilli()) / milli, Used: float64(m.GetUsedMilli()) / milli,
 			Nodes: int(min(m.GetNodes(), maxNodes)), Urgent: m.GetUrgent(), Limited: m.GetLimited(),
+			Allowance: float64(m.GetAllowance()),
 		}})
 	}
 	return out
--- a/app/quotas/store.go
+++ b/app/quotas/store.go
@@ -1,6 +1,7 @@
 package quotas
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 		if d.Started {
 			s.names[id] = o.GetName()
 			_ = s.logger.Log("event", "quota reached", "organisation", o.GetName(), "rate", o.GetRequestsPerSecond(), "burst", o.GetBurst(),
-				"state", s.limiter.State(id))
+				"state", fmt.Sprintf("%+v", s.limiter.State(id)))
 		}
 		return Ticket{}, d.RetryAfter, false
 	}
@@ -129,10 +130,11 @@
 	s.limiter.Acknowledge()
 }
 
-// Apply takes the totals of a control host.
+// Apply takes the totals of a control host that knows all nodes; none if they have not changed.
 func (s *Store) Apply(totals []*pb.OrganisationDemand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appliedAt, s.applied = s.now(), true
+	s.limiter.Heard(s.now())
 	s.limiter.Apply(s.now(), FromMessages(totals))
 }
--- a/core/nodetable/table.go
+++ b/core/nodetable/table.go
@@ -175,3 +175,12 @@
 		f(e.record, e.heardAt)
 	}
 }
+
+// Receivers returns the number of nodes by the control host that received their record; empty for this host.
+func (t *Table) Receivers() map[string]int {
+	out := make(map[string]int)
+	for _, e := range t.entries {
+		out[e.receiver]++
+	}
+	return out
+}
--- a/core/quota/aggregator.go
+++ b/core/quota/aggregator.go
@@ -16,6 +16,11 @@
 	// restartTime is how long the sums of a control host that has started again are not taken to fall: its nodes need up to that
 	// long to report to it again.
 	restartTime = 4 * time.Second
+	// peerSilent is the time without an exchange after which a control host is taken to be unreachable: more than one long poll.
+	peerSilent = 3 * time.Second
+	// startTime is how long a control host that has started states no totals: its nodes need up to that long to report to another
+	// one or to this one.
+	startTime = 2 * time.Second
 	// coarse is the relative change of a sum of calm organisations that is passed on.
 	coarse = 0.125
 	fine   = 0.05 // the same for urgent ones
@@ -57,15 +62,26 @@
 	until   time.Duration
 	heardAt time.Duration
 	heard   bool
+	// nodes is the number of nodes that report to the host as far as known, and nodesHeard the same when it was last heard.
+	nodes, nodesHeard int
+}
+
+// factor returns the part of the sums of a control host that is still its own. While it is silent, its nodes report to others.
+func (p *peerDemand) factor(now time.Duration) float64 {
+	if now-p.heardAt < peerSilent || p.nodes >= p.nodesHeard {
+		return 1
+	}
+	return float64(p.nodes) / float64(p.nodesHeard)
 }
 
 // sum is the demand of an organisation.
 type sum struct {
-	own                 tally  // of the nodes that report to this host, now
-	foreign             Demand // of the other control hosts, now
-	passedOwn, passed   Demand // own and the total as of the last change that was passed on
-	ownVersion, version uint64 // at the last change that was passed on
-	endVersion          uint64 // version at the end of the last limitation
+	own                 tally   // of the nodes that report to this host, now
+	allowance           float64 // the last one that a node reported to this host
+	foreign             Demand  // of the other control hosts, now
+	passedOwn, passed   Demand  // own and the total as of the last change that was passed on
+	ownVersion, version uint64  // at the last change that was passed on
+	endVersion          uint64  // version at the end of the last limitation
 	endedAt             time.Duration
 }
 
@@ -139,13 +155,15 @@
 
 // set replaces what a node has reported of an organisation; a demand without a node removes it.
 func (a *Aggregator) set(n *nodeDemand, id ID, d Demand) {
-	t := &a.sum(id).own
+	s := a.sum(id)
+	t := &s.own
 	t.add(n.values[id], -1)
 	if d.Nodes == 0 {
 		delete(n.values, id)
 		return
 	}
 	t.add(d, 1)
+	s.allowance = d.Allowance
 	n.values[id] = d
 }
 
@@ -185,7 +203,7 @@
 const maxNumber = 1e11
 
 func valid(d Demand) bool {
-	return d.Rate >= 0 && d.Capacity >= 0 && d.Used >= 0 && d.Nodes >= 0 && d.Rate+d.Capacity+d.Used <= maxNumber
+	return d.Rate >= 0 && d.Capacity >= 0 && d.Used >= 0 && d.Allowance >= 0 && d.Nodes >= 0 && d.Rate+d.Capacity+d.Used+d.Allowance <= maxNumber
 }
 
 // Moved drops what a node reported here because it reports to another control host now: the record that host got is newer.
@@ -235,13 +253,13 @@
 			p.values[r.ID] = r.Demand
 		}
 	}
-	p.heard, p.heardAt = true, now
+	p.heard, p.heardAt, p.nodesHeard = true, now, p.nodes
 	return a.pass(now, touched)
 }
 
 // Sweep forgets nodes that have been silent for long and what restarted processes held. members are the other control hosts of
-// the group; totals are not complete before each has been heard or Forget has passed.
-func (a *Aggregator) Sweep(now time.Duration, members []string) (urgent bool) {
+// the group, with the number of nodes that report to each; totals are not complete before each has been heard or Forget has passed.
+func (a *Aggregator) Sweep(now time.Duration, members map[string]int) (urgent bool) {
 	touched := make(map[ID]bool)
 	for name, n := range a.nodes {
 		for id, g := range n.ghosts {
@@ -266,12 +284,18 @@
 			delete(a.broadcast, id)
 		}
 	}
-	known := make(map[string]bool, len(members))
 	complete := true
-	for _, m := range members {
-		known[m] = true
+	for m, nodes := range members {
 		p := a.peers[m]
 		complete = complete && p != nil && p.heard
+		if p != nil && p.nodes != nodes {
+			p.nodes = nodes
+			if now-p.heardAt >= peerSilent {
+				for id := range p.values {
+					touched[id] = true
+				}
+			}
+		}
 	}
 	for name, p := range a.peers {
 		if p.before != nil && now > p.until {
@@ -280,29 +304,39 @@
 			}
 			p.before = nil
 		}
-		if !known[name] && now-p.heardAt > Forget {
+		if _, member := members[name]; !member && now-p.heardAt > Forget {
 			for id := range p.values {
 				touched[id] = true
 			}
 			delete(a.peers, name)
 		}
 	}
-	// The nodes of a restarted host need as long as those of another to report again.
-	a.complete = a.complete || ((complete || now-a.started > Forget) && now-a.started > restartTime)
+	a.complete = a.complete || ((complete || now-a.started > Forget) && now-a.started > startTime)
 	return a.pass(now, touched)
 }
 
+// ownDemand returns the sum over the nodes of this host, and total that over all nodes.
+func (s *sum) ownDemand() Demand {
+	d := s.own.demand()
+	if d.Nodes > 0 {
+		d.Allowance = s.allowance
+	}
+	return d
+}
+
+func (s *sum) total() Demand { return s.ownDemand().plus(s.foreign).nearLimit() }
+
 // pass computes the sums of organisations anew and reports whether one that is urgent or limited is to be passed on.
 func (a *Aggregator) pass(now time.Duration, touched map[ID]bool) (urgent bool) {
 	for id := range touched {
 		s := a.sum(id)
 		s.foreign = a.foreign(now, id)
-		if own := s.own.demand(); differs(s.passedOwn, own) {
+		if own := s.ownDemand(); differs(s.passedOwn, own) {
 			a.ownVersion++
 			s.passedOwn, s.ownVersion = own, a.ownVersion
 			urgent = urgent || own.Urgent || own.Limited
 		}
-		if total := s.own.demand().plus(s.foreign); differs(s.passed, total) {
+		if total := s.total(); differs(s.passed, total) {
 			a.version++
 			if s.passed.Limited && !total.Limited {
 				s.endVersion, s.endedAt = a.version, now
@@ -327,6 +361,9 @@
 			d.Used, d.Nodes = max(d.Used, before.Used), max(d.Nodes, before.Nodes)
 			d.Limited = d.Limited || before.Limited
 		}
+		if f := p.factor(now); f < 1 {
+			d.Rate, d.Capacity, d.Used, d.Nodes = f*d.Rate, f*d.Capacity, f*d.Used, int(f*float64(d.Nodes))
+		}
 		out = out.plus(d)
 	}
 	return out
@@ -353,7 +390,7 @@
 	}
 	for id, s := range a.sums {
 		if s.ownVersion > since {
-			out = append(out, Report{ID: id, Demand: s.own.demand()})
+			out = append(out, Report{ID: id, Demand: s.ownDemand()})
 		}
 	}
 	return out
@@ -374,7 +411,7 @@
 		if s.version <= since {
 			return
 		}
-		d, held := s.own.demand().plus(s.foreign), values[id]
+		d, held := s.total(), values[id]
 		d.Rate, d.Capacity, d.Used = max(0, d.Rate-held.Rate), max(0, d.Capacity-held.Capacity), max(0, d.Used-held.Used)
 		d.Nodes = max(0, d.Nodes-held.Nodes)
 		out = append(out, Report{ID: id, Demand: d})
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -39,19 +39,27 @@
 	Rate     float64 // requests per second that callers sent, rejected ones included
 	Capacity float64 // requests that may run in a window
 	Used     float64 // requests that have run within the last window
-	Nodes    int
-	Urgent   bool // the capacity is nearly used up
-	Limited  bool // requests were rejected within the last window, or the limit is near
+	// Allowance is what all capacities together may reach. Control hosts, which do not read the plan, tell from it that a limit is near.
+	Allowance float64
+	Nodes     int
+	Urgent    bool // the capacity is nearly used up
+	Limited   bool // requests were rejected within the last window, or the limit is near
 }
 
 // plus returns the sum of two demands.
 func (d Demand) plus(o Demand) Demand {
 	return Demand{
-		Rate: d.Rate + o.Rate, Capacity: d.Capacity + o.Capacity, Used: d.Used + o.Used, Nodes: d.Nodes + o.Nodes,
+		Rate: d.Rate + o.Rate, Capacity: d.Capacity + o.Capacity, Used: d.Used + o.Used, Allowance: max(d.Allowance, o.Allowance), Nodes: d.Nodes + o.Nodes,
 		Urgent: d.Urgent || o.Urgent, Limited: d.Limited || o.Limited,
 	}
 }
 
+// nearLimit returns the demand, marked as limited if the limit is near.
+func (d Demand) nearLimit() Demand {
+	d.Limited = d.Limited || (d.Allowance > 0 && d.Used > calmShare*d.Allowance)
+	return d
+}
+
 // Report is the demand of an organisation.
 type Report struct {
 	ID ID
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -11,27 +11,33 @@
 	slots = 50
 	// usedExcess and usedSlack are the parts of Settings.Excess and Settings.Slack that all capacities together may use. The rest
 	// covers fractions of requests and nodes that see an organisation for the first time.
-	usedExcess = 0.5
-	usedSlack  = 0.2
+	usedExcess = 0.05
+	usedSlack  = 0.15
 	// leastPaced is the capacity from which on a node spreads the requests of an organisation beyond its limit over the window. Fewer
 	// requests arrive too irregularly. leastBucket is the least number that it admits at once, and paceExcess makes up for reserve.
 	leastPaced  = 5
 	leastBucket = 2
-	paceExcess  = 1.05
+	paceExcess  = 1.15
 	// reserve is the part of the capacity that nodes leave free, so that one whose demand grows need not wait until others have
 	// given up theirs. It is about what usedExcess adds to the quota.
-	reserve = 0.08
+	reserve = 0.05
 	// firstCapacity is the part of an even share that a node uses without having taken it while the organisation is far below its
-	// limit, and leastFirst the least number of requests. The second one is reported at once.
+	// limit, and leastFirst the least number of requests if an even share allows one at all, otherwise one.
 	firstCapacity = 0.25
 	leastFirst    = 2
+	// leastEven is the even share from which on a node may use leastFirst: 15 of 60 nodes that are cut off would otherwise exceed the
+	// slack.
+	leastEven  = 2.5
+	leastSmall = 1.1 // instead of leastFirst then
+	// unknownCapacity is the same while the node has not heard of an organisation.
+	unknownCapacity = 0.5
 	// evenPart is the part of the capacity that is divided evenly among the nodes that report; the rest goes by demand.
 	evenPart = 0.1
 	// demandTime is the time constant of the decay of counted requests.
 	demandTime = time.Second
 	// spareCapacity is the part of an even share that a node uses beyond its capacity while nothing is in use. It decreases to 0 as
 	// the use grows to calmShare.
-	spareCapacity = 0.7
+	spareCapacity = 0.4
 	// calmShare is the share of the allowance that is in use up to which an organisation is far below its limit.
 	calmShare = 0.7
 	// UrgentInterval is the least time between two reports of a node.
@@ -40,6 +46,10 @@
 	calmInterval = time.Second
 	// urgentUse is the part of the capacity in use from which on a node reports early.
 	urgentUse = 0.85
+	firstUse  = 0.25 // the same while the node has not heard of the organisation
+	// smallAllowance is the allowance below which a node reports the first request of an organisation early: each of many nodes may
+	// admit one, which together would exceed the bound until the next poll.
+	smallAllowance = 40
 	// A node reports early when the demand has grown by surge of what it reported and surgeDeviations standard deviations of it (half the
 	// demand is the variance with demandTime), is at least surgeDemand, and all demand is above surgeShare of the rate.
 	surge           = 0.5
@@ -47,10 +57,16 @@
 	surgeDemand     = 3
 	surgeShare      = 0.4
 	// notable is the part of a value, and of an even share of the limit, by which it must have changed to be reported again;
-	// notableUrgent is the same for urgent organisations. Changes below leastNotable are never reported.
+	// notableUrgent is the same near the limit. Changes below leastNotable and leastUrgent requests are not reported. The latter is
+	// small because the remainders of many nodes would add up to more than the quota of a small organisation.
 	notable       = 0.2
 	notableUrgent = 0.05
 	leastNotable  = 0.5
+	leastUrgent   = 0.02
+	// inTouch is the time since the last answer of a control host up to which a node uses more than its capacity; inTouchSmall is the
+	// same for organisations with less than leastEven for each node, which many nodes could exceed by one request each.
+	inTouch      = 1800 * time.Millisecond
+	inTouchSmall = 1150 * time.Millisecond
 )
 
 // Limiter decides at one node which requests are within the quotas. It is not safe for concurrent use.
@@ -58,6 +74,7 @@
 	settings     Settings
 	organisation map[ID]*organisation
 	nodes        int
+	heardAt      time.Duration // last answer of a control host
 	lastUrgent   time.Duration
 	lastCalm     time.Duration
 	sent         map[ID]Demand // of the report in progress
@@ -71,6 +88,7 @@
 	total    uint32        // sum of counts
 	slot     int64         // part of the window of the newest count
 	demand   float64       // decayed with demandTime, as of decayedAt
+	mean     float64       // the same, decayed with the window
 	capacity float64
 	known    bool   // capacity follows from a snapshot
 	others   Demand // of the other nodes, from the last snapshot
@@ -93,7 +111,7 @@
 	if s.Window <= 0 {
 		s = DefaultSettings
 	}
-	return &Limiter{settings: s, organisation: make(map[ID]*organisation), nodes: 1, lastUrgent: -time.Hour, lastCalm: -time.Hour}
+	return &Limiter{settings: s, organisation: make(map[ID]*organisation), nodes: 1, heardAt: -time.Hour, lastUrgent: -time.Hour, lastCalm: -time.Hour}
 }
 
 // Decision is the result of Admit.
@@ -116,13 +134,14 @@
 		l.changeLimit(o, limit)
 	}
 	o.demand += float64(time.Second) / float64(demandTime)
+	o.mean += float64(time.Second) / float64(l.settings.Window)
 	if now-o.drawnAt > l.settings.Window {
 		o.drawnAt, o.rounding = now, sample
 	}
-	if o.unused && o.heard {
-		l.adjust(o)
+	if o.unused && o.reported.Nodes == 0 && now-l.heardAt <= inTouchSmall {
+		l.adjustUnreported(o)
 	}
-	allowed := l.capacityOf(o)
+	allowed := l.capacityOf(o, now)
 	whole := math.Floor(allowed + o.rounding)
 	d := Decision{Admitted: float64(o.total)+1 <= whole && (!o.paced() || o.tokens >= 1)}
 	if d.Admitted {
@@ -151,6 +170,9 @@
 	}
 }
 
+// Heard records that a control host that knows all nodes has answered.
+func (l *Limiter) Heard(now time.Duration) { l.heardAt = now }
+
 // Apply takes the demand of all other nodes that a control host states. nodes is the number of nodes of the mesh.
 func (l *Limiter) Apply(now time.Duration, others []Report) {
 	for _, r := range others {
@@ -164,7 +186,7 @@
 		}
 		l.advance(o, now)
 		o.others, o.heard, o.heardAt, o.unused = r.Demand, true, now, true
-		if o.limit.Rate > 0 {
+		if o.reported.Nodes > 0 {
 			l.adjust(o)
 		}
 	}
@@ -196,37 +218,44 @@
 	o.unused = false
 	total := l.allowance(o.limit)
 	share := 1.0
-	rate := l.rate(o)
-	if o.reported.Nodes > 0 {
-		rate = o.reported.Rate // of about the same time as that of the others, so that the shares of all nodes add up to 1
-	}
+	rate := o.reported.Rate // of about the same time as that of the others, so that the shares of all nodes add up to 1
 	if d := o.others.Rate + rate; d > 0 {
 		share = rate / d
 	}
-	if rate > 0 {
-		share = (1-evenPart)*share + evenPart/float64(o.others.Nodes+1)
-	}
+	share = (1-evenPart)*share + evenPart/float64(o.others.Nodes+1)
 	target := share * (1 - reserve) * total
 	if target <= o.capacity {
 		o.capacity = target
 	} else {
 		free := max(0, total-o.others.Capacity-o.held())
-		o.capacity = min(target, max(o.capacity, 0)+share*free)
+		o.capacity = min(target, o.capacity+share*free)
+	}
+	if !o.known && !l.full(o) { // what the node may already use
+		o.capacity = max(o.capacity, min(target, unknownCapacity*total/float64(l.nodes)))
 	}
 	o.known = true
 }
 
-// rate is the demand by which shares are computed. The mean over the window keeps the share of a node with few requests from
-// changing with each of them.
+// adjustUnreported gives a node whose demand the snapshot does not contain a part of a request, so that all requests that arrive at
+// such nodes within a second take no more than what is free.
+func (l *Limiter) adjustUnreported(o *organisation) {
+	o.unused, o.known = false, true
+	free := max(0, l.allowance(o.limit)-o.others.Capacity-o.held())
+	o.capacity = max(o.capacity, min(1, free/max(1, o.others.Rate)))
+}
+
+// rate is the demand by which shares are computed: the mean over about a window, moved to within one standard deviation below and two
+// above the recent demand. So the share of a node with few requests does not change with each of them, and that of a node
+// whose callers have left falls within a second.
 func (l *Limiter) rate(o *organisation) float64 {
-	return max(o.demand, float64(o.total)/l.settings.Window.Seconds())
+	return min(max(o.mean, o.demand-math.Sqrt(o.demand)), o.demand+2*math.Sqrt(max(o.demand, 1)))
 }
 
 // held is the capacity that this node occupies: what it may still admit, and what has run and has not left the window.
 func (o *organisation) held() float64 { return max(o.capacity, float64(o.total)) }
 
 // capacityOf returns the number of requests that may run in a window at this node.
-func (l *Limiter) capacityOf(o *organisation) float64 {
+func (l *Limiter) capacityOf(o *organisation, now time.Duration) float64 {
 	if l.full(o) {
 		return o.capacity
 	}
@@ -234,12 +263,21 @@
 	if l.nodes == 1 && !o.known {
 		return even
 	}
-	first := max(leastFirst, firstCapacity*even)
+	least, recent := leastSmall, inTouchSmall
+	if even >= leastEven {
+		least, recent = leastFirst, inTouch
+	}
+	if l.heardAt < 0 {
+		return unknownCapacity * even // the process has just started, or the plan has just got quotas
+	}
+	if now-l.heardAt > recent {
+		return max(o.capacity, firstCapacity*even)
+	}
 	if !o.known {
-		return first
+		return max(least, unknownCapacity*even)
 	}
 	spare := 1 - (o.others.Used+float64(o.total))/(calmShare*l.allowance(o.limit))
-	return max(o.capacity+max(leastFirst, spareCapacity*spare*even), first)
+	return max(o.capacity+max(least, spareCapacity*spare*even), firstCapacity*even)
 }
 
 // full reports whether the organisation is near its limit, as far as this node knows.
@@ -254,7 +292,14 @@
 
 // urgent reports whether the capacity is nearly used up or soon will be.
 func (l *Limiter) urgent(o *organisation, allowed float64) bool {
-	return (o.total >= leastFirst && float64(o.total) >= urgentUse*allowed) ||
+	if !o.known && o.total > 0 && l.allowance(o.limit) < smallAllowance {
+		return true
+	}
+	use := urgentUse
+	if !o.known {
+		use = firstUse
+	}
+	return (o.total >= leastFirst && float64(o.total) >= use*allowed) ||
 		l.surges(o)
 }
 
@@ -295,6 +340,7 @@
 func (l *Limiter) advance(o *organisation, now time.Duration) {
 	if elapsed := now - o.decayedAt; elapsed > 0 {
 		o.demand *= math.Exp(-float64(elapsed) / float64(demandTime))
+		o.mean *= math.Exp(-float64(elapsed) / float64(l.settings.Window))
 		o.tokens += l.pace(o) * elapsed.Seconds()
 		o.tokens = min(o.tokens, l.bucket(o))
 		o.decayedAt = now
--- a/core/quota/report.go
+++ b/core/quota/report.go
@@ -29,7 +29,8 @@
 			o.reported = Demand{}
 		}
 		d := l.demandOf(o, now)
-		if (calm || d.Urgent) && l.changed(o, d) {
+		// Another node whose capacity does not suffice waits for what this one has given up.
+		if (calm || d.Urgent || o.others.Urgent) && l.changed(o, d) {
 			out = append(out, Report{ID: id, Demand: d})
 		}
 		if d == (Demand{}) && o.reported == (Demand{}) && !o.others.Limited && o.total == 0 {
@@ -78,7 +79,7 @@
 		return Demand{}
 	}
 	return Demand{
-		Rate: l.rate(o), Capacity: o.held(), Used: float64(o.total), Nodes: 1, Limited: o.limited || l.full(o), Urgent: o.limited || l.urgent(o, l.capacityOf(o)),
+		Rate: l.rate(o), Capacity: o.held(), Used: float64(o.total), Allowance: l.allowance(o.limit), Nodes: 1, Limited: o.limited || l.full(o), Urgent: o.limited || l.urgent(o, l.capacityOf(o, now)),
 	}
 }
 
@@ -92,14 +93,14 @@
 	if d.Nodes == 0 {
 		return false
 	}
-	part := notable
-	if d.Urgent {
-		part = notableUrgent
+	part, least := notable, leastNotable
+	if d.Urgent || d.Limited || o.others.Urgent {
+		part, least = notableUrgent, leastUrgent
 	}
 	even := l.quota(o.limit) / float64(l.nodes)
-	far := func(x, y float64) bool { return math.Abs(x-y) > max(leastNotable, part*max(y, even)) }
+	far := func(x, y float64) bool { return math.Abs(x-y) > max(least, part*max(y, even)) }
 	return far(d.Capacity, o.reported.Capacity) || far(d.Used, o.reported.Used) ||
-		math.Abs(d.Rate-o.reported.Rate) > max(leastNotable/l.settings.Window.Seconds(), part*max(o.reported.Rate, even/l.settings.Window.Seconds()))
+		math.Abs(d.Rate-o.reported.Rate) > max(least/l.settings.Window.Seconds(), part*max(o.reported.Rate, even/l.settings.Window.Seconds()))
 }
 
 // State describes what this node knows of an organisation, for log lines.
@@ -117,6 +118,6 @@
 		return State{}
 	}
 	return State{
-		Capacity: l.capacityOf(o), Used: float64(o.total), Demand: o.demand, Others: o.others, Heard: o.heard, SnapshotAge: o.decayedAt - o.heardAt,
+		Capacity: l.capacityOf(o, o.decayedAt), Used: float64(o.total), Demand: o.demand, Others: o.others, Heard: o.heard, SnapshotAge: o.decayedAt - o.heardAt,
 	}
 }
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -16,6 +16,7 @@
 	hosts    []*simHost
 	// admitted holds the admitted requests of all nodes by tick.
 	admitted, rejected, offered []int
+	events                      []string // to explain a failure
 }
 
 const (
@@ -29,14 +30,19 @@
 	limiter  *Limiter
 	epoch    int64
 	host     int
-	whole    bool
-	version  uint64
-	polledAt time.Duration
-	urgent   bool
-	cutUntil time.Duration // no message passes until then
-	downTill time.Duration // the process does not run until then
-	weight   float64       // relative demand
-	carry    float64
+	home     int
+	reported int // the control host that got the last report
+	// hostEpoch identifies the process of the control host that the node last reached.
+	hostEpoch int64
+	movedAt   time.Duration
+	leaving   bool // the process stops after its last report
+	whole     bool
+	version   uint64
+	polledAt  time.Duration
+	urgent    bool
+	cutUntil  time.Duration // no message passes until then
+	downTill  time.Duration // the process does not run until then
+	weight    float64       // relative demand
 	// response arrives at responseAt.
 	response   []Report
 	responseAt time.Duration
@@ -45,8 +51,10 @@
 type simHost struct {
 	aggregator *Aggregator
 	epoch      int64
-	cutUntil   time.Duration
-	have       []uint64 // versions of the other hosts
+	cutUntil   time.Duration // it exchanges no messages
+	isolated   time.Duration // until then it reaches only nodes that report to it
+	restartAt  time.Duration // end of a restart; 0: none
+	have       []uint64      // versions of the other hosts
 	haveEpoch  []int64
 	exchanged  []time.Duration
 }
@@ -60,7 +68,7 @@
 		s.restartHost(i)
 	}
 	for i := range nodes {
-		n := &simNode{name: string(rune('A' + i)), host: i % hosts, weight: 1}
+		n := &simNode{name: string(rune('A' + i)), host: i % hosts, home: i % hosts, reported: i % hosts, weight: 1}
 		s.nodes = append(s.nodes, n)
 	}
 	for _, n := range s.nodes {
@@ -78,6 +86,7 @@
 
 func (s *simulation) restartNode(n *simNode) {
 	n.limiter, n.epoch, n.whole, n.version = New(s.settings), int64(s.now), true, 0
+	n.polledAt, n.responseAt = 0, 0
 	n.limiter.SetNodes(len(s.nodes))
 }
 
@@ -99,10 +108,9 @@
 		}
 		if n.downTill > 0 {
 			s.restartNode(n)
-			n.downTill = 0
+			n.downTill, n.leaving = 0, false
 		}
-		n.carry = s.poisson(arrivals * n.weight / total)
-		for ; n.carry >= 1; n.carry-- {
+		for range s.poisson(arrivals * n.weight / total) {
 			d := n.limiter.Admit(s.now, simID, s.limit, s.random.Float64())
 			n.urgent = n.urgent || d.Urgent
 			if d.Admitted {
@@ -112,6 +120,7 @@
 			}
 		}
 		if n.responseAt > 0 && s.now >= n.responseAt {
+			n.limiter.Heard(s.now)
 			n.limiter.Apply(s.now, n.response)
 			n.responseAt = 0
 		}
@@ -119,14 +128,26 @@
 	}
 	s.admitted, s.rejected, s.offered = append(s.admitted, admitted), append(s.rejected, rejected), append(s.offered, admitted+rejected)
 	for i, h := range s.hosts {
+		if h.restartAt > 0 && s.now >= h.restartAt {
+			s.restartHost(i)
+			h.restartAt = 0
+		}
 		s.exchange(i, h)
-		h.aggregator.Sweep(s.now, s.hostNames(i))
+		if int(s.now/tick)%20 == 0 {
+			h.aggregator.Sweep(s.now, s.members(i))
+		}
 	}
 }
 
+// pollNow lets the node report at once.
+func (s *simulation) pollNow(n *simNode) {
+	n.polledAt = 0
+	s.poll(n)
+}
+
 // poisson returns a random number of arrivals with this mean.
-func (s *simulation) poisson(mean float64) float64 {
-	n, sum := 0.0, s.random.ExpFloat64()
+func (s *simulation) poisson(mean float64) int {
+	n, sum := 0, s.random.ExpFloat64()
 	for sum < mean {
 		n++
 		sum += s.random.ExpFloat64()
@@ -134,11 +155,17 @@
 	return n
 }
 
-func (s *simulation) hostNames(not int) []string {
-	var out []string
+// members returns the control hosts other than one, with the number of their nodes.
+func (s *simulation) members(not int) map[string]int {
+	out := make(map[string]int)
 	for i := range s.hosts {
 		if i != not {
-			out = append(out, string(rune('a'+i)))
+			out[string(rune('a'+i))] = 0
+		}
+	}
+	for _, n := range s.nodes {
+		if n.reported != not {
+			out[string(rune('a'+n.reported))]++
 		}
 	}
 	return out
@@ -154,17 +181,22 @@
 	}
 	n.polledAt, n.urgent = s.now, false
 	h := s.hosts[n.host]
+	if n.host != n.home && s.now-n.movedAt > 10*time.Second {
+		n.host, n.whole, n.movedAt = n.home, true, s.now
+		h = s.hosts[n.host]
+	}
 	if s.now < n.cutUntil || s.now < h.cutUntil || s.random.Float64() < lossRate {
 		if s.now >= n.cutUntil && s.now < h.cutUntil { // the control host is lost, not the node
-			n.host, n.whole = (n.host+1)%len(s.hosts), true
+			n.host, n.whole, n.movedAt = (n.host+1)%len(s.hosts), true, s.now
 		}
 		return
 	}
 	whole := n.whole
+	n.reported = n.host
 	reports := n.limiter.Report(s.now, whole)
-	h.aggregator.Put(s.now, n.name, n.epoch, uint64(s.now), false, reports, whole)
+	h.aggregator.Put(s.now, n.name, n.epoch, uint64(s.now), n.leaving, reports, whole)
 	for i, o := range s.hosts {
-		if i != n.host && s.now >= o.cutUntil {
+		if i != n.host && s.reaches(h, o) {
 			o.aggregator.Moved(s.now, n.name, n.epoch, uint64(s.now))
 		}
 	}
@@ -173,8 +205,15 @@
 		n.version = 0
 	}
 	n.whole = false
-	if h.aggregator.Complete() {
+	if n.hostEpoch != h.epoch { // the node learns from the response that the control host has started again
+		n.whole, n.polledAt = !whole, n.polledAt-time.Second
+		n.hostEpoch = h.epoch
+	}
+	if h.aggregator.Complete() && s.hasQuorum(n.host) {
 		n.response, n.responseAt = h.aggregator.Others(n.name, n.version), s.now+2*oneWay*tick
+		if s.random.Float64() < lateRate {
+			n.responseAt += 20 * tick
+		}
 		n.version = h.aggregator.Version()
 	}
 }
@@ -182,15 +221,32 @@
 // pushWait is the least time between two responses that only bring totals.
 const pushWait = 200 * time.Millisecond
 
-const lossRate = 0.02
+// lossRate is the share of the polls that are lost, and lateRate that of the responses that come half a second late.
+const (
+	lossRate = 0.02
+	lateRate = 0.02
+)
+
+// reaches reports whether two control hosts exchange messages.
+func (s *simulation) reaches(a, b *simHost) bool {
+	return s.now >= max(a.cutUntil, a.isolated, b.cutUntil, b.isolated)
+}
+
+// hasQuorum reports whether a control host reaches a majority. Without one it states no totals.
+func (s *simulation) hasQuorum(host int) bool {
+	reached := 1
+	for i, o := range s.hosts {
+		if i != host && s.reaches(s.hosts[host], o) {
+			reached++
+		}
+	}
+	return reached > len(s.hosts)/2
+}
 
 // exchange lets a control host fetch the sums of the others.
 func (s *simulation) exchange(i int, h *simHost) {
-	if s.now < h.cutUntil {
-		return
-	}
 	for j, o := range s.hosts {
-		if j == i || s.now < o.cutUntil {
+		if j == i || !s.reaches(h, o) {
 			continue
 		}
 		since, whole := h.have[j], h.haveEpoch[j] != o.epoch
@@ -245,3 +301,26 @@
 	}
 	return out
 }
+
+// skew gives the nodes very uneven parts of the demand.
+func (s *simulation) skew() {
+	for i, n := range s.nodes {
+		n.weight = 1 / float64(i+1)
+	}
+}
+
+// leastServed returns the least part of the rate that was served in a time of this length, in each second of which at least 1.2 times
+// the rate was offered; 1 if there was none.
+func (s *simulation) leastServed(length time.Duration) float64 {
+	width, second, least := int(length/tick), int(time.Second/tick), 1.0
+	for end := width; end <= len(s.admitted); end += second / 4 {
+		busy := true
+		for from := end - width; from < end; from += second {
+			busy = busy && float64(sumOf(s.offered[from:from+second])) >= 1.2*s.limit.Rate
+		}
+		if busy {
+			least = min(least, float64(sumOf(s.admitted[end-width:end]))/(s.limit.Rate*length.Seconds()))
+		}
+	}
+	return least
+}
