adapters/body: read large bodies straight into their mappings

Cause: The first 64 KiB of each large body went through growing buffers of the heap, which no account counts. Change: A body of a stated length of more than 64 KiB is read into its mapping from the first byte on, a chunked one from 64 KiB on; memory is held before it is read into. Tests of adapters/body and adapters/meshhttp pass.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
 	"io"
 	"math/bits"
@@ -179,6 +178,9 @@
 
 // appendBody reads the body of a message. length is its stated length, 0: none.
 func appendBody(r message, src io.Reader, length int64, l *Lease) (size int64, err error) {
+	if l.memory.mapped && length > UncountedBytes {
+		return l.readMapped(r, src, nil, length)
+	}
 	block := blockPool.Get().(*[]byte)
 	defer blockPool.Put(block)
 	var large []byte // the whole body, once it has more than UncountedBytes
@@ -189,6 +191,9 @@
 		case size <= UncountedBytes:
 			r.AppendBody((*block)[:n])
 		default:
+			if l.memory.mapped {
+				return l.readMapped(r, src, append(r.SwapBody(nil), (*block)[:n]...), l.most)
+			}
 			if large == nil {
 				large = slices.Clip(r.SwapBody(nil)) // the rest of its capacity is not counted
 			}
@@ -200,11 +205,7 @@
 		if err == nil {
 			continue
 		}
-		switch {
-		case large == nil:
-		case l.mapping != nil:
-			r.SetBodyRaw(large) // a raw body never gets into the pool of the HTTP library
-		default:
+		if large != nil {
 			r.SwapBody(large)
 		}
 		if err == io.EOF {
@@ -221,9 +222,6 @@
 // extend appends a part to a body and holds the memory for it. length is the stated length of the whole body, 0: none. It
 // returns false if there is no memory left.
 func (l *Lease) extend(b, part []byte, length int64) ([]byte, bool) {
-	if l.memory.mapped {
-		return l.extendMapped(b, part, cmp.Or(length, l.most))
-	}
 	size := int64(len(b) + len(part))
 	if size <= int64(cap(b)) {
 		return append(b, part...), true
--- a/adapters/body/mapping.go
+++ b/adapters/body/mapping.go
@@ -1,6 +1,7 @@
 package body
 
 import (
+	"io"
 	"runtime/debug"
 	"sync"
 	"syscall"
@@ -66,27 +67,54 @@
 	debug.SetMemoryLimit(min(h.usual, h.total-h.mapped))
 }
 
-// extendMapped appends a part to a body in the mapping of the lease. most is the largest size that the body may have. It returns
-// false if there is no memory left.
-func (l *Lease) extendMapped(b, part []byte, most int64) ([]byte, bool) {
-	size := int64(len(b) + len(part))
+// readMapped reads a body into a mapping. first are the bytes that were read before, most is the largest size that the body may have.
+// Memory is held before it is read into.
+func (l *Lease) readMapped(r message, src io.Reader, first []byte, most int64) (size int64, err error) {
+	size = int64(len(first))
 	if !l.allows(size) || size > most {
-		return nil, false
+		return size, ErrTooLarge
 	}
-	if l.mapping == nil {
-		var err error
-		if l.mapping, err = mapBuffer(most); err != nil {
-			l.mapping = nil
-			return nil, false
-		}
-		b = l.mapping[:copy(l.mapping, b)]
+	if l.mapping, err = mapBuffer(most); err != nil {
+		l.mapping = nil
+		return size, ErrTooLarge
+	}
+	if !l.holdMapped(size, most) {
+		return size, ErrTooLarge
 	}
-	if size > l.held {
-		held := l.held
-		if !l.hold(min(most, (size+mappingStep-1)/mappingStep*mappingStep)) {
-			return nil, false
+	copy(l.mapping, first)
+	for {
+		var part []byte // at the end, one byte shows whether the body is longer
+		if size == most {
+			part = make([]byte, 1)
+		} else {
+			if !l.holdMapped(size+1, most) {
+				return size, ErrTooLarge
+			}
+			part = l.mapping[size:l.held]
 		}
-		heap.addMapped(l.held - held)
+		n, err := src.Read(part)
+		size += int64(n)
+		switch {
+		case size > most:
+			return size, ErrTooLarge
+		case err == io.EOF:
+			r.SetBodyRaw(l.mapping[:size]) // a raw body never gets into the pool of the HTTP library
+			return size, nil
+		case err != nil:
+			return size, err
+		}
+	}
+}
+
+// holdMapped holds the memory of a mapping up to a size.
+func (l *Lease) holdMapped(size, most int64) bool {
+	held := l.held
+	if size <= held {
+		return true
+	}
+	if !l.hold(min(most, (size+mappingStep-1)/mappingStep*mappingStep)) {
+		return false
 	}
-	return append(b, part...), true
+	heap.addMapped(l.held - held)
+	return true
 }
--- a/adapters/body/memory.go
+++ b/adapters/body/memory.go
@@ -137,7 +137,7 @@
 // hold changes the memory of the lease to a number of bytes. It returns false, and changes nothing, if too little
 // memory is left.
 func (l *Lease) hold(bytes int64) bool {
-	if bytes <= UncountedBytes {
+	if bytes <= UncountedBytes && !l.memory.mapped {
 		bytes = 0
 	}
 	additional := bytes - l.held
