core/dependency: count what a service rejects, not one gate

Cause: while demand is uneven, a request that one gate rejects is mostly served by another, so the share of one gate overstates what the service rejects. Change: the share is squared, as for two gates that are asked; the weight of urgency is higher in turn. The gate's reader of the organisation uses the name of the header from app/proxy.

--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -213,7 +213,7 @@
 
 // organisationOfEntry returns the organisation that an entry states.
 func organisationOfEntry(h *fasthttp.RequestHeader) string {
-	return string(h.Peek("X-Rattanfield-Organisation"))
+	return string(h.Peek(proxy.OrganisationHeader))
 }
 
 // failureDomainOf returns the failure domain of a node that connects to the gate.
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -47,6 +47,9 @@
 	hopSuspect        = hopPrefix + "Suspect"      // pb.SuspectRequest in base64, in requests and responses
 )
 
+// OrganisationHeader is the header by which gates learn the organisation of a request.
+const OrganisationHeader = hopOrganisation
+
 // Values of hopRan.
 const (
 	ranYes     = "run"
--- a/core/dependency/routes.go
+++ b/core/dependency/routes.go
@@ -23,7 +23,10 @@
 	sampleTime   = 250 * time.Millisecond
 	// urgencyGain is by how much more the requests of a route are rejected for each priority that they are less urgent than the
 	// requests that the called service rejects.
-	urgencyGain = 1.0
+	urgencyGain = 1.5
+	// gatesAsked is the number of gates that a request is offered to. What one gate rejects is mostly served by another while demand
+	// is uneven, so the share of the requests that are rejected in the end is smaller than that of one gate.
+	gatesAsked = 2
 	// maxRejection leaves some requests, whose nested calls find out when the service has capacity again.
 	maxRejection = 0.9
 	// least is the rejection below which none applies: a few rejections are no overload.
@@ -64,7 +67,8 @@
 }
 
 // Rejection returns the share of new requests of a route and a priority that should be rejected, from 0 to maxRejection: as
-// large as that of requests of the same priority at the called service, and larger than that of more urgent ones.
+// large as that of requests of the same priority that the called service rejects in the end, and larger than that of more urgent
+// ones.
 func (r *Routes) Rejection(now time.Time, name string, priority int) float64 {
 	x := r.known[name]
 	if x == nil {
@@ -72,7 +76,7 @@
 	}
 	rejection := x.rejected
 	for p := range min(priority, Priorities-1) + 1 {
-		rejection = max(rejection, x.shares[p]*(1+urgencyGain*float64(priority-p)))
+		rejection = max(rejection, math.Pow(x.shares[p], gatesAsked)*(1+urgencyGain*float64(priority-p)))
 	}
 	rejection *= math.Exp2(-float64(max(0, now.Sub(x.at))) / float64(halfLife))
 	if rejection < least {
