app/proxy: run at most the learned number of requests at once

Cause: The gate ran as many requests at once as the upstream announces slots, whatever that did to their service time. Change: The gate tells core/capacity of each start and end, and puts its limit in force with Queue.SetSlots, so that reported loads and the placement of entries follow. A new process, version, number of slots or a bounded slow start drops what was learned. Metrics rattanfield_capacity_*, and a log line for changes of more than one slot. Conclusion: Only the reported slots change for entries; nothing changes where there is no knee.

--- a/app/proxy/announce.go
+++ b/app/proxy/announce.go
@@ -73,7 +73,8 @@
 		}
 	}
 	u.announcement = a
-	u.notify(u.queue.SetSlots(now, int(a.GetSlots())), "")
+	u.capacity.Announce(int(a.GetSlots()), a.GetVersion())
+	u.applyCapacity(now)
 	if a.GetState() != pb.UpstreamState_UPSTREAM_STATE_SERVING && u.closesAt.IsZero() {
 		u.closesAt = now.Add(g.drainTime())
 		time.AfterFunc(g.drainTime(), func() {
--- a/app/proxy/condition.go
+++ b/app/proxy/condition.go
@@ -12,7 +12,7 @@
 const conditionInterval = 100 * time.Millisecond
 
 // Run reports changes of the upstream's condition (slow, failing or normal) to
-// other nodes until the context is done. It returns nil.
+// other nodes, and follows its slow start and its learned limit, until the context is done. It returns nil.
 func (g *Gate) Run(ctx context.Context) error {
 	ticker := time.NewTicker(conditionInterval)
 	defer ticker.Stop()
@@ -23,6 +23,7 @@
 		case now := <-ticker.C:
 			g.reportCondition(now)
 			g.followCold(ctx, now)
+			g.followCapacity(now)
 		}
 	}
 }
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -260,6 +260,7 @@
 		req.passedDeadline = now.Add(req.deadline.Sub(now).Truncate(time.Millisecond)) // as formatMs
 		u.running[id] = req
 		u.parents.Add(id, req.id, req.passedDeadline, req.retry)
+		u.capacity.Started(now, id)
 	}
 	g.mu.Unlock()
 	if reason != "" {
@@ -309,6 +310,7 @@
 	}
 	delete(u.deadlines, id)
 	delete(u.running, id)
+	u.capacity.Ended(time.Now(), id, req.route, latency, knownRun && status < fasthttp.StatusInternalServerError)
 	u.parents.Remove(id, req.id, req.passedDeadline)
 	u.unanswered.record(time.Now(), req, o.Failure)
 	g.cold.noteOutcome(time.Now(), o.Failure)
--- a/app/proxy/upstream.go
+++ b/app/proxy/upstream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/core/admission"
+	"github.com/rattanfield/rattanfield/core/capacity"
 	"github.com/rattanfield/rattanfield/core/condition"
 	"github.com/rattanfield/rattanfield/core/drain"
 	"github.com/rattanfield/rattanfield/core/nested"
@@ -20,6 +21,8 @@
 	unreachable   bool                   // it refused a connection; reset by the next announcement
 	lastAnnounced time.Time
 	condition     condition.Tracker
+	capacity      *capacity.Learner
+	capacityShown shownCapacity
 
 	running    map[uint64]gateRequest // requests that are being sent or have been sent, by queue id
 	parents    nested.Parents         // the same requests by the time limits that the upstream was given
@@ -32,7 +35,7 @@
 }
 
 func newUpstream(a *pb.Announcement, now time.Time) *upstream {
-	return &upstream{announcement: a, lastAnnounced: now, queue: admission.New(int(a.GetSlots())), waiting: make(map[uint64]chan string), deadlines: make(map[uint64]time.Time), running: make(map[uint64]gateRequest)}
+	return &upstream{announcement: a, lastAnnounced: now, queue: admission.New(int(a.GetSlots())), waiting: make(map[uint64]chan string), deadlines: make(map[uint64]time.Time), running: make(map[uint64]gateRequest), capacity: capacity.New(int(a.GetSlots()), a.GetVersion())}
 }
 
 // rejectionReason returns the reason why the upstream accepts no request now, or "".
