--- a/core/quota/aggregator.go
+++ b/core/quota/aggregator.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -354,7 +356,8 @@
 // foreign returns the sum over the other control hosts.
 func (a *Aggregator) foreign(now time.Duration, id ID) Demand {
 	var out Demand
-	for _, p := range a.peers {
+	for _, name := range slices.Sorted(maps.Keys(a.peers)) { // in order, so that rounding is the same each time and a failed schedule repeats
+		p := a.peers[name]
 		d := p.values[id]
 		if before, ok := p.before[id]; ok && now <= p.until {
 			d.Rate, d.Capacity = max(d.Rate, before.Rate), max(d.Capacity, before.Capacity)
