adapters/memory, app/lifecycle: close idle connections in batches, divide descriptors by use

A request that is passed on needs a connection to another gate, of which 386 were left, and each new connection at the bound examined all others. Change: two fifths of the descriptors are for outgoing connections, four fifths of those for other gates; a new connection at the bound closes idle ones for a 32nd of the bound.

--- a/adapters/memory/memory.go
+++ b/adapters/memory/memory.go
@@ -45,6 +45,10 @@
 // its share. Connections that are sending are not closed for others that send.
 const minSilence = 300 * time.Millisecond
 
+// spareSlotsDivisor is the part of the slots, as a divisor, that idle holders give up at once beyond what is needed. With one for
+// each new connection, a storm of connections spends most of a small processor share on the choice of who gives way.
+const spareSlotsDivisor = 32
+
 // Account bounds what all its holders hold. It is safe for concurrent use.
 type Account struct {
 	limit, large int64
@@ -287,8 +291,12 @@
 		}
 		return x.lastByte.Compare(y.lastByte)
 	})
+	spare := int64(0)
+	if a.idleFirst {
+		spare = a.limit / spareSlotsDivisor
+	}
 	for _, c := range candidates {
-		if need <= 0 {
+		if need <= -spare || need <= 0 && c.state != Idle {
 			break
 		}
 		need -= c.held
--- a/app/lifecycle/resources.go
+++ b/app/lifecycle/resources.go
@@ -40,7 +40,7 @@
 	reservedFiles = 32
 	// Of the descriptors that are left, connections of clients get accepted/parts. The others are for connections to upstreams and
 	// other nodes.
-	acceptedParts, parts = 4, 5
+	acceptedParts, parts = 3, 5
 )
 
 // NewResources returns the resources of a process that may use a number of bytes and descriptors. 0 bytes: not bounded. 0
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -124,11 +124,16 @@
 	ip := lifecycle.HostIP(o.PeerAddress)
 	m := body.NewSharedMemory(o.bodyMemory(), r.Account)
 	p := pools{gates: meshhttp.NewPool(ip, m), upstream: meshhttp.NewPool(ip, m)}
-	p.gates.Limit(r.Outgoing() / 2)
-	p.upstream.Limit(r.Outgoing() - r.Outgoing()/2)
+	toUpstream := r.Outgoing() / upstreamPartDivisor
+	p.gates.Limit(r.Outgoing() - toUpstream)
+	p.upstream.Limit(toUpstream)
 	return p
 }
 
+// upstreamPartDivisor is the part of the outgoing connections, as a divisor, that lead to the upstream of the host, which runs a few requests
+// at once. The requests of all callers may wait at other nodes at the same time.
+const upstreamPartDivisor = 5
+
 type components struct {
 	dig.Out
 	Control *controlclient.Client
@@ -188,9 +193,9 @@
 // 1,000 connections of the 4,100 descriptors of a node, ordinary callers were cut. The listeners for readiness, metrics and announcements have small shares of
 // their own, so that clients of the entry and the gate cannot take them.
 const (
-	entrySlotsPercent = 66
-	gateSlotsPercent  = 25
-	callSlotsPercent  = 3
+	entrySlotsPercent = 64
+	gateSlotsPercent  = 30
+	callSlotsPercent  = 2
 )
 
 // callLimits bound the calls to the listeners for readiness, metrics and announcements. An announcement has less than 1 KiB.
