--- a/app/proxy/dependency.go
+++ b/app/proxy/dependency.go
@@ -41,7 +41,9 @@
 	d := &f.entry.gate.dependencies
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.routes.Learn(time.Now(), f.parentRoute, shares, a.ran == ranNo && lacksCapacity(a.reason))
+	// A call that misses its goal keeps a slot of its parent busy; it counts like one that was rejected.
+	late := a.latency > time.Duration(f.route.GetGoalMs())*time.Millisecond
+	d.routes.Learn(time.Now(), f.parentRoute, shares, late || a.ran == ranNo && lacksCapacity(a.reason))
 }
 
 // setRejectedHeader tells the entry of a nested call which share of other requests this gate rejects.
--- a/core/dependency/routes.go
+++ b/core/dependency/routes.go
@@ -36,7 +36,7 @@
 
 type route struct {
 	shares   Shares  // of the services that its nested calls go to, after the last call
-	rejected float64 // share of the nested calls that were rejected themselves
+	rejected float64 // share of the nested calls that were rejected or late themselves
 	at       time.Time
 }
 
@@ -45,7 +45,7 @@
 type Routes struct{ known map[string]*route }
 
 // Learn applies the end of a nested call: the shares that the called service rejects, and whether the call itself was
-// rejected.
+// rejected or late.
 func (r *Routes) Learn(now time.Time, name string, s Shares, rejected bool) {
 	x := r.known[name]
 	if x == nil {
