--- a/app/proxy/dependency.go
+++ b/app/proxy/dependency.go
@@ -41,9 +41,11 @@
 	d := &f.entry.gate.dependencies
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	// A call that misses its goal keeps a slot of its parent busy; it counts like one that was rejected.
+	// A call that misses its goal keeps a slot of its parent busy; it counts like one that was rejected. What an upstream refuses
+	// although its gate keeps to its slots is no overload, and fewer parents would not change it.
 	late := a.latency > time.Duration(f.route.GetGoalMs())*time.Millisecond
-	d.routes.Learn(time.Now(), f.parentRoute, shares, late || a.ran == ranNo && lacksCapacity(a.reason))
+	rejected := a.ran == ranNo && a.reason != reasonUpstreamNotRun && lacksCapacity(a.reason)
+	d.routes.Learn(time.Now(), f.parentRoute, shares, late || rejected)
 }
 
 // setRejectedHeader tells the entry of a nested call which share of other requests this gate rejects.
