adapters/memory: connections that close for lack of memory are waited for

A connection that found no memory for a response closed at once. What it held was not known to be on its way back, so the other connections that asked in that moment were refused too and closed as well. A connection that had to give way also waited up to 200 ms for memory of its own, and held up its release for as long.

Change: a closing connection is marked in the account, so that others wait for what it releases, and a holder that has to give way gets nothing more and waits for nothing.

--- a/adapters/body/memory.go
+++ b/adapters/body/memory.go
@@ -180,7 +180,8 @@
 	return Take(l.memory.account, l.holder, additional, large)
 }
 
-// Take adds to what a holder holds of an account. If there is no room and others give way, it waits for them.
+// Take adds to what a holder holds of an account. If there is no room and others give way, it waits for them,
+// unless the holder has to give way too.
 func Take(a *memory.Account, h *memory.Holder, additional int64, large bool) bool {
 	var timeout <-chan time.Time
 	for {
@@ -191,7 +192,7 @@
 		if h.Add(additional, large, time.Now()) { // for what was released before
 			return true
 		}
-		if !pending {
+		if !pending || h.Evicted() {
 			return false
 		}
 		if timeout == nil {
--- a/adapters/memory/memory.go
+++ b/adapters/memory/memory.go
@@ -59,7 +59,7 @@
 	heldLarge int64
 	byUser    map[user]int64
 	holders   map[*Holder]struct{}
-	released  chan struct{} // closed when a holder releases something; nil: nobody waits
+	released  chan struct{} // closed when a holder releases something or has to give way; nil: nobody waits
 	refused   uint64
 	evicted   uint64
 }
@@ -126,13 +126,22 @@
 // silentSince returns the time of the last byte.
 func (h *Holder) silentSince() time.Time { return h.begin.Add(time.Duration(h.lastByte.Load())) }
 
-// Evicted reports whether the holder has to give way.
+// Evicted reports whether the holder has to give way, or its connection closes. It gets nothing more then.
 func (h *Holder) Evicted() bool {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	return h.evicted
 }
 
+// MarkClosing states that the connection of the holder closes and releases what it holds. Others that need room wait for that;
+// if they were refused instead, they would close their connections at the same time, although the room of one is enough.
+func (h *Holder) MarkClosing() {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.evicted = true
+	h.account.wake()
+}
+
 // Add changes what the holder holds by n. It returns false, and changes nothing, if there is no room. Other holders may have
 // been told to give way then, see Account.Released. A negative n always succeeds.
 func (h *Holder) Add(n int64, large bool, now time.Time) bool {
@@ -151,6 +160,9 @@
 	if !enough {
 		a.refused++
 	}
+	if len(victims) > 0 {
+		a.wake() // a victim that waits for room must not hold up its own release
+	}
 	a.mu.Unlock()
 	for _, v := range victims {
 		v.evict()
@@ -171,7 +183,7 @@
 	delete(a.holders, h)
 }
 
-// Released returns a channel that is closed when something is released. After an Add that failed, pending reports whether
+// Released returns a channel that is closed when something is released, or holders are told to give way. After an Add that failed, pending reports whether
 // holders that were told to give way still hold something.
 func (a *Account) Released() (released <-chan struct{}, pending bool) {
 	a.mu.Lock()
@@ -202,7 +214,14 @@
 	for k, name := range h.users {
 		a.addUser(Kind(k), name, n)
 	}
-	if n < 0 && a.released != nil {
+	if n < 0 {
+		a.wake()
+	}
+}
+
+// wake wakes those that wait for room.
+func (a *Account) wake() {
+	if a.released != nil {
 		close(a.released)
 		a.released = nil
 	}
@@ -263,13 +282,16 @@
 	}
 	var candidates []candidate
 	for c := range a.holders {
-		if c == h || c.evict == nil || State(c.state.Load()) == Busy || c.held == 0 || large && c.heldLarge == 0 && !a.idleFirst {
+		if c == h || c.held == 0 || large && c.heldLarge == 0 && !a.idleFirst {
 			continue
 		}
 		if c.evicted {
 			need -= c.held // it is about to release
 			continue
 		}
+		if c.evict == nil || State(c.state.Load()) == Busy {
+			continue
+		}
 		silent, yields, allowed := now.Sub(c.silentSince()) >= minSilence, false, true
 		for k, is := range a.above(c, 0, &shares) {
 			same := c.users[k] == h.users[k]
--- a/adapters/memory/memory_test.go
+++ b/adapters/memory/memory_test.go
@@ -66,6 +66,23 @@
 	is.Equal(f.evicted, []string{"longest"})
 }
 
+// Guards against connections that all close for lack of memory, although the room of the first one to close is enough.
+func TestClosingHolderIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	f := &fixture{Account: NewAccount(100, 100)}
+	closing := f.holder("closing", "s", "", 60, Busy, 0)
+	h := f.holder("new", "s", "", 30, Waiting, 0)
+	is.True(!h.Add(20, false, start))
+	_, pending := f.Released()
+	is.True(!pending)
+	closing.MarkClosing()
+	is.True(!h.Add(20, false, start))
+	_, pending = f.Released()
+	is.True(pending)
+	_, refused, _ := f.Counts()
+	is.Equal(refused, uint64(1))
+}
+
 // Guards against a user that takes the share of another one of its kind, whichever kind that is.
 func TestShares(t *testing.T) {
 	set := map[string]func(h *Holder, name string){
--- a/adapters/meshhttp/conn_write.go
+++ b/adapters/meshhttp/conn_write.go
@@ -21,6 +21,7 @@
 		return
 	}
 	if !c.take(int64(n)) {
+		c.holder.MarkClosing()
 		c.cancel()
 		_ = c.nc.Close()
 		return
