--- a/adapters/disk/full_test.go
+++ b/adapters/disk/full_test.go
@@ -83,3 +83,28 @@
 	is.True(len(stored.Entries) == 0 || stored.Entries[len(stored.Entries)-1].GetIndex() == count)
 	is.NoErr(s.Close())
 }
+
+// Guards against the loss of the newest snapshot, and against a host that stops later because its file is missing. A host that
+// was behind, for example because its disk was full, installs a snapshot of the leader in one write with an older snapshot of
+// its own that was still queued, and saves the installed one again.
+func TestQueuedSnapshotDoesNotReplaceANewerOne(t *testing.T) {
+	is := is.New(t)
+	fs := newMemFS()
+	s, _, err := open(fs)
+	is.NoErr(err)
+	own := func(index uint64) raft.Snapshot {
+		return raft.Snapshot{Index: index, Term: 1, Data: []byte("state")}
+	}
+	is.NoErr(s.SaveSnapshot(own(93), 90))
+	installed := own(200)
+	is.NoErr(s.Write([]Batch{{Snapshot: &installed}}))
+	for _, index := range []uint64{100, 200} {
+		is.NoErr(s.SaveSnapshot(own(index), index-3))
+	}
+	_, stored, err := open(fs)
+	is.NoErr(err)
+	is.Equal(stored.Snapshot.Index, uint64(200))
+	for _, index := range []uint64{207, 214, 221} {
+		is.NoErr(s.SaveSnapshot(own(index), index-3))
+	}
+}
--- a/adapters/disk/snapshot.go
+++ b/adapters/disk/snapshot.go
@@ -12,23 +12,29 @@
 
 // SaveSnapshot stores a snapshot of the applied state and removes the log
 // segments and old snapshots that it makes obsolete. Entries from index keepFrom
-// on are kept.
+// on are kept. A snapshot that is not newer than the stored ones is not stored again: it may have been
+// queued before one of the leader was installed, and the names of the files must stay in order.
 func (s *Store) SaveSnapshot(snap raft.Snapshot, keepFrom uint64) error {
 	if s.firstError != nil {
 		return s.firstError
 	}
+	if n := len(s.snapshots); n > 0 && snapshotName(snap.Index) <= s.snapshots[n-1] {
+		return nil
+	}
 	if err := s.writeSnapshot(snap); err != nil {
 		return err
 	}
 	return s.removeObsolete(min(keepFrom, snap.Index))
 }
 
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
 func (s *Store) writeSnapshot(snap raft.Snapshot) error {
 	b, err := proto.Marshal(&pb.DiskSnapshot{Index: snap.Index, Term: snap.Term, Members: snap.Members, Data: snap.Data})
 	if err != nil {
 		return s.fail(err, "encode a snapshot")
 	}
-	name := fmt.Sprintf("%s%016x", snapshotPrefix, snap.Index)
+	name := snapshotName(snap.Index)
 	if err := s.replaceFile(name, appendRecord(nil, recordSnapshotFile, b)); err != nil {
 		return err
 	}
