--- a/app/consensus/service_operator.go
+++ b/app/consensus/service_operator.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -90,6 +91,8 @@
 			} else {
 				out.Members = s.h.memberStatusesOfLeader(ctx, st)
 			}
+		case pb.Subject_SUBJECT_PLAN:
+			out.Plan = cmp.Or(st.Plan, &pb.StoredPlan{})
 		case pb.Subject_SUBJECT_NODES:
 			if r := s.h.nodes.Load(); r != nil {
 				out.Nodes = (*r).NodeStatuses()
--- a/app/consensus/service_operator_test.go
+++ b/app/consensus/service_operator_test.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
@@ -26,3 +27,18 @@
 	is.NoErr(err)
 	is.Equal(len(r.Msg.GetMoves()), 0)
 }
+
+// Guards against a host without an accepted plan that operators take for one that does not know the subject.
+func TestQueryReportsPlan(t *testing.T) {
+	is := is.New(t)
+	h := newCluster(t, "kingston").startAll().leader().Host
+	query := func() *pb.StoredPlan {
+		r, err := operatorService{h}.Query(context.Background(), connect.NewRequest(&pb.QueryRequest{Subjects: []pb.Subject{pb.Subject_SUBJECT_PLAN}}))
+		is.NoErr(err)
+		return r.Msg.GetPlan()
+	}
+	is.True(proto.Equal(query(), &pb.StoredPlan{}) && query() != nil)
+	r := h.Submit(context.Background(), &pb.Command{CommandId: "p", Command: &pb.Command_ReplacePlan{ReplacePlan: &pb.ReplacePlan{Number: 7, Payload: []byte("plan"), Digest: 3}}})
+	is.Equal(r.GetOutcome(), pb.Outcome_OUTCOME_ACCEPTED)
+	is.True(proto.Equal(query(), &pb.StoredPlan{Number: 7, Serial: 1, Payload: []byte("plan"), Digest: 3}))
+}
