app/operator, core/query, cmd/rattanfield: statement check FILE [against FILE]

Purpose: an operator checks a plan before it is sent, without a running system.

Change: the statement reads the file, compares it with a second file or with the plan in force if control hosts are given, and prints text or JSON. Other statements still need a control host.

Measured: go test ./core/query ./app/operator passes.

--- a/app/operator/session.go
+++ b/app/operator/session.go
@@ -17,9 +17,9 @@
 const (
 	ExitOK = iota
 	// ExitFailed means that no control host answered a query, that a command certainly did not
-	// reach one, or that the output could not be written.
+	// reach one, that a file to check could not be read, or that the output could not be written.
 	ExitFailed
-	ExitInvalid // the statement, the file or the settings are invalid; nothing was sent
+	ExitInvalid // the statement, the file or the settings are invalid, or a checked file has errors; nothing was sent
 	// ExitRejected means that the command was not accepted: a conflict, an invalid command or no
 	// majority of the control hosts. It also stands for a command id or move that is not known,
 	// and for a watched move that ended without being completed.
@@ -27,14 +27,16 @@
 	// ExitUnknown means that the command may have been accepted, or that a command id is not
 	// known to a host that may lack newer changes.
 	ExitUnknown
+	ExitWarnings // a checked file has warnings and no errors
 )
 
 // Session runs the statements of one operator.
 type Session struct {
-	Client   *Client
+	Client   *Client // nil: no control host is given, which only check permits
 	Out      io.Writer
 	JSON     bool
 	Operator string
+	MemoryMB int // memory of a host for check, in MB of 1,000,000 bytes; 0: not known
 	// NextID returns a new command id.
 	NextID func() string
 	// Now returns the current time.
@@ -51,6 +53,10 @@
 		return ExitInvalid, err
 	}
 	switch {
+	case statement.Check != nil:
+		return s.check(ctx, statement.Check)
+	case s.Client == nil:
+		return ExitInvalid, ErrNoHosts
 	case statement.Show != nil:
 		return s.show(ctx, *statement.Show)
 	case statement.Watch != nil:
--- a/cmd/rattanfield/main.go
+++ b/cmd/rattanfield/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -35,6 +36,7 @@
 	Operator  string   `arg:"--operator,env:RATTANFIELD_OPERATOR" placeholder:"NAME" help:"name in the history; default: the user's name"`
 	JSON      bool     `arg:"--json" help:"print JSON"`
 	Check     bool     `arg:"--check" help:"check the settings, then exit"`
+	MemoryMB  int      `arg:"--memory-mb" placeholder:"MB" help:"memory of a host, for check FILE: limits.memory_mb of its settings"`
 	CommandID string   `arg:"--command-id" placeholder:"ID" help:"id of the command, to send a command again"`
 	Statement []string `arg:"positional" placeholder:"WORD" help:"the statement; default: read from standard input"`
 }
@@ -52,7 +54,7 @@
 // Epilogue returns the end of the help: the statements and the exit status.
 func (arguments) Epilogue() string {
 	return "Statements:\n  " + strings.Join(query.Forms(), "\n  ") +
-		"\n\nExit status: 0 done, 1 failed, 2 invalid statement or file, 3 rejected, 4 not known whether accepted."
+		"\n\nExit status: 0 done, 1 failed, 2 invalid statement or file, 3 rejected, 4 not known whether accepted, 5 warnings."
 }
 
 func main() {
@@ -94,7 +96,11 @@
 		readSettings,
 		func() *rpc.Client { return rpc.NewClient(rpc.Options{}) },
 		func(s *settings.Operator, transport *rpc.Client) (*operator.Client, error) {
-			return operator.NewClient(s.Control, transport)
+			client, err := operator.NewClient(s.Control, transport)
+			if errors.Is(err, operator.ErrNoHosts) {
+				return nil, nil // check needs none; the session rejects other statements
+			}
+			return client, err
 		},
 		newSession,
 	} {
@@ -158,7 +164,7 @@
 
 func newSession(args arguments, s *settings.Operator, client *operator.Client) *operator.Session {
 	return &operator.Session{
-		Client: client, Out: os.Stdout, JSON: args.JSON, Operator: s.Operator, Now: time.Now,
+		Client: client, Out: os.Stdout, JSON: args.JSON, Operator: s.Operator, MemoryMB: args.MemoryMB, Now: time.Now,
 		NextID: func() string {
 			if args.CommandID != "" {
 				return args.CommandID
--- a/core/query/check.go
+++ b/core/query/check.go
@@ -103,6 +103,12 @@
 		return &Statement{Start: c.start(g.Start)}
 	case g.Change != nil:
 		return &Statement{Change: &ChangeMove{Action: actions[g.Change.Action], MoveID: g.Change.MoveID.Text}}
+	case g.Check != nil:
+		out := &Check{File: g.Check.File.Text}
+		if against := g.Check.Against; against != nil {
+			out.Against = against.Text
+		}
+		return &Statement{Check: out}
 	default:
 		return &Statement{Command: g.Command.Text}
 	}
--- a/core/query/error.go
+++ b/core/query/error.go
@@ -37,6 +37,7 @@
 var forms = map[string]string{
 	"show":    "show config|services|routes|nodes|revision|members|moves|history [where applied < 41 [and ...]]",
 	"watch":   "watch moves [where ...]  or  watch move MOVE-ID",
+	"check":   "check configuration.json [against other.json]",
 	"apply":   "apply changes.json expect 41",
 	"start":   "start move bookings from v1 to v2 by 10m  (or by 17:30)",
 	"hold":    "hold move MOVE-ID",
--- a/core/query/grammar.go
+++ b/core/query/grammar.go
@@ -15,6 +15,7 @@
 	Start   *startGrammar  `parser:"| 'start' 'move' @@"`
 	Change  *changeGrammar `parser:"| @@"`
 	Command *word          `parser:"| 'command' @@"`
+	Check   *checkGrammar  `parser:"| 'check' @@"`
 }
 
 type word struct {
@@ -44,6 +45,11 @@
 	Expected word `parser:"'expect' @@"`
 }
 
+type checkGrammar struct {
+	File    word  `parser:"@@"`
+	Against *word `parser:"( 'against' @@ )?"`
+}
+
 type startGrammar struct {
 	Service word `parser:"@@"`
 	Old     word `parser:"'from' @@"`
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -30,6 +30,8 @@
 		"resume move m-1":                            {Change: &ChangeMove{pb.MoveAction_MOVE_ACTION_RESUME, "m-1"}},
 		"stop move m-1":                              {Change: &ChangeMove{pb.MoveAction_MOVE_ACTION_STOP, "m-1"}},
 		"command 7f3a":                               {Command: "7f3a"},
+		"check new.json":                             {Check: &Check{File: "new.json"}},
+		`check "new 2.json" against old.json`:        {Check: &Check{File: "new 2.json", Against: "old.json"}},
 	} {
 		t.Run(text, func(t *testing.T) {
 			is := is.New(t)
@@ -52,6 +54,10 @@
 		"show nodes where applied":            {"", "ends too early", "show config"},
 		"apply fares.json expect x1":          {"x1", "not a revision", "apply changes.json"},
 		"apply fares.json expect 0":           {"0", "not a revision", "apply changes.json"},
+		"check":                               {"", "ends too early", "check configuration.json"},
+		"check a.json b.json":                 {"b.json", "not expected", "check configuration.json"},
+		"check a.json against":                {"", "ends too early", "check configuration.json"},
+		"chekc a.json":                        {"chekc", `did you mean "check"?`, "check configuration.json"},
 		"apply fares.json":                    {"", "ends too early", "apply changes.json"},
 		"start bookings from v1 to v2 by 10m": {"bookings", "not expected", "start move"},
 		"start move bookings from v1 to v1 by 10m":  {"v1", "both versions", "start move"},
--- a/core/query/statement.go
+++ b/core/query/statement.go
@@ -6,7 +6,7 @@
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
-// Statement is one parsed statement; exactly one field is set. Show, Watch and
+// Statement is one parsed statement; exactly one field is set. Show, Watch, Check and
 // Command read; the others submit a command.
 type Statement struct {
 	Show    *Show
@@ -14,6 +14,7 @@
 	Apply   *Apply
 	Start   *StartMove
 	Change  *ChangeMove
+	Check   *Check
 	Command string // id of a command whose result is looked up
 }
 
@@ -58,6 +59,12 @@
 	Expected uint64 // revision that the changes are based on
 }
 
+// Check checks a file with a plan before it is sent.
+type Check struct {
+	File    string
+	Against string // file to compare it with; "": the plan in force, if there are control hosts
+}
+
 // StartMove moves the calls of a service from the old version to the new one.
 type StartMove struct {
 	Service, OldVersion, NewVersion string
