--- a/app/operator/check.go
+++ b/app/operator/check.go
@@ -113,7 +113,7 @@
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(p.out, "%d errors, %d warnings, %d changes\n", r.Errors, r.Warnings, r.Changes)
+	_, err := fmt.Fprintf(p.out, "%s, %s, %s\n", count(r.Errors, "error"), count(r.Warnings, "warning"), count(r.Changes, "change"))
 	return err
 }
 
--- a/app/operator/print.go
+++ b/app/operator/print.go
@@ -113,10 +113,14 @@
 }
 
 func countProblems(problems int) string {
-	if problems == 1 {
-		return "1 problem"
+	return count(problems, "problem")
+}
+
+func count(n int, what string) string {
+	if n == 1 {
+		return "1 " + what
 	}
-	return fmt.Sprintf("%d problems", problems)
+	return fmt.Sprintf("%d %ss", n, what)
 }
 
 // describe returns a description of the result of a command for the operator.
