core/state: tell operators what an order of an evacuation did

An order that changed nothing was accepted without a word. The result now says so and has the serial of the order. EvacuationSince finds in the history since when the newest order has been in effect.

go test ./core/state: ok.

--- a/core/state/evacuation.go
+++ b/core/state/evacuation.go
@@ -27,7 +27,7 @@
 		if !full {
 			p.setEvacuation(domain, e.GetActive())
 		}
-		return m.accepted()
+		return m.acceptedEvacuation(domain, unchangedMessage(domain, e.GetActive()))
 	}
 	if e.GetActive() && p.leavesNone(domain, e.GetFailureDomains()) {
 		return invalid(problem("evacuation", "%s is the last failure domain that is not evacuated", domain))
@@ -43,12 +43,43 @@
 	}
 	p.setEvacuation(domain, e.GetActive())
 	p.changes++
-	verb := "withdraw"
-	if e.GetActive() {
-		verb = "start"
+	m.record(c, false, evacuationSummary(domain, e.GetActive()), "")
+	return m.acceptedEvacuation(domain, "")
+}
+
+func (m *Machine) acceptedEvacuation(domain, message string) *pb.CommandResult {
+	r := m.accepted()
+	r.EvacuationSerial, r.Message = m.plans.evacuations[domain].GetSerial(), message
+	return r
+}
+
+// unchangedMessage tells the operator that an order changed nothing.
+func unchangedMessage(domain string, active bool) string {
+	if active {
+		return domain + " is already evacuated"
+	}
+	return domain + " is not evacuated; nothing was changed"
+}
+
+// evacuationSummary returns the text of the history for an order that took effect.
+func evacuationSummary(domain string, active bool) string {
+	if active {
+		return "start evacuation of " + domain
+	}
+	return "withdraw evacuation of " + domain
+}
+
+// EvacuationSince returns the time, in Unix milliseconds, since which a failure domain has been in the state that its newest
+// order states. It is 0 if the history does not contain the decision, which may have been dropped or, if the domain
+// was never evacuated, does not exist.
+func EvacuationSince(history []*pb.Decision, e *pb.Evacuation) int64 {
+	summary := evacuationSummary(e.GetFailureDomain(), e.GetActive())
+	for _, d := range slices.Backward(history) {
+		if d.GetSummary() == summary {
+			return d.GetAtUnixMs()
+		}
 	}
-	m.record(c, false, verb+" evacuation of "+domain, "")
-	return m.accepted()
+	return 0
 }
 
 // setEvacuation records the newest order about a failure domain.
--- a/core/state/evacuation_test.go
+++ b/core/state/evacuation_test.go
@@ -114,3 +114,34 @@
 	}
 	is.Equal(len(m.plans.evacuations), maxEvacuations)
 }
+
+// Guards against an operator who does not learn that an order changed nothing, and against a time that does not belong to the
+// order in force: the history also has orders about other failure domains, and orders sent again are not in it.
+func TestEvacuationResultAndTime(t *testing.T) {
+	is := is.New(t)
+	m := New(nil)
+	clock := int64(1000)
+	order := func(domain string, active bool) *pb.CommandResult {
+		clock++
+		c := evacuationCommand(fmt.Sprint(clock), domain, active, m.plans.evacuations[domain].GetSerial())
+		c.SubmittedUnixMs = clock
+		return m.applyCommand(c)
+	}
+	since := func(domain string) int64 { return EvacuationSince(m.history, m.plans.evacuations[domain]) }
+	is.Equal(order("d1", false).GetMessage(), "d1 is not evacuated; nothing was changed")
+	is.Equal(since("d1"), int64(0))
+	r := order("d1", true)
+	is.Equal(r.GetEvacuationSerial(), uint64(2))
+	is.Equal(r.GetMessage(), "")
+	is.Equal(since("d1"), int64(1002))
+	order("d2", true)
+	again := order("d1", true)
+	is.Equal(again.GetMessage(), "d1 is already evacuated")
+	is.Equal(again.GetEvacuationSerial(), uint64(4))
+	is.Equal(since("d1"), int64(1002))
+	order("d1", false)
+	is.Equal(since("d1"), int64(1005))
+	is.Equal(since("d2"), int64(1003))
+	m.history = m.history[2:] // the order about d2 was dropped
+	is.Equal(since("d2"), int64(0))
+}
