app/consensus: complete orders of evacuations in the operator service

An order that arrived through the operator service had neither the failure domains of the site nor a base serial. It could evacuate the last failure domain and undo a newer order.

The control host fills in both, with the code that the platform uses, and rejects unknown failure domains with the list. The product's own control hosts reject evacuations, because their nodes do not follow them.

--- a/app/consensus/options.go
+++ b/app/consensus/options.go
@@ -35,6 +35,12 @@
 	// AddressOf returns the address of a member that the member set of this host does not contain
 	// yet, or "". With it a host with an empty disk reaches the leader that admits it. It may be nil.
 	AddressOf func(id string) string `json:"-"`
+	// AcceptEvacuations makes the operator service accept orders of evacuations. Without it they are rejected, because nodes
+	// of the product's own scheme do not follow them.
+	AcceptEvacuations bool
+	// FailureDomains are the failure domains of the site, sorted; empty if they are not known. The operator service
+	// rejects orders of evacuations about others.
+	FailureDomains []string
 
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
--- a/app/consensus/service_operator.go
+++ b/app/consensus/service_operator.go
@@ -39,7 +39,7 @@
 
 // Submit submits an operator's command. See Host.Submit.
 func (s operatorService) Submit(ctx context.Context, req *connect.Request[pb.SubmitRequest]) (*connect.Response[pb.SubmitResponse], error) {
-	r := s.h.Submit(ctx, req.Msg.GetCommand())
+	r := s.h.submitOrder(ctx, req.Msg.GetCommand())
 	return connect.NewResponse(&pb.SubmitResponse{Result: r, Freshness: s.h.freshness()}), nil
 }
 
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -32,6 +32,7 @@
 type Options struct {
 	PeerAddress, MetricsAddress string
 	FailureDomain, Region       string
+	FailureDomains              []string // of the site, sorted; empty: not known
 	DataDir                     string
 	// Founders are the peer addresses of the hosts that form the group when the system starts
 	// for the first time; empty at every other start.
@@ -105,6 +106,7 @@
 	return consensus.New(consensus.Options{
 		ID: o.PeerAddress, Members: members, DataDir: o.DataDir, AddressOf: func(id string) string { return id },
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
+		AcceptEvacuations: true, FailureDomains: o.FailureDomains,
 	}, client, logger)
 }
 
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -147,7 +147,7 @@
 func controlOptions(s *platform.Settings, w *platform.Watcher, logger log.Logger) meshcontrol.Options {
 	return meshcontrol.Options{
 		PeerAddress: s.PeerAddress(), MetricsAddress: s.MetricsAddress(), FailureDomain: s.FailureDomain, Region: s.Region,
-		DataDir: s.DataDir, Founders: s.Founders(), Seeds: w.Seeds, ExposureBound: s.ExposureBound,
+		FailureDomains: s.FailureDomains, DataDir: s.DataDir, Founders: s.Founders(), Seeds: w.Seeds, ExposureBound: s.ExposureBound,
 		Memory: int(memoryBytes(s)), MaxFiles: s.MaxFiles,
 		ExtraHandlers: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
 			return map[string]fasthttp.RequestHandler{s.ControlAddress: platform.NewControlAPI(s, p.Host, p.Server, logger).Handle}
