core/query: statements about evacuations and views of the users' platform

The operator language had no words for evacuations, organisations, the plan and rollouts. Statements start evacuation of DOMAIN and finish evacuation of DOMAIN, four views, and the forms that errors show. An error in a start statement shows the form that its second word names.

The test of the message that lists the views has one more view in it.

go test ./core/query: ok.

--- a/core/query/check.go
+++ b/core/query/check.go
@@ -101,6 +101,10 @@
 		return &Statement{Apply: &Apply{File: g.Apply.File.Text, Expected: c.revision(g.Apply.Expected)}}
 	case g.Start != nil:
 		return &Statement{Start: c.start(g.Start)}
+	case g.Begin != nil:
+		return &Statement{Evacuation: evacuation(g.Begin, true)}
+	case g.Finish != nil:
+		return &Statement{Evacuation: evacuation(g.Finish, false)}
 	case g.Change != nil:
 		return &Statement{Change: &ChangeMove{Action: actions[g.Change.Action], MoveID: g.Change.MoveID.Text}}
 	default:
@@ -137,6 +141,10 @@
 	return s
 }
 
+func evacuation(g *domainGrammar, active bool) *ChangeEvacuation {
+	return &ChangeEvacuation{Domain: g.Domain.Text, Active: active, Offset: g.Domain.Pos.Offset}
+}
+
 func (c *checker) revision(w word) uint64 {
 	n, err := strconv.ParseUint(w.Text, 10, 64)
 	if err != nil || n == 0 {
--- a/core/query/columns.go
+++ b/core/query/columns.go
@@ -50,7 +50,26 @@
 		{Name: "deadline"},
 		{Name: "reason"},
 	},
-	ViewHistory: {{Name: "revision", Number: true}, {Name: "at"}, {Name: "operator"}, {Name: "command"}, {Name: "summary"}, {Name: "reason"}},
+	ViewHistory:     {{Name: "revision", Number: true}, {Name: "at"}, {Name: "operator"}, {Name: "command"}, {Name: "summary"}, {Name: "reason"}},
+	ViewEvacuations: {{Name: "domain"}, {Name: "state"}, {Name: "serial", Number: true}, {Name: "since"}},
+	ViewOrganisations: {
+		{Name: "name"},
+		{Name: "keys", Number: true},
+		{Name: "hashes"},
+		{Name: "priority", Number: true},
+		{Name: "rate", Number: true},
+		{Name: "burst", Number: true},
+		{Name: "regions"},
+	},
+	ViewPlan: {
+		{Name: "number", Number: true},
+		{Name: "serial", Number: true},
+		{Name: "routes", Number: true},
+		{Name: "services", Number: true},
+		{Name: "organisations", Number: true},
+		{Name: "digest"},
+	},
+	ViewRollouts: {{Name: "service"}, {Name: "phase"}, {Name: "share", Number: true}, {Name: "target"}},
 }
 
 func joinViews() string {
--- a/core/query/error.go
+++ b/core/query/error.go
@@ -20,11 +20,8 @@
 func (e *Error) Error() string {
 	var b strings.Builder
 	b.WriteString(e.Message)
-	b.WriteString("\n  ")
-	b.WriteString(e.Statement)
-	b.WriteString("\n  ")
-	b.WriteString(strings.Repeat(" ", utf8.RuneCountInString(e.Statement[:min(e.Offset, len(e.Statement))])))
-	b.WriteString(strings.Repeat("^", max(1, utf8.RuneCountInString(e.Word))))
+	b.WriteString("\n")
+	b.WriteString(Point(e.Statement, e.Offset))
 	if e.Form != "" {
 		b.WriteString("\nvalid form: ")
 		b.WriteString(e.Form)
@@ -33,23 +30,42 @@
 	return b.String()
 }
 
+// Point returns a statement and, in a second line, carets under the word at a byte offset.
+func Point(text string, offset int) string {
+	before := strings.Repeat(" ", utf8.RuneCountInString(text[:min(offset, len(text))]))
+	return "  " + text + "\n  " + before + strings.Repeat("^", max(1, utf8.RuneCountInString(wordAt(text, offset))))
+}
+
+const (
+	startMoveForm       = "start move bookings from v1 to v2 by 10m  (or by 17:30)"
+	startEvacuationForm = "start evacuation of DOMAIN"
+)
+
+// formSeparator is between the forms of several statements.
+const formSeparator = "\n            "
+
 // forms holds a valid form of each statement by its first word.
 var forms = map[string]string{
-	"show":    "show config|services|routes|nodes|revision|members|moves|history [where applied < 41 [and ...]]",
+	"show": "show config|services|routes|nodes|revision|members|moves|history|evacuations|organisations|plan|rollouts" +
+		" [where applied < 41 [and ...]]",
 	"watch":   "watch moves [where ...]  or  watch move MOVE-ID",
 	"apply":   "apply changes.json expect 41",
-	"start":   "start move bookings from v1 to v2 by 10m  (or by 17:30)",
+	"start":   startMoveForm + formSeparator + startEvacuationForm,
+	"finish":  "finish evacuation of DOMAIN",
 	"hold":    "hold move MOVE-ID",
 	"resume":  "resume move MOVE-ID",
 	"stop":    "stop move MOVE-ID",
 	"command": "command COMMAND-ID",
 }
 
+// startForms holds the forms of the statements that begin with start, by their second word.
+var startForms = map[string]string{"move": startMoveForm, "evacuation": startEvacuationForm}
+
 // Forms returns a valid form of each statement, in alphabetical order.
 func Forms() []string {
 	out := make([]string, 0, len(forms))
 	for _, f := range forms {
-		out = append(out, f)
+		out = append(out, strings.Split(f, formSeparator)...)
 	}
 	slices.Sort(out)
 	return out
@@ -59,13 +75,17 @@
 // that the first word of text names or resembles, or else the forms of all statements.
 func newError(text string, offset int, message string) *Error {
 	e := &Error{Statement: text, Offset: offset, Word: wordAt(text, offset), Message: message}
-	first, _, _ := strings.Cut(text, " ")
+	first, rest, _ := strings.Cut(text, " ")
+	second, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
 	if form, ok := forms[first]; ok {
 		e.Form = form
+		if form, ok := startForms[second]; ok && first == "start" {
+			e.Form = form
+		}
 	} else if closest := closestWord(first, firstWords()); closest != "" {
 		e.Form = forms[closest]
 	} else {
-		e.Form = strings.Join(Forms(), "\n            ")
+		e.Form = strings.Join(Forms(), formSeparator)
 	}
 	return e
 }
--- a/core/query/grammar.go
+++ b/core/query/grammar.go
@@ -13,6 +13,8 @@
 	Watch   *watchGrammar  `parser:"| 'watch' @@"`
 	Apply   *applyGrammar  `parser:"| 'apply' @@"`
 	Start   *startGrammar  `parser:"| 'start' 'move' @@"`
+	Begin   *domainGrammar `parser:"| 'start' 'evacuation' @@"`
+	Finish  *domainGrammar `parser:"| 'finish' 'evacuation' @@"`
 	Change  *changeGrammar `parser:"| @@"`
 	Command *word          `parser:"| 'command' @@"`
 }
@@ -51,6 +53,11 @@
 	By      word `parser:"'by' @@"`
 }
 
+// domainGrammar names the failure domain of an evacuation.
+type domainGrammar struct {
+	Domain word `parser:"'of' @@"`
+}
+
 type changeGrammar struct {
 	Action string `parser:"@('hold'|'resume'|'stop')"`
 	MoveID word   `parser:"'move' @@"`
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -30,6 +30,12 @@
 		"resume move m-1":                            {Change: &ChangeMove{pb.MoveAction_MOVE_ACTION_RESUME, "m-1"}},
 		"stop move m-1":                              {Change: &ChangeMove{pb.MoveAction_MOVE_ACTION_STOP, "m-1"}},
 		"command 7f3a":                               {Command: "7f3a"},
+		"start evacuation of d1":                     {Evacuation: &ChangeEvacuation{"d1", true, 20}},
+		`finish  evacuation of "north desk"`:         {Evacuation: &ChangeEvacuation{"north desk", false, 22}},
+		"show evacuations where serial>3":            {Show: &Show{View: ViewEvacuations, Conditions: []Condition{{"serial", ">", "3"}}}},
+		"show organisations where rate < 9.5":        {Show: &Show{View: ViewOrganisations, Conditions: []Condition{{"rate", "<", "9.5"}}}},
+		"show plan":                                  {Show: &Show{View: ViewPlan}},
+		"watch rollouts where phase = running":       {Watch: &Watch{Show: Show{View: ViewRollouts, Conditions: []Condition{{"phase", "=", "running"}}}}},
 	} {
 		t.Run(text, func(t *testing.T) {
 			is := is.New(t)
@@ -46,7 +52,7 @@
 		"":                                    {"", "empty", "command COMMAND-ID"},
 		"shwo moves":                          {"shwo", `did you mean "show"?`, "show config"},
 		"show":                                {"", "ends too early", "show config"},
-		"show movse":                          {"movse", "cannot be shown; one of: config, history", "show config"},
+		"show movse":                          {"movse", "cannot be shown; one of: config, evacuations, history", "show config"},
 		"show nodes where colour = red":       {"colour", "no column", "show config"},
 		"show nodes where applied < soon":     {"soon", "is a number", "show config"},
 		"show nodes where applied":            {"", "ends too early", "show config"},
@@ -58,10 +64,16 @@
 		"start move bookings from v1 to v2 by soon": {"soon", "not a time", "start move"},
 		"start move bookings from v1 to v2 by -5m":  {"-5m", "not in the future", "start move"},
 		"start move bookings from v1 to v2 by 900h": {"900h", "more than 7 days", "start move"},
-		"hold m-1":             {"m-1", "not expected", "hold move"},
-		"stop move m-1 now":    {"now", "not expected", "stop move"},
-		"command a b":          {"b", "not expected", "command"},
-		"show moves\nshow all": {"", "one line", "show config"},
+		"hold m-1":                    {"m-1", "not expected", "hold move"},
+		"stop move m-1 now":           {"now", "not expected", "stop move"},
+		"command a b":                 {"b", "not expected", "command"},
+		"start evacuation d1":         {"d1", "not expected", "start evacuation of DOMAIN"},
+		"start evacuation of":         {"", "ends too early", "start evacuation of DOMAIN"},
+		"finish evacuation of d1 now": {"now", "not expected", "finish evacuation of DOMAIN"},
+		"finish move m-1":             {"move", "not expected", "finish evacuation of DOMAIN"},
+		"finsh evacuation of d1":      {"finsh", `did you mean "finish"?`, "finish evacuation of DOMAIN"},
+		"show plan where keys = 1":    {"keys", "no column", "show config"},
+		"show moves\nshow all":        {"", "one line", "show config"},
 	} {
 		t.Run(text, func(t *testing.T) {
 			is := is.New(t)
@@ -80,7 +92,7 @@
 
 // Guards against a panic, and against an error without a position, for any input.
 func TestAnyInput(t *testing.T) {
-	words := rapid.SampledFrom([]string{"show", "moves", "where", "applied", "<", "41", "apply", "expect", "start", "move", "from", "to", "by", "10m", `"`, "é", "\t", "and"})
+	words := rapid.SampledFrom([]string{"show", "moves", "where", "applied", "<", "41", "apply", "expect", "start", "move", "from", "to", "by", "10m", "finish", "evacuation", "of", `"`, "é", "\t", "and"})
 	rapid.Check(t, func(t *rapid.T) {
 		text := strings.Join(rapid.SliceOfN(words, 0, 9).Draw(t, "words"), " ") + rapid.String().Draw(t, "tail")
 		s, err := Parse(text, noon)
--- a/core/query/statement.go
+++ b/core/query/statement.go
@@ -15,6 +15,8 @@
 	Start   *StartMove
 	Change  *ChangeMove
 	Command string // id of a command whose result is looked up
+
+	Evacuation *ChangeEvacuation
 }
 
 // View is the name of a table that a statement shows.
@@ -30,6 +32,12 @@
 	ViewMembers  View = "members"
 	ViewMoves    View = "moves"
 	ViewHistory  View = "history"
+
+	// Views of the users' platform.
+	ViewEvacuations   View = "evacuations"
+	ViewOrganisations View = "organisations"
+	ViewPlan          View = "plan"
+	ViewRollouts      View = "rollouts"
 )
 
 // Show prints a view once.
@@ -69,3 +77,10 @@
 	Action pb.MoveAction
 	MoveID string
 }
+
+// ChangeEvacuation starts or finishes the evacuation of a failure domain.
+type ChangeEvacuation struct {
+	Domain string
+	Active bool // true: start
+	Offset int  // byte offset of the domain in the statement, which an error of the control host refers to
+}
