app/operator: send orders of evacuations and print the new views

An order is sent like every other command; the control host adds what it knows. The result states the number of the order. A problem that the control host reports is shown with the statement and a mark under the failure domain. A conflict with a newer order is no longer described as a change of the configuration.

--- a/app/operator/print.go
+++ b/app/operator/print.go
@@ -124,11 +124,19 @@
 	var b strings.Builder
 	switch r.GetOutcome() {
 	case pb.Outcome_OUTCOME_ACCEPTED:
-		fmt.Fprintf(&b, "accepted as revision %d", r.GetRevision())
+		if r.GetEvacuationSerial() != 0 {
+			fmt.Fprintf(&b, "accepted as order %d", r.GetEvacuationSerial())
+		} else {
+			fmt.Fprintf(&b, "accepted as revision %d", r.GetRevision())
+		}
 		if r.GetMoveId() != "" {
 			fmt.Fprintf(&b, ", move %s", r.GetMoveId())
 		}
 	case pb.Outcome_OUTCOME_CONFLICT:
+		if r.GetWinnerCommandId() == "" { // an evacuation, whose conflict is with a newer order
+			b.WriteString("not accepted, nothing was changed: there is a newer order; look at it and try again")
+			break
+		}
 		fmt.Fprintf(&b, "not accepted: %s changed the configuration first, with command %s, revision %d; look at it and try again with `expect %d`",
 			r.GetWinnerOperator(), r.GetWinnerCommandId(), r.GetWinnerRevision(), r.GetWinnerRevision())
 	case pb.Outcome_OUTCOME_INVALID:
--- a/app/operator/rows.go
+++ b/app/operator/rows.go
@@ -29,6 +29,11 @@
 	query.ViewMembers:  {pb.Subject_SUBJECT_MEMBERS},
 	query.ViewMoves:    {pb.Subject_SUBJECT_MOVES, pb.Subject_SUBJECT_MEMBERS}, // QueryLeader needs the members
 	query.ViewHistory:  {pb.Subject_SUBJECT_HISTORY},
+
+	query.ViewEvacuations:   {pb.Subject_SUBJECT_EVACUATIONS},
+	query.ViewOrganisations: {pb.Subject_SUBJECT_ORGANISATIONS},
+	query.ViewPlan:          {pb.Subject_SUBJECT_PLAN_SUMMARY},
+	query.ViewRollouts:      {pb.Subject_SUBJECT_ROLLOUTS},
 }
 
 // rows returns the rows of a view that satisfy the conditions of show.
@@ -52,6 +57,14 @@
 		all = moveRows(a.GetMoves())
 	case query.ViewHistory:
 		all = historyRows(a.GetHistory())
+	case query.ViewEvacuations:
+		all = evacuationRows(a.GetEvacuations())
+	case query.ViewOrganisations:
+		all = organisationRows(a.GetOrganisations())
+	case query.ViewPlan:
+		all = planRows(a.GetPlanSummary())
+	case query.ViewRollouts:
+		all = rolloutRows(a.GetRollouts())
 	}
 	matching := all[:0]
 	for _, r := range all {
--- a/app/operator/session.go
+++ b/app/operator/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -58,7 +59,7 @@
 	case statement.Command != "":
 		return s.lookup(ctx, statement.Command)
 	default:
-		return s.submit(ctx, statement)
+		return s.submit(ctx, statement, strings.TrimSpace(text))
 	}
 }
 
@@ -115,8 +116,8 @@
 	}
 }
 
-// submit sends the command of a statement and prints its result.
-func (s *Session) submit(ctx context.Context, statement *query.Statement) (int, error) {
+// submit sends the command of a statement and prints its result. text is the statement, without blanks around it.
+func (s *Session) submit(ctx context.Context, statement *query.Statement, text string) (int, error) {
 	command, err := s.buildCommand(statement)
 	if err != nil {
 		return ExitInvalid, err
@@ -128,7 +129,11 @@
 	case err != nil:
 		return ExitFailed, fmt.Errorf("nothing was sent: %w", err)
 	}
-	return s.report(result)
+	code, err := s.report(result)
+	if statement.Evacuation != nil && len(result.GetProblems()) > 0 {
+		s.printNote(query.Point(text, statement.Evacuation.Offset)) // problems of an evacuation are about its failure domain
+	}
+	return code, err
 }
 
 // buildCommand returns the command that a statement submits, with a new command id.
@@ -149,6 +154,10 @@
 			MoveId: m.Service + "-" + c.GetCommandId(), Service: m.Service,
 			OldVersion: m.OldVersion, NewVersion: m.NewVersion, DeadlineUnixMs: m.Deadline.UnixMilli(),
 		}}
+	case statement.Evacuation != nil:
+		c.Command = &pb.Command_ChangeEvacuation{ChangeEvacuation: &pb.ChangeEvacuation{
+			FailureDomain: statement.Evacuation.Domain, Active: statement.Evacuation.Active, // the control host adds the rest
+		}}
 	case statement.Change != nil:
 		c.Command = &pb.Command_ChangeMove{ChangeMove: &pb.ChangeMove{MoveId: statement.Change.MoveID, Action: statement.Change.Action}}
 	default:
--- a/cmd/rattanfield/main.go
+++ b/cmd/rattanfield/main.go
@@ -46,7 +46,7 @@
 
 // Description returns the first line of the help.
 func (arguments) Description() string {
-	return "Shows and changes the configuration and the moves of a rattanfield deployment."
+	return "Shows and changes the configuration, the moves and the evacuations of a rattanfield deployment."
 }
 
 // Epilogue returns the end of the help: the statements and the exit status.
