app/operator: test failover with orders of evacuations too

Every case of lost hosts, lost responses, no majority and an unknown result is played with an order of an evacuation beside the start of a move; the checks of the latter stay.

go test ./app/operator: ok.

--- a/app/operator/operator_test.go
+++ b/app/operator/operator_test.go
@@ -147,25 +147,32 @@
 			return []string{(&controlHost{shared: a}).start(t)}
 		}, pb.Outcome_OUTCOME_UNKNOWN, ExitUnknown, "ask later with: command c0ffee"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			var out bytes.Buffer
-			shared := newShared()
-			shared.outcome = tc.outcome
-			s := session(t, &out, tc.hosts(t, shared)...)
-			code, err := s.Run(context.Background(), "start move bookings from v1 to v2 by 10m")
-			text := out.String()
-			if err != nil {
-				text += err.Error()
-			}
-			is.Equal(code, tc.code)
-			is.True(strings.Contains(text, tc.output)) // output
-			is.True(len(shared.results) <= 1)
-			for _, c := range shared.commands {
-				is.Equal(c.GetCommandId(), "c0ffee")
-				is.Equal(c.GetStartMove().GetMoveId(), "bookings-c0ffee")
-			}
-		})
+		for statement, isSent := range map[string]func(*pb.Command) bool{
+			"start move bookings from v1 to v2 by 10m": func(c *pb.Command) bool { return c.GetStartMove().GetMoveId() == "bookings-c0ffee" },
+			"start evacuation of d1": func(c *pb.Command) bool {
+				return c.GetChangeEvacuation().GetFailureDomain() == "d1" && c.GetChangeEvacuation().GetActive()
+			},
+		} {
+			t.Run(name+", "+statement, func(t *testing.T) {
+				is := is.New(t)
+				var out bytes.Buffer
+				shared := newShared()
+				shared.outcome = tc.outcome
+				s := session(t, &out, tc.hosts(t, shared)...)
+				code, err := s.Run(context.Background(), statement)
+				text := out.String()
+				if err != nil {
+					text += err.Error()
+				}
+				is.Equal(code, tc.code)
+				is.True(strings.Contains(text, tc.output)) // output
+				is.True(len(shared.results) <= 1)
+				for _, c := range shared.commands {
+					is.Equal(c.GetCommandId(), "c0ffee")
+					is.True(isSent(c)) // the statement's command
+				}
+			})
+		}
 	}
 }
 
