core/query: one form in errors of statements that begin with start

A misspelt first word showed the forms of both statements that begin with start. The second word now selects the form in that case too.

go test ./core/query: ok.

--- a/core/query/error.go
+++ b/core/query/error.go
@@ -77,14 +77,15 @@
 	e := &Error{Statement: text, Offset: offset, Word: wordAt(text, offset), Message: message}
 	first, rest, _ := strings.Cut(text, " ")
 	second, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	if form, ok := forms[first]; ok {
-		e.Form = form
-		if form, ok := startForms[second]; ok && first == "start" {
-			e.Form = form
-		}
-	} else if closest := closestWord(first, firstWords()); closest != "" {
-		e.Form = forms[closest]
-	} else {
+	if forms[first] == "" {
+		first = closestWord(first, firstWords())
+	}
+	switch {
+	case first == "start" && startForms[second] != "":
+		e.Form = startForms[second]
+	case first != "":
+		e.Form = forms[first]
+	default:
 		e.Form = strings.Join(Forms(), formSeparator)
 	}
 	return e
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -71,6 +71,7 @@
 		"start evacuation of":         {"", "ends too early", "start evacuation of DOMAIN"},
 		"finish evacuation of d1 now": {"now", "not expected", "finish evacuation of DOMAIN"},
 		"finish move m-1":             {"move", "not expected", "finish evacuation of DOMAIN"},
+		"stat evacuation of d1":       {"stat", `did you mean "start"?`, "start evacuation of DOMAIN"},
 		"finsh evacuation of d1":      {"finsh", `did you mean "finish"?`, "finish evacuation of DOMAIN"},
 		"show plan where keys = 1":    {"keys", "no column", "show config"},
 		"show moves\nshow all":        {"", "one line", "show config"},
