--- a/core/plancheck/organisations.go
+++ b/core/plancheck/organisations.go
@@ -1,8 +1,6 @@
 package plancheck
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 
 	"github.com/rattanfield/rattanfield/core/plan"
@@ -162,19 +160,10 @@
 		if i > 0 {
 			out += ", "
 		}
-		out += hash(key)
+		out += plan.KeyHash(key)
 	}
 	if len(list) > maxNames {
 		out += ", ..."
 	}
 	return out + ")"
 }
-
-// hashBytes is the length of the hash that stands for a key. It tells the keys of an organisation apart and is too short to
-// identify a key that was guessed.
-const hashBytes = 4
-
-func hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:hashBytes])
-}
