platformtest: concurrent runs of a test use different loopback addresses

Cause: the last byte but two of the addresses was the process id modulo 40, so that two runs of the same test met with a probability of 1/40. Two runs beside each other failed with "address already in use" (TestCrowd and others), and TestOperator... with no leader for 20 s, because hosts of both runs formed one group.

--- a/app/meshcontrol/operator_test.go
+++ b/app/meshcontrol/operator_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -45,7 +44,7 @@
 	s := &site{t: t, transport: rpc.NewClient(rpc.Options{})}
 	var peers []string
 	for i := range siteDomains {
-		s.ips = append(s.ips, fmt.Sprintf("127.%d.12.%d", 180+os.Getpid()%40, i+1))
+		s.ips = append(s.ips, fmt.Sprint(platformtest.Subnet(11), i+1))
 		peers = append(peers, platformtest.PeerAddress(s.ips[i]))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/rattanfield-platform/mesh_test.go
+++ b/cmd/rattanfield-platform/mesh_test.go
@@ -44,7 +44,7 @@
 	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	subnet := fmt.Sprintf("127.%d.9.", 180+os.Getpid()%40)
+	subnet := platformtest.Subnet(9)
 	m := &mesh{t: t, control: subnet + "1", node: subnet + "2", born: time.Now().UnixMilli(), transport: &http.Transport{}}
 	t.Cleanup(m.transport.CloseIdleConnections)
 	h := platformtest.Host{IP: m.control, FailureDomain: "d", Region: "r", FirstStart: true, Seeds: []string{m.control}, MemoryMB: o.memoryMB}
--- a/cmd/rattanfield-platform/stopped_control_test.go
+++ b/cmd/rattanfield-platform/stopped_control_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -29,7 +28,7 @@
 	}
 	ips, processes := make([]string, 3), make([]*exec.Cmd, 3)
 	for i := range ips {
-		ips[i] = fmt.Sprintf("127.%d.11.%d", 180+os.Getpid()%40, i+1)
+		ips[i] = fmt.Sprint(platformtest.Subnet(10), i+1)
 	}
 	for i, ip := range ips {
 		processes[i] = startProcess(t, binary, "control", platformtest.Host{IP: ip, FailureDomain: fmt.Sprint("d", i), Region: "r", FirstStart: true, Seeds: ips}, 0)
