--- a/cmd/rattanfield-platform/crowd_test.go
+++ b/cmd/rattanfield-platform/crowd_test.go
@@ -36,21 +36,7 @@
 func testCrowd(t *testing.T, target crowdTarget) {
 	for _, form := range requesttest.CrowdForms(crowdBodyBytes) {
 		t.Run(form.Name, func(t *testing.T) {
-			resetPeakMemory(t, target.process)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				requesttest.RunCrowd(target.address, target.head, form)
-			}()
-			files := 0
-			for ended := false; !ended; {
-				files = max(files, openFiles(t, target.process))
-				select {
-				case <-done:
-					ended = true
-				case <-time.After(20 * time.Millisecond):
-				}
-			}
+			files := runCrowd(t, target, form)
 			if !reached(target.ordinary) {
 				t.Error("no ordinary request was answered afterwards")
 			}
@@ -66,6 +52,26 @@
 	}
 }
 
+// runCrowd runs one form against a listener and returns the largest number of descriptors that the process had open. The peak of
+// its memory counts from the start of the crowd.
+func runCrowd(t *testing.T, target crowdTarget, form requesttest.CrowdForm) (files int) {
+	t.Helper()
+	resetPeakMemory(t, target.process)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		requesttest.RunCrowd(target.address, target.head, form)
+	}()
+	for {
+		files = max(files, openFiles(t, target.process))
+		select {
+		case <-done:
+			return files
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
 // Guards against clients that are not controlled and that end a process, or make it stop answering, through the memory or the
 // descriptors that it gives them.
 func TestCrowd(t *testing.T) {
--- a/cmd/rattanfield-platform/mesh_test.go
+++ b/cmd/rattanfield-platform/mesh_test.go
@@ -24,6 +24,8 @@
 	memoryMB  int // of the node and of the control host
 	bodyBytes int // limit of the plan for request bodies
 	maxFiles  int // limit of file descriptors, in the settings and of the operating system
+	// keys are those of the organisations of the plan, one each. Requests have the first one.
+	keys []string
 }
 
 // mesh is one control host and one node with their processes, and an upstream in the process of the test.
@@ -35,6 +37,8 @@
 	sequence                    atomic.Uint64
 	born                        int64
 	transport                   *http.Transport
+	keys                        []string
+	key                         string // of the requests; "": none
 }
 
 // startMesh starts a mesh that serves requests. It ends with the test.
@@ -45,7 +49,10 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	subnet := fmt.Sprintf("127.%d.9.", 180+os.Getpid()%40)
-	m := &mesh{t: t, control: subnet + "1", node: subnet + "2", born: time.Now().UnixMilli(), transport: &http.Transport{}}
+	m := &mesh{t: t, control: subnet + "1", node: subnet + "2", born: time.Now().UnixMilli(), transport: &http.Transport{}, keys: o.keys}
+	if len(o.keys) > 0 {
+		m.key = o.keys[0]
+	}
 	t.Cleanup(m.transport.CloseIdleConnections)
 	h := platformtest.Host{IP: m.control, FailureDomain: "d", Region: "r", FirstStart: true, Seeds: []string{m.control}, MemoryMB: o.memoryMB}
 	m.controlProcess = startProcess(t, binary, "control", h, o.maxFiles)
@@ -89,14 +96,23 @@
 // plan returns a plan with a limit for request bodies; 0: the usual one.
 func (m *mesh) plan(bodyBytes int) []byte {
 	plan := platformtest.Plan(1, 0, "s", 0)
-	if bodyBytes == 0 {
+	if bodyBytes == 0 && len(m.keys) == 0 {
 		return plan
 	}
 	var out map[string]any
 	if err := json.Unmarshal(plan, &out); err != nil {
 		m.t.Fatal(err)
 	}
-	out["limits"].(map[string]any)["max_body_bytes"] = bodyBytes
+	if bodyBytes > 0 {
+		out["limits"].(map[string]any)["max_body_bytes"] = bodyBytes
+	}
+	var organisations []any
+	for _, key := range m.keys {
+		organisations = append(organisations, map[string]any{"name": "organisation of " + key, "api_keys": []string{key}})
+	}
+	if len(organisations) > 0 {
+		out["tenants"] = organisations
+	}
 	plan, err := json.Marshal(out)
 	if err != nil {
 		m.t.Fatal(err)
@@ -174,6 +190,9 @@
 	r.Host, r.ContentLength = platformtest.HostName, length
 	r.Header.Set(names.ID, id)
 	r.Header.Set(names.RemainingMs, strconv.FormatInt(left.Milliseconds(), 10))
+	if m.key != "" {
+		r.Header.Set(names.Key, m.key)
+	}
 	resp, err := m.transport.RoundTrip(r)
 	if err != nil {
 		return 0
