adapters/memory: spare connections to other processes give way

Purpose: connections that a process opens are to count in its account. Idle ones cost a reconnect only, so they give way before a request is rejected.

Change: a holder can be Spare. It gives way first, without a time of silence, when the process itself needs room, for example for another connection. For clients it is one of the silent connections, so that clients above their share close none of them.

--- a/adapters/memory/memory.go
+++ b/adapters/memory/memory.go
@@ -39,6 +39,7 @@
 	Busy    State = iota // its request runs; it does not give way
 	Waiting              // for the rest of a request, or for its client to read an answer
 	Idle                 // between requests
+	Spare                // a connection that the process opened to another one, between requests
 )
 
 // minSilence is how long a connection must have been without a byte before it gives way to a user that does not have less than
@@ -101,6 +102,9 @@
 	return h
 }
 
+// Account returns the account of the holder.
+func (h *Holder) Account() *Account { return h.account }
+
 // SetOrganisation states whose request the holder carries from now on; "": not known.
 func (h *Holder) SetOrganisation(name string) {
 	a := h.account
@@ -260,76 +264,6 @@
 	return out
 }
 
-// victims returns the holders that give way so that h can hold n more, besides those that already do. If too few can, it returns
-// none and false. Holders of users above their share come first, and then those that have been without a byte for the longest
-// time. A user that is above its share takes room only from itself; one below its share also takes it from connections above
-// theirs that are still sending.
-func (a *Account) victims(h *Holder, n int64, large bool, now time.Time) (out []*Holder, enough bool) {
-	need := n - (a.limit - a.held)
-	if large {
-		need = max(need, n-(a.large-a.heldLarge))
-	}
-	var shares [kinds]int64
-	for k, name := range h.users {
-		shares[k] = a.share(Kind(k), name)
-	}
-	requester := a.above(h, n, &shares)
-	type candidate struct {
-		*Holder
-		yields   bool
-		state    State
-		lastByte time.Time
-	}
-	var candidates []candidate
-	for c := range a.holders {
-		if c == h || c.held == 0 || large && c.heldLarge == 0 && !a.idleFirst {
-			continue
-		}
-		if c.evicted {
-			need -= c.held // it is about to release
-			continue
-		}
-		if c.evict == nil || State(c.state.Load()) == Busy {
-			continue
-		}
-		silent, yields, allowed := now.Sub(c.silentSince()) >= minSilence, false, true
-		for k, is := range a.above(c, 0, &shares) {
-			same := c.users[k] == h.users[k]
-			yields = yields || is && !same
-			allowed = allowed && (!requester[k] || same)
-		}
-		if allowed && (silent || yields) {
-			candidates = append(candidates, candidate{c, yields, State(c.state.Load()), c.silentSince()})
-		}
-	}
-	slices.SortFunc(candidates, func(x, y candidate) int {
-		switch {
-		case a.idleFirst && x.state != y.state:
-			return cmp.Compare(y.state, x.state)
-		case x.yields != y.yields && x.yields:
-			return -1
-		case x.yields != y.yields:
-			return 1
-		}
-		return x.lastByte.Compare(y.lastByte)
-	})
-	spare := int64(0)
-	if a.idleFirst {
-		spare = a.limit / spareSlotsDivisor
-	}
-	for _, c := range candidates {
-		if need <= -spare || need <= 0 && c.state != Idle {
-			break
-		}
-		need -= c.held
-		out = append(out, c.Holder)
-	}
-	if need > 0 {
-		return nil, false
-	}
-	return out, true
-}
-
 // Usage is what a user holds.
 type Usage struct {
 	Kind Kind
--- a/adapters/memory/memory_test.go
+++ b/adapters/memory/memory_test.go
@@ -173,3 +173,29 @@
 		}
 	})
 }
+
+// Guards against requests that are refused although connections to other processes are idle, against clients that close such a
+// connection while others have been silent for longer, and against one that is closed while it carries a request.
+func TestSpareConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	f := &fixture{Account: NewAccount(100, 90)}
+	spare := func(name string, s State) {
+		h := f.NewHolder("", "", start, func() { f.evicted = append(f.evicted, name) })
+		is.True(h.Add(10, false, start))
+		h.SetState(s, start)
+	}
+	spare("in use", Busy)
+	spare("spare", Spare)
+	spare("other spare", Spare)
+	f.holder("silent", "s", "", 40, Waiting, time.Hour)
+	f.holder("sending", "t", "", 30, Waiting, 0)
+	client := f.NewHolder("u", "", start, nil)
+	is.True(!client.Add(30, false, start))
+	is.Equal(f.evicted, []string{"silent"})
+	own := f.NewHolder("", "", start, nil)
+	is.True(!own.Add(55, false, start)) // 40 come from the silent client
+	slices.Sort(f.evicted)
+	is.Equal(f.evicted, []string{"other spare", "silent", "spare"})
+	is.True(!own.Add(65, false, start)) // what is in use does not give way
+	is.Equal(len(f.evicted), 3)
+}
