adapters/meshhttp: outgoing connections and responses in transit count in the account

Cause: the account of a process did not include the buffers of connections to upstreams and other nodes. A response of up to 64 KiB counted only after it was read to its end; if there was no room then, the connection of the client closed without an answer.

Change: a connection of a pool counts 13 KiB (read buffer of 8 KiB, state, write buffer of 4 KiB), and the rest of its write buffer while a larger request is sent. When there is no room, idle connections of all pools of the process are closed first. Then the request is rejected as not run (503, reason=memory); the gate or the upstream does not count as unavailable. A response of 4 to 64 KiB counts for its client from its first byte until it is written. If there is no room for it, the answer is 502, reason=memory, because the request may have run, and the upstream does not count as failing.

Measured: with the limit removed, TestOutgoingConnectionsAreCounted, TestIdleConnectionsGiveWayBeforeARequestIsRejected, TestResponseInTransitIsCounted, TestNoMemoryForAConnectionIsRejectedAsNotRun, TestNoMemoryForAResponseIsAnswered and TestOutgoingConnectionsCountInTheAccount fail.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"math/bits"
 	"net/http/httputil"
@@ -18,12 +19,17 @@
 // when other bodies leave too little of it.
 var ErrTooLarge = errors.New("the body is larger than the memory for it")
 
+// ErrNoRoom is the ErrTooLarge of a response body of at most 64 KiB: the account of its connection has no room for it. It tells
+// nothing about the destination that sent the body.
+var ErrNoRoom = fmt.Errorf("no room for the response at the moment: %w", ErrTooLarge)
+
 // blockPool holds read buffers of 16 KiB. Bodies are read block by block, so that memory is allocated for bytes received, not for the stated length.
 var blockPool = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
 
 // Read reads the body and the trailers of a response whose header has been read. The lease
-// holds the memory of a body of more than 64 KiB until the caller releases it. Read returns
-// ErrTooLarge if there is no memory left and io.ErrUnexpectedEOF if the body is shorter
+// holds the memory of a body of more than 64 KiB until the caller releases it, and that of one of
+// more than CoveredBytes if it is the lease of a connection. Read returns
+// ErrTooLarge or ErrNoRoom if there is no memory left and io.ErrUnexpectedEOF if the body is shorter
 // than the stated length. After an error the response has no body.
 func Read(br *bufio.Reader, r *fasthttp.Response, l *Lease) error {
 	err := read(br, r, l)
@@ -38,6 +44,9 @@
 	length := int64(r.Header.ContentLength())
 	switch {
 	case length >= 0 && length <= UncountedBytes:
+		if length > CoveredBytes && !l.holdSmall(bufferBytes(length)) {
+			return ErrNoRoom
+		}
 		return r.ReadBody(br, UncountedBytes)
 	case length >= 0:
 		if !l.allows(length) {
@@ -189,6 +198,9 @@
 		size += int64(n)
 		switch {
 		case size <= UncountedBytes:
+			if size > CoveredBytes && !l.holdSmall(UncountedBytes) {
+				return size, ErrNoRoom
+			}
 			r.AppendBody((*block)[:n])
 		default:
 			if l.memory.mapped {
--- a/adapters/body/memory.go
+++ b/adapters/body/memory.go
@@ -153,9 +153,15 @@
 	return true
 }
 
+// CoveredBytes is the size in bytes up to which the memory that is counted for an exchange covers the body of its response.
+const CoveredBytes = 4 << 10
+
+// Covers reports whether the lease holds the memory of a response body of at most UncountedBytes.
+func (l *Lease) Covers(size int64) bool { return size <= l.small }
+
 // holdSmall takes the memory of a body of at most UncountedBytes from the account, if the lease is that of a connection.
 func (l *Lease) holdSmall(bytes int64) bool {
-	if l.holder == nil || l.private {
+	if l.holder == nil || l.private || bytes <= l.small {
 		return true
 	}
 	additional := bytes - l.small
@@ -177,12 +183,17 @@
 		}
 		l.holder, l.private = l.memory.account.NewHolder("", "", time.Now(), nil), true
 	}
-	return Take(l.memory.account, l.holder, additional, large)
+	return Take(l.holder.Account(), l.holder, additional, large)
 }
 
 // Take adds to what a holder holds of an account. If there is no room and others give way, it waits for them,
 // unless the holder has to give way too.
 func Take(a *memory.Account, h *memory.Holder, additional int64, large bool) bool {
+	return TakeWithin(a, h, additional, large, evictionTime)
+}
+
+// TakeWithin is Take with a bound of its own for the wait. It never waits for longer than Take does.
+func TakeWithin(a *memory.Account, h *memory.Holder, additional int64, large bool, bound time.Duration) bool {
 	var timeout <-chan time.Time
 	for {
 		if h.Add(additional, large, time.Now()) {
@@ -196,7 +207,7 @@
 			return false
 		}
 		if timeout == nil {
-			timer := time.NewTimer(evictionTime)
+			timer := time.NewTimer(min(bound, evictionTime))
 			defer timer.Stop()
 			timeout = timer.C
 		}
@@ -215,10 +226,12 @@
 		unmap(l.mapping, l.held)
 	}
 	if l.holder != nil {
-		if l.memory.mapped {
+		if l.memory.mapped && l.held > 0 {
 			l.holder.Add(-l.held, true, time.Time{})
 		}
-		l.holder.Add(-l.small, false, time.Time{})
+		if l.small > 0 {
+			l.holder.Add(-l.small, false, time.Time{})
+		}
 		if l.private {
 			l.holder.Release()
 			l.holder, l.private = nil, false
--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
@@ -69,7 +70,9 @@
 	Failure Failure
 	Err     error // nil if Failure is Answered
 	Refused bool  // the destination host refused the connection (ECONNREFUSED)
-	Reused  bool  // the connection had been used for an earlier request
+	// NoMemory is true if Failure is NotSent because this process has no memory for the buffers of the connection.
+	NoMemory bool
+	Reused   bool // the connection had been used for an earlier request
 	// Unconfirmed is true if Failure is Answered but the response may be one to another request (it
 	// has no id, and the connection carried an earlier request or response) or not the only one to
 	// this request (more bytes follow it; without IDRequired, only if they contain the id). Such a
@@ -100,6 +103,10 @@
 	// and for a reset behind one whose body ended with the connection: several round trips between regions.
 	closeWait         = 400 * time.Millisecond
 	clientBufferBytes = 8 << 10
+	// coveredWriteBytes is the size of a write buffer that clientConnBytes covers.
+	coveredWriteBytes = 4 << 10
+	// clientConnBytes is the memory that is counted for a connection: its read buffer, its state and a usual write buffer.
+	clientConnBytes = clientBufferBytes + coveredWriteBytes + 1<<10
 )
 
 // keepAlive detects a lost peer while a response is awaited.
@@ -107,6 +114,7 @@
 
 type clientConn struct {
 	nc        net.Conn
+	holder    *memory.Holder // of the buffers of the connection; nil: they are not counted
 	br        *bufio.Reader
 	idleSince time.Time     // when it became idle
 	maxIdle   time.Duration // maximum idle time
@@ -133,9 +141,14 @@
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory)}
 		}
 	}
+	written := writeBufferBytes(call)
+	if !p.takeWriteBuffer(c, written, call.Deadline) {
+		p.close(c)
+		return Outcome{Failure: NotSent, Err: errNoMemory, NoMemory: true}
+	}
 	out := Outcome{Reused: c.used}
 	var keep bool
 	l := call.Lease
@@ -145,6 +158,7 @@
 	}
 	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
 	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
+	p.returnWriteBuffer(c, written)
 	if keep {
 		p.putIdle(address, c)
 	} else {
@@ -266,8 +280,13 @@
 // continueLine begins a 100 response.
 const continueLine = "HTTP/1.1 100"
 
+// writeBufferBytes returns the size of the buffer through which a request is written.
+func writeBufferBytes(call *Call) int {
+	return min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes)
+}
+
 func (c *clientConn) send(call *Call) error {
-	bw := bufio.NewWriterSize(c, min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes))
+	bw := bufio.NewWriterSize(c, writeBufferBytes(call))
 	if err := call.Request.Write(bw); err != nil {
 		return err
 	}
--- a/adapters/meshhttp/conn_write.go
+++ b/adapters/meshhttp/conn_write.go
@@ -17,7 +17,7 @@
 // it cannot be refused.
 func (c *conn) holdAnswer(x *Exchange) {
 	n := len(x.Response.Body())
-	if n <= smallAnswerBytes || n > body.UncountedBytes {
+	if n <= body.CoveredBytes || n > body.UncountedBytes || x.Lease != nil && x.Lease.Covers(int64(n)) {
 		return
 	}
 	if !c.take(int64(n)) {
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -18,6 +19,7 @@
 type Pool struct {
 	localIP net.IP
 	memory  *body.Memory
+	account *memory.Account // of the buffers of connections, see CountIn; nil: they are not counted
 
 	slots   chan struct{} // holds a value for each open connection; nil: they are not bounded
 	waiting atomic.Int64  // calls that wait for a slot
@@ -73,10 +75,13 @@
 	p.close(c)
 }
 
-// close closes a connection and returns its slot.
+// close closes a connection and returns its slot and its memory.
 func (p *Pool) close(c *clientConn) {
 	_ = c.nc.Close()
 	p.returnSlot()
+	if c.holder != nil {
+		c.holder.Release()
+	}
 }
 
 func (p *Pool) returnSlot() {
@@ -141,8 +146,9 @@
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		idle := time.Since(c.idleSince)
-		if idle < c.maxIdle && (!fresh || idle < freshIdleLimit) && socket.Peek(c.nc) == socket.Idle {
+		now := time.Now()
+		idle := now.Sub(c.idleSince)
+		if c.claim(now) && idle < c.maxIdle && (!fresh || idle < freshIdleLimit) && socket.Peek(c.nc) == socket.Idle {
 			return c
 		}
 		p.close(c)
@@ -158,6 +164,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[address] = append(p.idle[address], c)
+	if c.holder != nil { // under the lock, so that giveUp finds the connection
+		c.holder.SetState(memory.Spare, c.idleSince)
+	}
 }
 
 // CloseIdle closes idle connections that exceeded their idle limit and those to
@@ -196,11 +205,20 @@
 			return nil, err
 		}
 	}
+	c := &clientConn{maxIdle: idleLimit}
+	if err := p.hold(address, c, deadline); err != nil {
+		p.returnSlot()
+		return nil, err
+	}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.returnSlot()
+		if c.holder != nil {
+			c.holder.Release()
+		}
 		return nil, err
 	}
 	_ = socket.SetUserTimeout(nc, userTimeout) // without it, a partition shows only at the deadline
-	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, clientBufferBytes), maxIdle: idleLimit}, nil
+	c.nc, c.br = nc, bufio.NewReaderSize(nc, clientBufferBytes)
+	return c, nil
 }
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -29,9 +29,8 @@
 const (
 	// connectionBytes covers the two goroutines of a connection, its state and its usual read buffer.
 	connectionBytes = 16 << 10
-	// exchangeBytes covers a request and a response with headers of the usual size, and a response body of up to smallAnswerBytes.
-	exchangeBytes    = 8 << 10
-	smallAnswerBytes = 4 << 10
+	// exchangeBytes covers a request and a response with headers of the usual size, and a response body of up to body.CoveredBytes.
+	exchangeBytes = 8 << 10
 	// readBufferBytes is the usual size of a read buffer. It grows for a longer header, and shrinks again behind it.
 	readBufferBytes = 4 << 10
 )
@@ -92,6 +91,14 @@
 	x.held = 0
 }
 
+// ResponseLease returns a lease for the body of a response that a pool reads for this exchange. It counts for the client.
+func (x *Exchange) ResponseLease(p *Pool) *body.Lease {
+	if x.conn == nil {
+		return p.Lease()
+	}
+	return p.memory.LeaseFor(x.conn.holder)
+}
+
 // Handler fills in the response of an exchange. The context is cancelled when the client disconnects.
 type Handler func(ctx context.Context, x *Exchange)
 
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -127,6 +127,8 @@
 	toUpstream := r.Outgoing() / upstreamPartDivisor
 	p.gates.Limit(r.Outgoing() - toUpstream)
 	p.upstream.Limit(toUpstream)
+	p.gates.CountIn(r.Account)
+	p.upstream.CountIn(r.Account)
 	return p
 }
 
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -311,8 +312,8 @@
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	f.countAttempt(gate, a, time.Now())
 	out := placement.Outcome{
-		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: o.Failure == meshhttp.NotSent || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
-		Failed: a.reason == reasonUpstreamNotRun || (o.Incomplete && o.Failure == meshhttp.ConnectionLost) || (a.ran == ranUnknown && a.reason != reasonCancelled) || a.status >= fasthttp.StatusInternalServerError,
+		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: (o.Failure == meshhttp.NotSent && !o.NoMemory) || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
+		Failed: a.reason == reasonUpstreamNotRun || (o.Incomplete && o.Failure == meshhttp.ConnectionLost) || (a.ran == ranUnknown && a.reason != reasonCancelled && a.reason != reasonMemory) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered && a.reason != reasonEvacuated { // the load of a closed gate is no measure of others
 		out.Load = parseLoad(f.x.Response.Header.Peek(hopLoad))
@@ -332,7 +333,7 @@
 func (f *forwarding) send(ctx context.Context, gate string, now time.Time) meshhttp.Outcome {
 	e := f.entry
 	if f.x.Lease == nil {
-		f.x.Lease = e.pool.Lease()
+		f.x.Lease = f.x.ResponseLease(e.pool)
 	}
 	if gate != e.options.Node {
 		return e.pool.Do(ctx, gate, &meshhttp.Call{
@@ -373,6 +374,8 @@
 // classify determines from the outcome and the headers of the gate whether the request ran.
 func (f *forwarding) classify(o meshhttp.Outcome) attempt {
 	switch {
+	case o.NoMemory:
+		return attempt{ran: ranNo, reason: reasonMemory, detail: o.Err.Error()}
 	case o.Failure == meshhttp.NotSent:
 		return attempt{ran: ranNo, reason: reasonUnreachable}
 	case o.Incomplete && o.Failure == meshhttp.TimedOut: // gates run only requests that they have read to the end
@@ -386,6 +389,9 @@
 	case meshhttp.Cancelled:
 		return attempt{ran: ranUnknown, reason: reasonCancelled}
 	case meshhttp.InvalidResponse:
+		if errors.Is(o.Err, body.ErrNoRoom) {
+			return attempt{ran: ranUnknown, reason: reasonMemory, detail: o.Err.Error()}
+		}
 		return attempt{ran: ranUnknown, reason: reasonUnreadable, detail: o.Err.Error()}
 	case meshhttp.ConnectionLost:
 		return attempt{ran: ranUnknown, reason: reasonLost, detail: o.Err.Error()}
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -277,7 +277,7 @@
 	out.Header.Set(g.options.Headers.RemainingMs, formatMs(req.deadline.Sub(now)))
 	out.Header.Set(g.options.Headers.ExpectInstance, a.GetInstance())
 	if x.Lease == nil {
-		x.Lease = g.pool.Lease()
+		x.Lease = x.ResponseLease(g.pool)
 	}
 	o := g.pool.Do(ctx, a.GetAddress(), &meshhttp.Call{
 		Request: out, Response: &x.Response, Deadline: req.deadline.Add(answerSlack),
@@ -305,10 +305,11 @@
 		}
 	}
 	knownRun := o.Failure == meshhttp.Answered && !knownNotRun
+	noRoom := errors.Is(o.Err, body.ErrNoRoom) // for the response; it is no fault of the upstream
 	unknownOrError := !knownRun && o.Failure != meshhttp.NotSent && !knownNotRun || status >= fasthttp.StatusInternalServerError
 	g.mu.Lock()
 	a := u.announcement
-	if o.Failure != meshhttp.Cancelled && o.Failure != meshhttp.NotSent {
+	if o.Failure != meshhttp.Cancelled && o.Failure != meshhttp.NotSent && !noRoom {
 		u.condition.RecordOutcome(time.Now(), latency, unknownOrError || knownNotRun)
 	}
 	delete(u.deadlines, id)
@@ -330,7 +331,7 @@
 	if knownRun && completed(status) && g.suspects.Completed(req.fingerprint) {
 		_ = g.logger.Log("event", "suspect cleared", "request", req.id, "fingerprint", formatFingerprint(req.fingerprint), "instance", a.GetInstance())
 	}
-	if knownRun || (unknownOrError && o.Failure != meshhttp.Cancelled && !(ended && bySuspect)) {
+	if knownRun || (unknownOrError && o.Failure != meshhttp.Cancelled && !noRoom && !(ended && bySuspect)) {
 		r := g.mesh.View().Rollouts[a.GetService()]
 		isError := (knownRun || errors.Is(o.Err, errRefusalStatus)) && status >= fasthttp.StatusInternalServerError && status != fasthttp.StatusGatewayTimeout
 		g.outcomes.add(r, a.GetInstance(), req.route, unknownOrError, isError, latency)
@@ -351,8 +352,12 @@
 		x.Response.Header.Set(hopTook, strconv.FormatInt(latency.Microseconds(), 10))
 	case knownNotRun && o.Failure == meshhttp.Answered:
 		g.reject(x, req, ranNo, reasonUpstreamNotRun, strconv.Itoa(status))
+	case o.NoMemory:
+		g.reject(x, req, ranNo, reasonMemory, o.Err.Error())
 	case knownNotRun:
 		g.reject(x, req, ranNo, reasonNoUpstream, o.Err.Error())
+	case noRoom:
+		g.reject(x, req, ranUnknown, reasonMemory, o.Err.Error())
 	case o.Failure == meshhttp.Cancelled:
 		g.reject(x, req, ranUnknown, reasonCancelled, "")
 	case o.Failure == meshhttp.TimedOut:
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -71,7 +71,7 @@
 	reasonOverload       = "overload"   // gates rejected most requests of the route recently; this one was not sent
 	reasonLink           = "link"       // the link of the gate's node is too busy for the body
 	reasonDependency     = "dependency" // a service that the request would call rejects others that are as urgent or more
-	reasonMemory         = "memory"     // the bodies of other requests leave too little memory for this one
+	reasonMemory         = "memory"     // other requests and connections leave too little memory for this one or its response
 	reasonEvicted        = "evicted"
 	reasonEvacuated      = "evacuated" // the failure domain is evacuated; of an entry: all that remain are
 	reasonCold           = "cold"      // the upstream is in its slow start and takes no more requests now
