adapters/httpproxy: one account for the servers of a node, with shares by source

Cause: each server of the older entry had 64 MiB for bodies of its own, in buffers of the runtime, and no account of its connections. Bodies of one source that stop short took all of it for up to 30 s.

Change: entry and gate of rattanfield-node share an account. An accepted connection counts 32 KiB, a body what it holds. Large bodies are held in mappings, so they are never copied and the memory is back when the handler has ended. A call that is being read is rejected as not run (503, no-memory), and one that was read when its connection gave way does not run. A connection whose response nobody reads can give way too. The new setting memory_mb states the memory of the process; the default is 300 MB, whose account holds 19 bodies of the largest size. The limit of the heap, which rattanfield-platform sets by its memory, moved to app/lifecycle; the node sets it if memory_mb is stated.

Tests: TestCrowd of rattanfield-node moved to functions which the new test shares; its crowd and bounds are unchanged. The example settings in adapters/settings state memory_mb, for a case with too little of it.

--- a/adapters/body/body.go
+++ b/adapters/body/body.go
@@ -119,6 +119,7 @@
 	if length > limit || !l.allows(length) {
 		return fasthttp.ErrBodyTooLarge
 	}
+	l.most = min(limit, max(UncountedBytes, l.memory.largest))
 	var read fasthttp.Request // the stream belongs to r, which would close it
 	size, err := appendBody(&read, &limitedReader{src: src, left: limit}, max(length, 0), l)
 	switch {
@@ -192,13 +193,17 @@
 	}
 	block := blockPool.Get().(*[]byte)
 	defer blockPool.Put(block)
+	small := int64(UncountedBytes) // the buffer of a body of at most as many bytes
+	if length > 0 {
+		small = min(small, bufferBytes(length))
+	}
 	var large []byte // the whole body, once it has more than UncountedBytes
 	for {
 		n, err := src.Read(*block)
 		size += int64(n)
 		switch {
 		case size <= UncountedBytes:
-			if size > CoveredBytes && !l.holdSmall(UncountedBytes) {
+			if size > CoveredBytes && !l.holdSmall(small) {
 				return size, ErrNoRoom
 			}
 			r.AppendBody((*block)[:n])
--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -29,8 +27,9 @@
 	// retryAfter returns the time after which requests can be sent again; nil if it is not known.
 	retryAfter atomic.Pointer[func() time.Duration]
 
-	bodies *body.Memory    // of requests
-	slots  *memory.Account // of connections
+	bodies  *body.Memory    // of requests
+	slots   *memory.Account // of connections
+	account *memory.Account // of the memory of connections, requests and responses
 
 	mu         sync.Mutex
 	drainBegin time.Time
@@ -71,9 +70,15 @@
 	return closingResponse
 }
 
-// NewServer returns a server for the handler that enforces the size limits and timeouts of calls.
+// NewServer returns a server for the handler that enforces the size limits and timeouts of calls. It shares its memory with no
+// other.
 func NewServer(handler fasthttp.RequestHandler) *Server {
-	s := &Server{conns: make(map[*serverConn]struct{}), bodies: body.NewMemory(requestMemory), slots: memory.NewSlots(maxConnections())}
+	return NewSharedServer(handler, newResources())
+}
+
+// NewSharedServer is NewServer for a server whose memory is bounded together with that of others.
+func NewSharedServer(handler fasthttp.RequestHandler, r *Resources) *Server {
+	s := &Server{conns: make(map[*serverConn]struct{}), bodies: r.requests(), slots: memory.NewSlots(maxConnections()), account: r.account}
 	s.http = &fasthttp.Server{
 		Handler:            s.handle(handler),
 		ErrorHandler:       rejectUnreadable,
@@ -101,19 +106,23 @@
 // handle wraps the handler. Once the server drains, responses tell clients to close their connections.
 func (s *Server) handle(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if stream := ctx.RequestBodyStream(); stream != nil {
-			l := s.bodies.Lease()
-			defer l.Release()
-			if err := body.ReadStream(stream, &ctx.Request, int64(ctx.Request.Header.ContentLength()), maxBodyBytes, l); err != nil {
-				rejectUnreadable(ctx, err)
+		c, _ := ctx.Conn().(*serverConn)
+		release, err := s.readBody(ctx, c)
+		if err != nil {
+			rejectUnreadable(ctx, err)
+			return
+		}
+		if c != nil {
+			defer c.endRequest()
+		}
+		defer release()
+		if c != nil {
+			if reason := c.beginRequest(); reason != "" {
+				reject(reason).write(ctx)
+				ctx.SetConnectionClose()
 				return
 			}
 		}
-		if c, ok := ctx.Conn().(*serverConn); ok && !c.beginRequest() {
-			reject(ReasonLeaving).write(ctx)
-			ctx.SetConnectionClose()
-			return
-		}
 		handler(ctx)
 		if s.draining.Load() {
 			ctx.SetConnectionClose()
@@ -123,6 +132,26 @@
 	}
 }
 
+// readBody reads the body of a request, for which its connection gets memory. release returns the memory, after which the request
+// has no body.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *serverConn) (release func(), err error) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return func() {}, nil
+	}
+	l := s.bodies.Lease()
+	if c != nil {
+		l = s.bodies.LeaseFor(c.holder)
+	}
+	if err := body.ReadStream(stream, &ctx.Request, int64(ctx.Request.Header.ContentLength()), maxBodyBytes, l); err != nil {
+		return nil, err
+	}
+	return func() {
+		ctx.Request.ResetBody()
+		l.Release()
+	}, nil
+}
+
 // addRetryAfter states in a rejection when the call can be sent again, if its reason gives no time of its own.
 func (s *Server) addRetryAfter(resp *fasthttp.Response) {
 	f := s.retryAfter.Load()
@@ -160,26 +189,13 @@
 	case errors.Is(err, body.ErrTooLarge):
 		reason = ReasonNoMemory
 	}
+	if c, ok := ctx.Conn().(*serverConn); ok && c.hasGivenWay() {
+		reason = ReasonNoMemory // the read was interrupted
+	}
 	reject(reason).write(ctx)
 	ctx.SetConnectionClose()
 }
 
-// requestMemory bounds the bodies of the requests of one server. What they leave behind until it is collected may be as much again.
-const requestMemory = 8 * maxBodyBytes
-
-// maxConnections returns the number of connections that one server accepts: a third of the descriptors of the process. The entry
-// and the gate of a node have one server each, and the rest is for connections to others.
-func maxConnections() int64 {
-	var r syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
-		return defaultConnections
-	}
-	return int64(min(r.Cur, math.MaxInt32) / 3)
-}
-
-// defaultConnections is a third of the usual limit of descriptors.
-const defaultConnections = 1024 / 3
-
 type noopLogger struct{}
 
 func (noopLogger) Printf(string, ...any) {}
@@ -287,7 +303,8 @@
 		_ = conn.Close()
 		c.slot.Release()
 	})
-	c.slot.SetState(memory.Idle, now)
+	c.holder = s.account.NewHolder(source, "", now, c.giveWay)
+	c.setState(memory.Idle)
 	takeSlot := func() bool { return c.slot.Add(1, false, now) }
 	if ok := takeSlot(); !ok && !takeSlot() { // the first one makes another connection give way at once
 		_ = conn.Close() // the HTTP library reads an error and closes it
--- a/adapters/httpproxy/serverconn.go
+++ b/adapters/httpproxy/serverconn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/request"
 )
@@ -18,6 +19,9 @@
 	server *Server
 	input  request.Reader // checks the framing of the requests
 	slot   *memory.Holder // its place among the open connections
+	holder *memory.Holder // its memory
+
+	counted bool // the memory of the connection itself is held; only the reader uses it
 
 	mu sync.Mutex
 	// answered is true between a response and the first byte of the next request, as seen by
@@ -27,6 +31,7 @@
 	handled   bool // a request was read completely and its response is not yet written
 	closing   bool // the closing response or the last response was sent; no further request is read
 	closed    bool
+	gaveWay   bool // others get its memory
 	idleSince time.Time
 	busySince time.Time
 	// lingerUntil is the deadline for reading and discarding bytes after the closing response.
@@ -36,13 +41,19 @@
 // Read reads request bytes until the closing response was sent. Bytes that arrive later are
 // discarded, because the closing response states that nothing more was read.
 func (c *serverConn) Read(b []byte) (int, error) {
+	if !c.counted {
+		if !body.Take(c.server.account, c.holder, connBytes, false) {
+			return 0, io.EOF
+		}
+		c.counted = true
+	}
 	c.markIdle()
 	n, err := c.input.Read(b)
 	if errors.Is(err, request.ErrInvalid) && !c.input.Begun() {
 		n, err = copy(b, invalidLine), nil
 	}
 	if n > 0 {
-		c.slot.SetState(memory.Waiting, time.Now())
+		c.setState(memory.Waiting)
 	}
 	c.mu.Lock()
 	if !c.closing {
@@ -65,7 +76,7 @@
 	if c.answered && c.busy {
 		c.busy = false
 		c.idleSince = time.Now()
-		c.slot.SetState(memory.Idle, time.Now())
+		c.setState(memory.Idle)
 	}
 }
 
@@ -94,17 +105,20 @@
 	}
 }
 
-// beginRequest marks a request as completely read. It returns false if the closing response was sent meanwhile, which
-// states that the request is not run.
-func (c *serverConn) beginRequest() bool {
+// beginRequest marks a request as completely read. It returns the reason if the request does not run: the closing response was
+// sent meanwhile, which states that, or the connection gave way.
+func (c *serverConn) beginRequest() Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return false
+	switch {
+	case c.closing:
+		return ReasonLeaving
+	case c.gaveWay:
+		return ReasonNoMemory
 	}
 	c.handled = true
-	c.slot.SetState(memory.Busy, time.Now())
-	return true
+	c.setState(memory.Busy)
+	return ""
 }
 
 // closeStalled sends the closing response in place of a response to a request of which only a part has arrived, if
@@ -183,6 +197,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	c.slot.Release()
+	c.holder.Release()
 	c.server.remove(c)
 	return c.Conn.Close()
 }
--- a/adapters/settings/settings_test.go
+++ b/adapters/settings/settings_test.go
@@ -39,6 +39,7 @@
   "entry_services": ["bookings"],
   "seeds": ["127.1.1.3:3"],
   "grace_time": "20s",
+  "memory_mb": 500,
   "site_file": "site.hujson",
 }`
 
@@ -68,6 +69,7 @@
 	is.Equal(n.Addresses.Admin, "127.1.1.2:4")
 	is.Equal(n.Site.BatchInterval.Std().String(), "250ms")
 	is.Equal(n.GraceTime.Std(), 20*time.Second)
+	is.Equal(n.MemoryMB, 500)
 	n, err = LoadNode(write(t, dir, "default.hujson", strings.Replace(nodeText, `"grace_time": "20s",`, "", 1)))
 	is.NoErr(err)
 	is.Equal(n.GraceTime.Std(), DefaultGraceTime)
@@ -113,6 +115,7 @@
 		{"short grace", "node", `"20s"`, `"4s"`, []string{`grace_time: found "4s", expected a duration from 5s to 10m`}},
 		{"long grace", "node", `"20s"`, `"11m"`, []string{`grace_time: found "11m0s", expected a duration from 5s to 10m`}},
 		{"negative grace", "node", `"20s"`, `"-20s"`, []string{`grace_time: found "-20s"`}},
+		{"little memory", "node", `500`, `63`, []string{"node.hujson:8: memory_mb: found 63, expected at least 64"}},
 		{"not listed", "control", `"id": "c1"`, `"id": "c2"`, []string{"control.hujson:2: id:", "control_hosts"}},
 		{"other address", "control", `127.1.1.1:7000`, `127.1.1.1:7005`, []string{`"127.1.1.1:7000" as in the site's`}},
 		{"other domain", "control", `"failure_domain": "d1"`, `"failure_domain": "d2"`, []string{`"d1" as in the site's`}},
--- a/adapters/settings/types.go
+++ b/adapters/settings/types.go
@@ -104,9 +104,11 @@
 	Seeds []string `json:"seeds,omitempty" validate:"dive,ip_port"`
 	// GraceTime is the time from SIGTERM until the supervisor of the process kills it. LoadNode sets the default.
 	GraceTime Duration `json:"grace_time,omitempty" validate:"omitempty,between=5s 10m"`
-	LogLevel  string   `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
-	SiteFile  string   `json:"site_file,omitempty"` // relative to the folder of this file
-	Site      *Site    `json:"site,omitempty"`      // exactly one of site_file and site is set
+	// MemoryMB is the memory of the process in MB of 1,000,000 bytes; 0: not stated.
+	MemoryMB int    `json:"memory_mb,omitempty" validate:"omitempty,min=64,max=1000000"`
+	LogLevel string `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	SiteFile string `json:"site_file,omitempty"` // relative to the folder of this file
+	Site     *Site  `json:"site,omitempty"`      // exactly one of site_file and site is set
 }
 
 // NodeAddresses are the listeners of a node.
--- a/app/calls/calls.go
+++ b/app/calls/calls.go
@@ -57,6 +57,8 @@
 	Peers   ports.PeerResolver
 	HTTP    connect.HTTPClient // client for calls to other nodes, from rpc.Client
 	Metrics *metrics.Set       // may be nil
+	// Resources are the memory of both listeners; nil: each has its own.
+	Resources *httpproxy.Resources
 }
 
 // Calls is the entry and the gate of one node with their background work.
@@ -101,8 +103,11 @@
 		httpproxy.EntryDependencies{
 			Configuration: d.Configuration, Endpoints: d.Endpoints, Outcomes: d.Outcomes, Versions: d.Versions, NestedFailures: nestedFailures, Stops: c.stops,
 		})
-	c.entryServer = httpproxy.NewServer(c.entry.Handler())
-	c.gateServer = httpproxy.NewServer(c.gate.Handler())
+	newServer := httpproxy.NewServer
+	if d.Resources != nil {
+		newServer = func(h fasthttp.RequestHandler) *httpproxy.Server { return httpproxy.NewSharedServer(h, d.Resources) }
+	}
+	c.entryServer, c.gateServer = newServer(c.entry.Handler()), newServer(c.gate.Handler())
 	c.ledger = ledger.NewService(ledgerOptions, d.Configuration, c.gate)
 	c.recovery = ledger.NewRecovery(c.ledger, clients)
 	return c
--- a/app/node/run.go
+++ b/app/node/run.go
@@ -16,6 +16,9 @@
 	if err != nil {
 		return err
 	}
+	if s.MemoryMB > 0 {
+		lifecycle.LimitHeap(int64(s.MemoryMB) * 1_000_000)
+	}
 	return dig.RootCause(container.Invoke(func(p *process) error { return p.run(ctx) }))
 }
 
@@ -24,7 +27,7 @@
 	constructors := []any{
 		func() *settings.Node { return s },
 		newIncarnation, newTopology, newClient, newLogger, lifecycle.NewMetrics,
-		newMembers, newInterests, newFollower, newRecorder, newCalls, newAdmin, newProcess,
+		newMembers, newInterests, newFollower, newRecorder, newResources, newCalls, newAdmin, newProcess,
 	}
 	for _, f := range constructors {
 		if err := c.Provide(f); err != nil {
--- a/app/node/wire.go
+++ b/app/node/wire.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/rattanfield/rattanfield/adapters/httpproxy"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/adapters/settings"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
@@ -105,16 +107,26 @@
 // region when its own has no capacity. It is 1% of the 30 Mbit/s link between regions.
 const remoteCallBytesPerSecond = 37_500
 
+// defaultMemoryMB is the memory of a process whose settings state none. Of its 180 MB for connections, requests and responses, large
+// bodies may have 162 MB, which is 19 of the largest size.
+const defaultMemoryMB = 300
+
+func newResources(s *settings.Node, set *metrics.Set) *lifecycle.Resources {
+	r := lifecycle.NewResources(cmp.Or(s.MemoryMB, defaultMemoryMB)*1_000_000, 0)
+	r.AddMetrics(set)
+	return r
+}
+
 // newCalls returns the entry and the gate of the node. The gate publishes its endpoint
 // through interests, which also subscribes to the configuration of the upstream's service.
-func newCalls(s *settings.Node, i incarnation, t *settings.Topology, f *follower.Follower, n *interests, m *members.Members, r *moves.Recorder, client *rpc.Client, set *metrics.Set) *calls.Calls {
+func newCalls(s *settings.Node, i incarnation, t *settings.Topology, f *follower.Follower, n *interests, m *members.Members, r *moves.Recorder, client *rpc.Client, set *metrics.Set, resources *lifecycle.Resources) *calls.Calls {
 	c := calls.New(calls.Options{
 		NodeID: s.ID, Region: s.Site.RegionOf(s.FailureDomain), FailureDomain: s.FailureDomain,
 		Incarnation: int64(i), Started: time.Unix(0, int64(i)), LocalIP: lifecycle.HostIP(s.Addresses.Gate), Seed: uint64(i),
 		RemoteBytesPerSecond: remoteCallBytesPerSecond, FirstRevision: f.FirstRevision, LinkTo: t.LinkTo,
 	}, calls.Dependencies{
 		Configuration: f, Endpoints: m, Local: n, Outcomes: r, Versions: r, Suspects: m,
-		HTTP: client.HTTP(), Metrics: set,
+		HTTP: client.HTTP(), Metrics: set, Resources: httpproxy.NewResources(resources.Account, resources.LargestBody()),
 	})
 	m.SetSuspectReceiver(c.Gate())
 	return c
--- a/cmd/rattanfield-platform/main.go
+++ b/cmd/rattanfield-platform/main.go
@@ -13,8 +13,8 @@
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
-	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/telemetry"
+	"github.com/rattanfield/rattanfield/app/lifecycle"
 	"github.com/rattanfield/rattanfield/app/meshcontrol"
 	"github.com/rattanfield/rattanfield/app/meshnode"
 	"github.com/rattanfield/rattanfield/core/quota"
@@ -69,7 +69,7 @@
 	w := platform.NewWatcher(s, role)
 	go w.Run(ctx, reload, logger)
 	if s.MemoryMB > 0 {
-		body.LimitHeap(memoryBytes(s)/100*collectAbovePercent, memoryBytes(s)/100*heapAndBodiesPercent-programBytes)
+		lifecycle.LimitHeap(memoryBytes(s))
 	}
 	if role == platform.RoleNode {
 		err = meshnode.Run(ctx, nodeOptions(s, w), logger)
@@ -110,18 +110,6 @@
 // announcement after which a node considers its upstream lost.
 const maxMissedAnnouncements = 3
 
-// collectAbovePercent is the part of the memory of a process, in percent, above which garbage is collected sooner than usual.
-// The rest is room for what is allocated until a collection ends.
-const collectAbovePercent = 60
-
-const (
-	// heapAndBodiesPercent is the part of the memory of a process, in percent, that the program, the runtime and large request
-	// bodies together stay below.
-	heapAndBodiesPercent = 95
-	// programBytes is the resident size of the program itself, which the limit of the runtime does not count.
-	programBytes = 16_000_000
-)
-
 // memoryBytes returns the memory limit of the process in bytes. The platform ends a process that exceeds it.
 func memoryBytes(s *platform.Settings) int64 { return int64(s.MemoryMB) * 1_000_000 }
 
