adapters/httpproxy: outgoing connections and responses count in the account of the node

Cause: the account of the older entry and gate did not include the connections to gates and upstreams, nor responses of up to 64 KiB.

Change: a connection of a pool counts 21 KiB (read buffer of 16 KiB, write buffer, state). When there is no room, idle ones of all pools of the process are closed first; then the call is rejected as not run (503, no-memory), and the gate does not count as unavailable. A response of 4 to 64 KiB counts for its client until it is written. The large responses of all upstreams of a gate share one limit, and their buffers count in the account until they are collected.

Tests: the nodes of the tests of app/calls have an account of 256 MiB, as those of the daemon have one.

--- a/adapters/httpproxy/announce.go
+++ b/adapters/httpproxy/announce.go
@@ -82,7 +82,7 @@
 	}
 	current := g.upstream
 	if current == nil || current.ended() || current.announced.Instance != u.Instance || current.announced.Address != u.Address {
-		g.upstream = newUpstream(u, slots, connections, g.options, queue)
+		g.upstream = newUpstream(u, slots, connections, g.options, queue, g.memory)
 		if current != nil && current.announced.Instance != u.Instance {
 			g.former = current // it may still finish its running requests
 		}
--- a/adapters/httpproxy/call.go
+++ b/adapters/httpproxy/call.go
@@ -170,6 +170,12 @@
 	resp.Header.ResetConnectionClose()
 }
 
+// clientOf returns the connection on which a request arrived, or nil.
+func clientOf(ctx *fasthttp.RequestCtx) *serverConn {
+	c, _ := ctx.Conn().(*serverConn)
+	return c
+}
+
 // callerDisconnected returns a function that reports whether the caller has closed its connection.
 func callerDisconnected(ctx *fasthttp.RequestCtx) func() bool {
 	conn := ctx.Conn()
--- a/adapters/httpproxy/entry.go
+++ b/adapters/httpproxy/entry.go
@@ -32,6 +32,8 @@
 	MaxConnections int
 	// Metrics is the set in which counters and histograms are registered; nil: they are not exported.
 	Metrics *metrics.Set
+	// Resources are the memory that the entry shares with others; nil: none.
+	Resources *Resources
 	// Baseline selects round robin and retries without a budget, as the reference in measurements.
 	Baseline bool
 }
@@ -87,7 +89,7 @@
 	e := &Entry{
 		options: o, deps: d,
 		metrics:  newCallMetrics(o.Metrics, "entry"),
-		pool:     newPool(o.LocalIP, o.MaxConnections),
+		pool:     newSharedPool(o.LocalIP, o.MaxConnections, o.Resources.responses(), o.Resources.accountOrNil()),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 		services: make(map[string]*serviceState),
 		drained:  make(chan struct{}),
--- a/adapters/httpproxy/exchange.go
+++ b/adapters/httpproxy/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
@@ -52,6 +53,7 @@
 	id         string
 	idOptional bool
 	cancelled  func() bool // reports that the caller has disconnected; nil: never
+	client     *serverConn // the connection to which the response is written; nil: not known
 }
 
 // roundTrip writes the request once and reads the response. reusable reports whether the
@@ -187,9 +189,13 @@
 		// Without a length, a lost connection is indistinguishable from the end of the response.
 		return &exchangeError{reason: ReasonResponseTruncated, sent: true, lost: true, err: errNoLength}
 	}
-	lease := c.memory.Lease()
-	defer lease.Release()
+	lease := x.responseLease(c.memory)
 	err := body.Read(c.br, x.response, lease)
+	if x.client != nil && err == nil && len(x.response.Body()) <= body.UncountedBytes {
+		x.client.keepLease(lease)
+	} else {
+		lease.Release() // a large response counts until its buffer is collected
+	}
 	switch {
 	case err == nil:
 		return nil
@@ -229,6 +235,7 @@
 type clientConn struct {
 	conn      net.Conn
 	memory    *body.Memory
+	holder    *memory.Holder // of the buffers; nil: they are not counted
 	br        *bufio.Reader
 	bw        *bufio.Writer
 	written   int
@@ -240,10 +247,17 @@
 const writeBufferBytes = 4 << 10
 
 func newClientConn(conn net.Conn, m *body.Memory) *clientConn {
-	c := &clientConn{conn: conn, memory: m}
+	c := &clientConn{memory: m}
+	if conn != nil {
+		c.attach(conn)
+	}
+	return c
+}
+
+func (c *clientConn) attach(conn net.Conn) {
+	c.conn = conn
 	c.br = bufio.NewReaderSize(conn, maxHeaderBytes)
 	c.bw = bufio.NewWriterSize(c, writeBufferBytes)
-	return c
 }
 
 // Write writes to the connection and counts the bytes written.
--- a/adapters/httpproxy/forward.go
+++ b/adapters/httpproxy/forward.go
@@ -77,7 +77,7 @@
 // connections, a short deadline or another version.
 func (a *attempt) unavailable() bool {
 	if a.failure != nil {
-		return !a.failure.sent && a.failure.reason != ReasonDeadlineBeforeStart && !errors.Is(a.failure.err, errTooManyConns)
+		return !a.failure.sent && a.failure.reason != ReasonDeadlineBeforeStart && !errors.Is(a.failure.err, errTooManyConns) && !errors.Is(a.failure.err, errNoMemory)
 	}
 	return a.unreached() && (a.reason() == ReasonLeaving || a.reason() == ReasonNoEndpoint)
 }
@@ -181,7 +181,7 @@
 	id := f.setAttemptHeaders(out, start)
 	failure := f.entry.pool.do(f.pick.Address, &exchange{
 		request: out, response: &f.ctx.Response, deadline: f.entry.deps.Stops.limit(f.call.deadline),
-		id: id, cancelled: f.entry.deps.Stops.orExpired(callerDisconnected(f.ctx)),
+		id: id, cancelled: f.entry.deps.Stops.orExpired(callerDisconnected(f.ctx)), client: clientOf(f.ctx),
 	})
 	a := &attempt{latency: time.Since(start), failure: failure}
 	if failure != nil {
--- a/adapters/httpproxy/gate.go
+++ b/adapters/httpproxy/gate.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/core/config"
 	"github.com/rattanfield/rattanfield/core/drain"
 	"github.com/rattanfield/rattanfield/core/quarantine"
@@ -25,6 +26,8 @@
 	MaxQueue int
 	// Metrics is the set in which counters and histograms are registered; nil: they are not exported.
 	Metrics *metrics.Set
+	// Resources are the memory that the gate shares with others; nil: none.
+	Resources *Resources
 	// Baseline disables admission control and quarantine, as the reference in measurements.
 	Baseline bool
 }
@@ -48,6 +51,7 @@
 	deps    GateDependencies
 	metrics *callMetrics
 	nextID  atomic.Uint64
+	memory  *body.Memory // of large responses
 
 	mu       sync.Mutex
 	stopping bool // the node stops, but still accepts requests
@@ -75,6 +79,7 @@
 	g := &Gate{
 		options: o, deps: d,
 		metrics:    newCallMetrics(o.Metrics, "gate"),
+		memory:     o.Resources.responses(),
 		quarantine: quarantine.New(),
 		drained:    make(chan struct{}),
 		stop:       make(chan struct{}),
--- a/adapters/httpproxy/gaterun.go
+++ b/adapters/httpproxy/gaterun.go
@@ -111,7 +111,7 @@
 	out.Header.Del(HeaderSuspect)
 	x := &exchange{
 		request: out, response: &ctx.Response, deadline: deadline,
-		id: c.id, idOptional: true, cancelled: g.deps.Stops.orExpired(callerDisconnected(ctx)),
+		id: c.id, idOptional: true, cancelled: g.deps.Stops.orExpired(callerDisconnected(ctx)), client: clientOf(ctx),
 	}
 	if claimed && start.Before(deadline) {
 		x.deadline, x.cancelled = g.deps.Stops.limit(c.limit), g.deps.Stops.orExpired(nil)
--- a/adapters/httpproxy/memory_test.go
+++ b/adapters/httpproxy/memory_test.go
@@ -149,3 +149,74 @@
 		time.Sleep(400 * time.Millisecond)
 	}
 }
+
+// Guards against connections to gates and upstreams that nothing counts, against a call that is sent without memory for its
+// connection, or rejected although connections are idle, and against responses in transit that nothing counts until they are
+// written.
+func TestOutgoingConnectionsAndResponsesCount(t *testing.T) {
+	is := is.New(t)
+	const size = 40 << 10
+	upstream, ran := startServer(t, func(*Server) {})
+	other, _ := startServer(t, func(*Server) {})
+	account := memory.NewAccount(poolConnBytes+connBytes+64<<10, 1<<20)
+	r := NewResources(account, 1<<20)
+	p := newSharedPool(nil, 10, r.responses(), r.account)
+	do := func(address string, client *serverConn) *exchangeError {
+		x := &exchange{request: &fasthttp.Request{}, response: &fasthttp.Response{}, deadline: time.Now().Add(5 * time.Second), idOptional: true, client: client}
+		x.request.SetRequestURI("http://h/x")
+		return p.do(address, x)
+	}
+	is.True(do(other, nil) == nil)
+	held, _, _ := account.Counts()
+	is.Equal(held, int64(poolConnBytes))
+	rest := account.NewHolder("", "", time.Now(), nil)
+	is.True(rest.Add(connBytes+64<<10, false, time.Now()))
+	is.True(do(upstream, nil) == nil) // the idle connection to the other one is closed for it
+	is.Equal(<-ran, "/x")
+	p.closeIdle(func(string) bool { return false })
+	is.True(rest.Add(poolConnBytes, false, time.Now()))
+	failure := do(upstream, nil)
+	is.Equal(failure.reason, ReasonNoMemory)
+	is.True(!failure.sent)
+	is.Equal(len(ran), 0)
+	rest.Release()
+
+	// A large response holds its memory from its header until it was written.
+	half, written, write := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	slow, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = slow.Close() })
+	go func() {
+		c, err := slow.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(c, make([]byte, 16))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size/2))
+		<-half
+		_, _ = io.WriteString(c, strings.Repeat("x", size/2))
+	}()
+	s := NewSharedServer(func(ctx *fasthttp.RequestCtx) {
+		x := &exchange{request: &fasthttp.Request{}, response: &ctx.Response, deadline: time.Now().Add(5 * time.Second), idOptional: true, client: clientOf(ctx)}
+		x.request.SetRequestURI("http://h/x")
+		if failure := p.do(slow.Addr().String(), x); failure != nil {
+			reject(failure.reason).write(ctx)
+		}
+		close(written)
+		<-write
+	}, r)
+	l := listen(t)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	c := dialFrom(t, "127.0.0.2", l.Addr().String())
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	awaitHeld(t, account, func(held int64) bool { return held == poolConnBytes+connBytes+64<<10 })
+	close(half)
+	<-written
+	held, _, _ = account.Counts()
+	is.Equal(held, int64(poolConnBytes+connBytes+64<<10))
+	close(write)
+	is.Equal(len(readAnswer(t, c).Body()), size)
+	awaitHeld(t, account, func(held int64) bool { return held == poolConnBytes+connBytes })
+}
--- a/adapters/httpproxy/pool.go
+++ b/adapters/httpproxy/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -23,6 +24,7 @@
 	localIP net.IP
 	max     int // connections per destination
 	memory  *body.Memory
+	account *memory.Account // of the buffers of connections; nil: they are not counted
 
 	mu     sync.Mutex
 	closed bool
@@ -35,7 +37,12 @@
 }
 
 func newPool(localIP net.IP, maxPerHost int) *pool {
-	return &pool{localIP: localIP, max: maxPerHost, memory: body.NewMemory(responseMemory), hosts: make(map[string]*hostConns)}
+	return newSharedPool(localIP, maxPerHost, body.NewMemory(responseMemory), nil)
+}
+
+// newSharedPool is newPool for a pool whose large responses share the limit of m, and whose connections count in an account.
+func newSharedPool(localIP net.IP, maxPerHost int, m *body.Memory, account *memory.Account) *pool {
+	return &pool{localIP: localIP, max: maxPerHost, memory: m, account: account, hosts: make(map[string]*hostConns)}
 }
 
 // do sends the request once over an idle or a new connection and reads its response. It returns nil on success.
@@ -62,7 +69,7 @@
 		if c == nil {
 			return p.dial(address, deadline)
 		}
-		if time.Since(c.idleSince) < poolIdleTimeout && socket.Peek(c.conn) == socket.Idle {
+		if c.claim() && time.Since(c.idleSince) < poolIdleTimeout && socket.Peek(c.conn) == socket.Idle {
 			return c, nil
 		}
 		p.discard(address, c)
@@ -96,8 +103,14 @@
 	if p.localIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.localIP}
 	}
+	c := newClientConn(nil, p.memory)
+	if !p.hold(address, c, deadline) {
+		p.decrementOpen(address)
+		return nil, &exchangeError{reason: ReasonNoMemory, err: errNoMemory}
+	}
 	conn, err := d.Dial("tcp", address)
 	if err != nil {
+		c.releaseMemory()
 		p.decrementOpen(address)
 		failure := notSent(err)
 		failure.reason = ReasonNoConnection
@@ -107,7 +120,8 @@
 		}
 		return nil, failure
 	}
-	return newClientConn(conn, p.memory), nil
+	c.attach(conn)
+	return c, nil
 }
 
 func (p *pool) release(address string, c *clientConn) {
@@ -117,6 +131,7 @@
 	h := p.hosts[address]
 	if !p.closed && h != nil {
 		h.idle = append(h.idle, c)
+		c.markSpare() // under the lock, so that giveUp finds the connection
 		p.mu.Unlock()
 		return
 	}
@@ -125,7 +140,7 @@
 }
 
 func (p *pool) discard(address string, c *clientConn) {
-	_ = c.conn.Close()
+	c.close()
 	p.decrementOpen(address)
 }
 
@@ -162,7 +177,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		_ = c.conn.Close()
+		c.close()
 	}
 }
 
--- a/adapters/httpproxy/resources.go
+++ b/adapters/httpproxy/resources.go
@@ -30,6 +30,21 @@
 
 func (r *Resources) requests() *body.Memory { return body.NewSharedRequestMemory(r.largest, r.account) }
 
+// responses returns the memory of the large responses of a pool, or of the pools of a gate.
+func (r *Resources) responses() *body.Memory {
+	if r == nil {
+		return body.NewMemory(responseMemory)
+	}
+	return body.NewSharedMemory(responseMemory, r.account)
+}
+
+func (r *Resources) accountOrNil() *memory.Account {
+	if r == nil {
+		return nil
+	}
+	return r.account
+}
+
 // connBytes is the memory that is counted for an accepted connection: its goroutine and state, a read buffer of maxHeaderBytes and
 // a write buffer of 4 KiB, and a request and a response with headers of the usual size and a response body of up to
 // body.CoveredBytes.
--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -106,7 +106,7 @@
 // handle wraps the handler. Once the server drains, responses tell clients to close their connections.
 func (s *Server) handle(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		c, _ := ctx.Conn().(*serverConn)
+		c := clientOf(ctx)
 		release, err := s.readBody(ctx, c)
 		if err != nil {
 			rejectUnreadable(ctx, err)
--- a/adapters/httpproxy/serverconn.go
+++ b/adapters/httpproxy/serverconn.go
@@ -26,14 +26,16 @@
 	mu sync.Mutex
 	// answered is true between a response and the first byte of the next request, as seen by
 	// the HTTP server. With pipelining, that byte may already be in the server's buffer.
-	answered  bool
-	busy      bool // a byte was read since the last response
-	handled   bool // a request was read completely and its response is not yet written
-	closing   bool // the closing response or the last response was sent; no further request is read
-	closed    bool
-	gaveWay   bool // others get its memory
-	idleSince time.Time
-	busySince time.Time
+	answered bool
+	busy     bool // a byte was read since the last response
+	handled  bool // a request was read completely and its response is not yet written
+	closing  bool // the closing response or the last response was sent; no further request is read
+	closed   bool
+	gaveWay  bool // others get its memory
+	// responseLease holds the memory of the response that is being written; nil: none is held.
+	responseLease *body.Lease
+	idleSince     time.Time
+	busySince     time.Time
 	// lingerUntil is the deadline for reading and discarding bytes after the closing response.
 	lingerUntil time.Time
 }
@@ -102,6 +104,7 @@
 	c.answered = answered
 	if answered {
 		c.handled = false
+		c.releaseLeaseLocked()
 	}
 }
 
@@ -195,6 +198,7 @@
 	}
 	c.mu.Lock()
 	c.closed = true
+	c.releaseLeaseLocked()
 	c.mu.Unlock()
 	c.slot.Release()
 	c.holder.Release()
--- a/adapters/httpproxy/upstream.go
+++ b/adapters/httpproxy/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/core/limit"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 	"github.com/rattanfield/rattanfield/ports"
@@ -44,12 +45,12 @@
 	lostWindow = maxMissedAnnouncements * announceInterval
 )
 
-func newUpstream(a ports.UpstreamAnnouncement, slots, connections int, o GateOptions, queue int) *upstream {
+func newUpstream(a ports.UpstreamAnnouncement, slots, connections int, o GateOptions, queue int, m *body.Memory) *upstream {
 	return &upstream{
 		announced:   a,
 		state:       pb.EndpointState_ENDPOINT_STATE_SERVING,
 		announcedAt: time.Now(),
-		pool:        newPool(o.LocalIP, connections),
+		pool:        newSharedPool(o.LocalIP, connections, m, o.Resources.accountOrNil()),
 		limiter:     limit.New(limit.Options{Slots: slots, MaxQueue: queue}),
 		waiting:     make(map[uint64]chan limit.Decision),
 		running:     make(map[uint64]*slot),
--- a/app/calls/calls.go
+++ b/app/calls/calls.go
@@ -57,7 +57,7 @@
 	Peers   ports.PeerResolver
 	HTTP    connect.HTTPClient // client for calls to other nodes, from rpc.Client
 	Metrics *metrics.Set       // may be nil
-	// Resources are the memory of both listeners; nil: each has its own.
+	// Resources are the memory of the listeners and of connections to others; nil: each listener has its own.
 	Resources *httpproxy.Resources
 }
 
@@ -90,7 +90,7 @@
 	nestedFailures := httpproxy.NewFailedNestedCalls()
 	c := &Calls{keeper: ledger.NewKeeper(ledgerOptions, clients), stops: httpproxy.NewStopAdmission()}
 	c.gate = httpproxy.NewGate(
-		httpproxy.GateOptions{LocalIP: o.LocalIP, MaxQueue: o.MaxQueue, Metrics: d.Metrics},
+		httpproxy.GateOptions{LocalIP: o.LocalIP, MaxQueue: o.MaxQueue, Metrics: d.Metrics, Resources: d.Resources},
 		httpproxy.GateDependencies{
 			Configuration: d.Configuration, Local: d.Local, Claims: c.keeper,
 			Suspects: NewSpreader(o.NodeID, d.Endpoints, clients, d.Suspects), NestedFailures: nestedFailures, Stops: c.stops,
@@ -98,7 +98,7 @@
 	c.entry = httpproxy.NewEntry(
 		httpproxy.EntryOptions{
 			Region: o.Region, FailureDomain: o.FailureDomain, LocalIP: o.LocalIP, Seed: o.Seed,
-			RemoteBytesPerSecond: o.RemoteBytesPerSecond, Metrics: d.Metrics,
+			RemoteBytesPerSecond: o.RemoteBytesPerSecond, Metrics: d.Metrics, Resources: d.Resources,
 		},
 		httpproxy.EntryDependencies{
 			Configuration: d.Configuration, Endpoints: d.Endpoints, Outcomes: d.Outcomes, Versions: d.Versions, NestedFailures: nestedFailures, Stops: c.stops,
--- a/app/calls/cluster_test.go
+++ b/app/calls/cluster_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/rattanfield/rattanfield/adapters/httpproxy"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/rpc"
 	"github.com/rattanfield/rattanfield/core/config"
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
@@ -40,6 +41,7 @@
 }
 
 type testNode struct {
+	account *memory.Account // of its connections
 	*Calls
 	cluster   *cluster
 	id        string
@@ -140,9 +142,10 @@
 		_, cut := c.blocked.Load(id + ">" + a)
 		return cut
 	}, Delay: func(string) time.Duration { return time.Duration(n.delay.Load()) }})
+	n.account = memory.NewAccount(256<<20, 128<<20)
 	n.Calls = New(
 		Options{NodeID: id, Incarnation: started.UnixNano(), Started: started, Seed: 7, LinkTo: sameDomain},
-		Dependencies{Configuration: c, Endpoints: c, Local: n, Peers: c, HTTP: n.client.HTTP()},
+		Dependencies{Configuration: c, Endpoints: c, Local: n, Peers: c, HTTP: n.client.HTTP(), Resources: httpproxy.NewResources(n.account, 128<<20)},
 	)
 	n.Start(entryListener, gateListener)
 	n.peer = rpc.NewServer(n.Handler())
