adapters/meshhttp: a request body is released when its handler ends

A body of 64 MiB was released after its response was written. A client that sends the next one as soon as it has the response could be faster than the release; two such bodies do not fit into a node of 184 MB. A client that did not read the response also kept the memory of its request for up to 10 s.

Change: the body is released when the handler returns, before the response is written.

TestBodyIsReleasedBeforeTheResponseIsWritten fails without the change.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -292,6 +292,9 @@
 	go func() {
 		defer close(x.done)
 		c.server.options.Handler(c.ctx, x)
+		if !c.server.options.keepsRequest {
+			x.releaseRequest() // before the client gets the response and sends its next body
+		}
 		c.holdAnswer(x)
 	}()
 	return x
--- a/adapters/meshhttp/limits_test.go
+++ b/adapters/meshhttp/limits_test.go
@@ -71,6 +71,21 @@
 	is.Equal(len(ran), 0)
 }
 
+// Guards against a request body that holds its memory until its response was written. The next body of its client, which is sent
+// when the response arrives, may find no room then, and a client that does not read would hold it for long.
+func TestBodyIsReleasedBeforeTheResponseIsWritten(t *testing.T) {
+	is := is.New(t)
+	const size, unread = 400 << 10, 32 << 20
+	account := memory.NewAccount(600<<10, 500<<10)
+	dial := dialBounded(t, account, func(_ context.Context, x *Exchange) { x.Response.SetBodyRaw(make([]byte, unread)) })
+	c := dial()
+	_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	is.NoErr(err)
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.Equal(held(account), int64(connectionBytes+exchangeBytes))
+}
+
 // Guards against read buffers of the maximum header for each connection, and against headers of that size that are refused.
 func TestReadBufferGrowsByNeed(t *testing.T) {
 	is := is.New(t)
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -72,21 +72,28 @@
 	Lease *body.Lease
 
 	conn         *conn
-	requestLease *body.Lease   // holds the memory of the request body until the response is written; nil: none is held
+	requestLease *body.Lease   // holds the memory of the request body until the handler has ended; nil: none is held
 	held         int64         // memory of the exchange itself and of a response body without a lease
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 	unread       int           // length of the body that is discarded behind an early response, see AdmitHeader; negative: in chunks
 }
 
+// releaseRequest returns the memory of the request body, which must not be used any more.
+func (x *Exchange) releaseRequest() {
+	if x.requestLease != nil {
+		x.requestLease.Release()
+		x.requestLease = nil
+	}
+	x.Request.ResetBody()
+}
+
 // release returns the memory of the exchange. The bodies must not be used any more.
 func (x *Exchange) release() {
-	for _, l := range []*body.Lease{x.Lease, x.requestLease} {
-		if l != nil {
-			l.Release()
-		}
+	x.releaseRequest()
+	if x.Lease != nil {
+		x.Lease.Release()
 	}
-	x.Request.ResetBody()
 	x.conn.holder.Add(-x.held, false, time.Time{})
 	x.held = 0
 }
@@ -99,7 +106,8 @@
 	return p.memory.LeaseFor(x.conn.holder)
 }
 
-// Handler fills in the response of an exchange. The context is cancelled when the client disconnects.
+// Handler fills in the response of an exchange. The context is cancelled when the client disconnects. The body of the request is
+// released when the handler returns, so the response must not share its memory.
 type Handler func(ctx context.Context, x *Exchange)
 
 // ServerOptions configures a Server.
@@ -128,6 +136,8 @@
 	FailureDomain func(remote net.Addr) string
 	// Organisation returns the organisation whose request was read up to the end of its header, "" if it is not known; nil: none is.
 	Organisation func(h *fasthttp.RequestHeader) string
+	// keepsRequest lets the response share the memory of the request body, which is then released after the response was written.
+	keepsRequest bool
 	// Pipelined bounds the concurrent requests of one connection; 0: 16.
 	Pipelined int
 	// ClosingResponse is a raw response that is written to an idle connection before it is closed; ""
