adapters/memory: test spare connections against large messages

They do if the account is full; they do not if only the part for large messages is.

Change: a test of both cases, and a comment that says what is skipped.

--- a/adapters/memory/memory_test.go
+++ b/adapters/memory/memory_test.go
@@ -199,3 +199,21 @@
 	is.True(!own.Add(65, false, start)) // what is in use does not give way
 	is.Equal(len(f.evicted), 3)
 }
+
+// Guards against a large message that closes spare connections although they hold none of what is missing, and against one that is
+// refused although their memory is.
+func TestSpareConnectionsAndLargeMessages(t *testing.T) {
+	is := is.New(t)
+	f := &fixture{Account: NewAccount(100, 80)}
+	f.holder("large", "s", "", 70, Busy, 0)
+	spare := f.NewHolder("", "", start, func() { f.evicted = append(f.evicted, "spare") })
+	is.True(spare.Add(25, false, start))
+	spare.SetState(Spare, start.Add(-time.Hour))
+	h := f.NewHolder("s", "", start, nil)
+	is.True(!h.Add(15, true, start)) // 5 more than large messages may have
+	is.Equal(len(f.evicted), 0)
+	is.True(!h.Add(10, true, start)) // 5 more than the account has
+	is.Equal(f.evicted, []string{"spare"})
+	spare.Release()
+	is.True(h.Add(10, true, start))
+}
--- a/adapters/memory/victims.go
+++ b/adapters/memory/victims.go
@@ -40,7 +40,7 @@
 			break
 		}
 		if c.state == Spare && missing.all <= 0 {
-			continue // large messages do not get its memory
+			continue // only room for large messages is missing, of which it holds none
 		}
 		missing.reduce(c.Holder)
 		out = append(out, c.Holder)
