adapters/httpproxy: end a request without a closure, and a benchmark of the older entry

Purpose: the account cost two allocations for each call with a body.

Change: the lease of the body is passed instead of a function that releases it. BenchmarkServe measures a call of 4 bytes on a kept connection.

--- a/adapters/httpproxy/connmemory.go
+++ b/adapters/httpproxy/connmemory.go
@@ -48,9 +48,6 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// endRequest lets the connection give way while its response is written: its client may not read it.
-func (c *serverConn) endRequest() { c.holder.SetState(memory.Waiting, time.Now()) }
-
 // writePart is the most that is written at once, so that a client that reads slowly differs from one that does not read.
 const writePart = 64 << 10
 
--- a/adapters/httpproxy/memory_test.go
+++ b/adapters/httpproxy/memory_test.go
@@ -220,3 +220,27 @@
 	is.Equal(len(readAnswer(t, c).Body()), size)
 	awaitHeld(t, account, func(held int64) bool { return held == poolConnBytes+connBytes })
 }
+
+// Measures an ordinary call on a connection that is kept.
+func BenchmarkServe(b *testing.B) {
+	s := NewServer(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("body") })
+	l := listen(b)
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	var r fasthttp.Response
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := io.WriteString(c, "POST /read/page HTTP/1.1\r\nHost: service.example\r\nContent-Length: 4\r\n\r\nbody"); err != nil {
+			b.Fatal(err)
+		}
+		if err := r.Read(br); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/adapters/httpproxy/server.go
+++ b/adapters/httpproxy/server.go
@@ -107,15 +107,12 @@
 func (s *Server) handle(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		c := clientOf(ctx)
-		release, err := s.readBody(ctx, c)
+		l, err := s.readBody(ctx, c)
 		if err != nil {
 			rejectUnreadable(ctx, err)
 			return
 		}
-		if c != nil {
-			defer c.endRequest()
-		}
-		defer release()
+		defer endRequest(ctx, c, l)
 		if c != nil {
 			if reason := c.beginRequest(); reason != "" {
 				reject(reason).write(ctx)
@@ -132,12 +129,11 @@
 	}
 }
 
-// readBody reads the body of a request, for which its connection gets memory. release returns the memory, after which the request
-// has no body.
-func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *serverConn) (release func(), err error) {
+// readBody reads the body of a request, for which its connection gets memory. The lease is nil if there is no body.
+func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *serverConn) (*body.Lease, error) {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
-		return func() {}, nil
+		return nil, nil
 	}
 	l := s.bodies.Lease()
 	if c != nil {
@@ -146,10 +142,19 @@
 	if err := body.ReadStream(stream, &ctx.Request, int64(ctx.Request.Header.ContentLength()), maxBodyBytes, l); err != nil {
 		return nil, err
 	}
-	return func() {
+	return l, nil
+}
+
+// endRequest releases the body of a request that was handled. Its connection may give way while the response is written, because
+// the client may not read it.
+func endRequest(ctx *fasthttp.RequestCtx, c *serverConn, l *body.Lease) {
+	if l != nil {
 		ctx.Request.ResetBody()
 		l.Release()
-	}, nil
+	}
+	if c != nil {
+		c.holder.SetState(memory.Waiting, time.Now())
+	}
 }
 
 // addRetryAfter states in a rejection when the call can be sent again, if its reason gives no time of its own.
