adapters/meshhttp: move Pool.Do to the file of the pool

Change: Do moved without a change.

Measured: tests of adapters/{meshhttp,memory,body,settings} and app/lifecycle pass.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -10,7 +10,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -134,39 +133,6 @@
 	return n, err
 }
 
-// Do sends the request of a call once, over an idle or a new connection, and reads its
-// response until the deadline of the call or the end of the context.
-func (p *Pool) Do(ctx context.Context, address string, call *Call) Outcome {
-	c := p.getIdle(address, call.RecentlyUsedOnly)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory)}
-		}
-	}
-	written := writeBufferBytes(call)
-	if !p.takeWriteBuffer(c, written, call.Deadline) {
-		p.close(c)
-		return Outcome{Failure: NotSent, Err: errNoMemory, NoMemory: true}
-	}
-	out := Outcome{Reused: c.used}
-	var keep bool
-	l := call.Lease
-	if l == nil {
-		l = p.memory.Lease()
-		defer l.Release()
-	}
-	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
-	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
-	p.returnWriteBuffer(c, written)
-	if keep {
-		p.putIdle(address, c)
-	} else {
-		p.close(c)
-	}
-	return out
-}
-
 func (c *clientConn) roundTrip(ctx context.Context, call *Call, l *body.Lease) (keep bool, f Failure, err error) {
 	if err := c.nc.SetDeadline(call.Deadline); err != nil {
 		return false, NotSent, err
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -99,6 +99,39 @@
 // Lease returns a lease of the memory for large response bodies.
 func (p *Pool) Lease() *body.Lease { return p.memory.Lease() }
 
+// Do sends the request of a call once, over an idle or a new connection, and reads its
+// response until the deadline of the call or the end of the context.
+func (p *Pool) Do(ctx context.Context, address string, call *Call) Outcome {
+	c := p.getIdle(address, call.RecentlyUsedOnly)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
+			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory)}
+		}
+	}
+	written := writeBufferBytes(call)
+	if !p.takeWriteBuffer(c, written, call.Deadline) {
+		p.close(c)
+		return Outcome{Failure: NotSent, Err: errNoMemory, NoMemory: true}
+	}
+	out := Outcome{Reused: c.used}
+	var keep bool
+	l := call.Lease
+	if l == nil {
+		l = p.memory.Lease()
+		defer l.Release()
+	}
+	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
+	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
+	p.returnWriteBuffer(c, written)
+	if keep {
+		p.putIdle(address, c)
+	} else {
+		p.close(c)
+	}
+	return out
+}
+
 // Preconnect opens a connection to a destination and adds it to the pool. It returns an error
 // if the destination does not accept a connection within 400 ms.
 func (p *Pool) Preconnect(ctx context.Context, address string) error {
