--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -10,12 +10,12 @@
 	"net"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/response"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
@@ -69,7 +69,9 @@
 	Failure Failure
 	Err     error // nil if Failure is Answered
 	Refused bool  // the destination host refused the connection (ECONNREFUSED)
-	Reused  bool  // the connection had been used for an earlier request
+	// NoMemory is true if Failure is NotSent because this process has no memory for the buffers of the connection.
+	NoMemory bool
+	Reused   bool // the connection had been used for an earlier request
 	// Unconfirmed is true if Failure is Answered but the response may be one to another request (it
 	// has no id, and the connection carried an earlier request or response) or not the only one to
 	// this request (more bytes follow it; without IDRequired, only if they contain the id). Such a
@@ -100,6 +102,10 @@
 	// and for a reset behind one whose body ended with the connection: several round trips between regions.
 	closeWait         = 400 * time.Millisecond
 	clientBufferBytes = 8 << 10
+	// coveredWriteBytes is the size of a write buffer that clientConnBytes covers.
+	coveredWriteBytes = 4 << 10
+	// clientConnBytes is the memory that is counted for a connection: its read buffer, its state and a usual write buffer.
+	clientConnBytes = clientBufferBytes + coveredWriteBytes + 1<<10
 )
 
 // keepAlive detects a lost peer while a response is awaited.
@@ -107,6 +113,7 @@
 
 type clientConn struct {
 	nc        net.Conn
+	holder    *memory.Holder // of the buffers of the connection; nil: they are not counted
 	br        *bufio.Reader
 	idleSince time.Time     // when it became idle
 	maxIdle   time.Duration // maximum idle time
@@ -126,33 +133,6 @@
 	return n, err
 }
 
-// Do sends the request of a call once, over an idle or a new connection, and reads its
-// response until the deadline of the call or the end of the context.
-func (p *Pool) Do(ctx context.Context, address string, call *Call) Outcome {
-	c := p.getIdle(address, call.RecentlyUsedOnly)
-	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED)}
-		}
-	}
-	out := Outcome{Reused: c.used}
-	var keep bool
-	l := call.Lease
-	if l == nil {
-		l = p.memory.Lease()
-		defer l.Release()
-	}
-	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
-	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
-	if keep {
-		p.putIdle(address, c)
-	} else {
-		p.close(c)
-	}
-	return out
-}
-
 func (c *clientConn) roundTrip(ctx context.Context, call *Call, l *body.Lease) (keep bool, f Failure, err error) {
 	if err := c.nc.SetDeadline(call.Deadline); err != nil {
 		return false, NotSent, err
@@ -266,8 +246,13 @@
 // continueLine begins a 100 response.
 const continueLine = "HTTP/1.1 100"
 
+// writeBufferBytes returns the size of the buffer through which a request is written.
+func writeBufferBytes(call *Call) int {
+	return min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes)
+}
+
 func (c *clientConn) send(call *Call) error {
-	bw := bufio.NewWriterSize(c, min(responseBufferBytes, len(call.Request.Body())+headerBufferBytes))
+	bw := bufio.NewWriterSize(c, writeBufferBytes(call))
 	if err := call.Request.Write(bw); err != nil {
 		return err
 	}
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
+	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/socket"
 )
 
@@ -18,6 +19,7 @@
 type Pool struct {
 	localIP net.IP
 	memory  *body.Memory
+	account *memory.Account // of the buffers of connections, see CountIn; nil: they are not counted
 
 	slots   chan struct{} // holds a value for each open connection; nil: they are not bounded
 	waiting atomic.Int64  // calls that wait for a slot
@@ -73,10 +75,13 @@
 	p.close(c)
 }
 
-// close closes a connection and returns its slot.
+// close closes a connection and returns its slot and its memory.
 func (p *Pool) close(c *clientConn) {
 	_ = c.nc.Close()
 	p.returnSlot()
+	if c.holder != nil {
+		c.holder.Release()
+	}
 }
 
 func (p *Pool) returnSlot() {
@@ -94,6 +99,39 @@
 // Lease returns a lease of the memory for large response bodies.
 func (p *Pool) Lease() *body.Lease { return p.memory.Lease() }
 
+// Do sends the request of a call once, over an idle or a new connection, and reads its
+// response until the deadline of the call or the end of the context.
+func (p *Pool) Do(ctx context.Context, address string, call *Call) Outcome {
+	c := p.getIdle(address, call.RecentlyUsedOnly)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
+			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory)}
+		}
+	}
+	written := writeBufferBytes(call)
+	if !p.takeWriteBuffer(c, written, call.Deadline) {
+		p.close(c)
+		return Outcome{Failure: NotSent, Err: errNoMemory, NoMemory: true}
+	}
+	out := Outcome{Reused: c.used}
+	var keep bool
+	l := call.Lease
+	if l == nil {
+		l = p.memory.Lease()
+		defer l.Release()
+	}
+	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
+	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
+	p.returnWriteBuffer(c, written)
+	if keep {
+		p.putIdle(address, c)
+	} else {
+		p.close(c)
+	}
+	return out
+}
+
 // Preconnect opens a connection to a destination and adds it to the pool. It returns an error
 // if the destination does not accept a connection within 400 ms.
 func (p *Pool) Preconnect(ctx context.Context, address string) error {
@@ -141,8 +179,9 @@
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
-		idle := time.Since(c.idleSince)
-		if idle < c.maxIdle && (!fresh || idle < freshIdleLimit) && socket.Peek(c.nc) == socket.Idle {
+		now := time.Now()
+		idle := now.Sub(c.idleSince)
+		if c.claim(now) && idle < c.maxIdle && (!fresh || idle < freshIdleLimit) && socket.Peek(c.nc) == socket.Idle {
 			return c
 		}
 		p.close(c)
@@ -158,6 +197,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[address] = append(p.idle[address], c)
+	if c.holder != nil { // under the lock, so that giveUp finds the connection
+		c.holder.SetState(memory.Spare, c.idleSince)
+	}
 }
 
 // CloseIdle closes idle connections that exceeded their idle limit and those to
@@ -196,11 +238,20 @@
 			return nil, err
 		}
 	}
+	c := &clientConn{maxIdle: idleLimit}
+	if err := p.hold(address, c, deadline); err != nil {
+		p.returnSlot()
+		return nil, err
+	}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.returnSlot()
+		if c.holder != nil {
+			c.holder.Release()
+		}
 		return nil, err
 	}
 	_ = socket.SetUserTimeout(nc, userTimeout) // without it, a partition shows only at the deadline
-	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, clientBufferBytes), maxIdle: idleLimit}, nil
+	c.nc, c.br = nc, bufio.NewReaderSize(nc, clientBufferBytes)
+	return c, nil
 }
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -29,9 +29,8 @@
 const (
 	// connectionBytes covers the two goroutines of a connection, its state and its usual read buffer.
 	connectionBytes = 16 << 10
-	// exchangeBytes covers a request and a response with headers of the usual size, and a response body of up to smallAnswerBytes.
-	exchangeBytes    = 8 << 10
-	smallAnswerBytes = 4 << 10
+	// exchangeBytes covers a request and a response with headers of the usual size, and a response body of up to body.CoveredBytes.
+	exchangeBytes = 8 << 10
 	// readBufferBytes is the usual size of a read buffer. It grows for a longer header, and shrinks again behind it.
 	readBufferBytes = 4 << 10
 )
@@ -73,26 +72,42 @@
 	Lease *body.Lease
 
 	conn         *conn
-	requestLease *body.Lease   // holds the memory of the request body until the response is written; nil: none is held
+	requestLease *body.Lease   // holds the memory of the request body until the handler has ended; nil: none is held
 	held         int64         // memory of the exchange itself and of a response body without a lease
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 	unread       int           // length of the body that is discarded behind an early response, see AdmitHeader; negative: in chunks
 }
 
+// releaseRequest returns the memory of the request body, which must not be used any more.
+func (x *Exchange) releaseRequest() {
+	if x.requestLease != nil {
+		x.requestLease.Release()
+		x.requestLease = nil
+	}
+	x.Request.ResetBody()
+}
+
 // release returns the memory of the exchange. The bodies must not be used any more.
 func (x *Exchange) release() {
-	for _, l := range []*body.Lease{x.Lease, x.requestLease} {
-		if l != nil {
-			l.Release()
-		}
+	x.releaseRequest()
+	if x.Lease != nil {
+		x.Lease.Release()
 	}
-	x.Request.ResetBody()
 	x.conn.holder.Add(-x.held, false, time.Time{})
 	x.held = 0
 }
 
-// Handler fills in the response of an exchange. The context is cancelled when the client disconnects.
+// ResponseLease returns a lease for the body of a response that a pool reads for this exchange. It counts for the client.
+func (x *Exchange) ResponseLease(p *Pool) *body.Lease {
+	if x.conn == nil {
+		return p.Lease()
+	}
+	return p.memory.LeaseFor(x.conn.holder)
+}
+
+// Handler fills in the response of an exchange. The context is cancelled when the client disconnects. The body of the request is
+// released when the handler returns, so the response must not share its memory.
 type Handler func(ctx context.Context, x *Exchange)
 
 // ServerOptions configures a Server.
@@ -121,6 +136,8 @@
 	FailureDomain func(remote net.Addr) string
 	// Organisation returns the organisation whose request was read up to the end of its header, "" if it is not known; nil: none is.
 	Organisation func(h *fasthttp.RequestHeader) string
+	// keepsRequest lets the response share the memory of the request body, which is then released after the response was written.
+	keepsRequest bool
 	// Pipelined bounds the concurrent requests of one connection; 0: 16.
 	Pipelined int
 	// ClosingResponse is a raw response that is written to an idle connection before it is closed; ""
