app/soak: check organisations and keys

The soak had no organisations.

Change: plans have organisations, one of them with keys that change every third plan. A client of each node sends keys of plans, withdrawn and unknown ones, none and two, claims an organisation, and sends a key on public routes. Checked from the recorded requests: a withdrawn key is rejected with 401 from 2.5 s after the acknowledgement on at nodes in touch, a request without a key of any plan never runs, a key of the plan is accepted, upstreams get the right organisation and never a key, no log contains a key. "In touch" comes from the recorded spans in which processes were killed, paused or stopped; delays of the soak's own timers extend the bounds.

The run also waits until every upstream runs requests again after the last fault. Violations name the seed, the time since the begin of the schedule and the nodes, also the earlier ones. A run deletes the data of an earlier run in its directory: with it, plans were rejected with 412. soak.go is split (faults.go, plans.go, observer.go); platformtest.Plan is a value with Encode, and UpstreamHandler is Upstream.Handler.

Changed tests: TestChecksReportViolations, TestLateCrashesAreViolations and TestCrashExcusesBeforeTheUpstreamIsBack call the same functions with the node or the clock that violations name now; TestShortSoak plays a second seed and demands that the new check judged requests.

--- a/app/soak/caller.go
+++ b/app/soak/caller.go
@@ -20,6 +20,7 @@
 	random       *rand.Rand
 	checks       *checks
 	losses       *losses
+	observations *observations
 	delays       *timerDelays
 	ready        *readiness
 	sent         int
@@ -44,7 +45,7 @@
 	node := number % len(r.nodes)
 	c := &caller{
 		number: number, node: node, ip: r.nodes[node].host.IP, random: rand.New(rand.NewPCG(r.options.Seed, 1<<41+uint64(number))),
-		checks: r.checks, losses: r.losses, delays: &r.delays, ready: r.ready, depth: 1,
+		checks: r.checks, losses: r.losses, observations: r.observations, delays: &r.delays, ready: r.ready, depth: 1,
 	}
 	switch number / len(r.nodes) {
 	case 0, 1:
@@ -98,7 +99,7 @@
 			c.record(end, open...)
 			return
 		}
-		c.checks.recordAnswer(q.id, a)
+		c.checks.recordAnswer(q.id, q.node, a)
 		c.record(outcomeOf(a), q)
 		open = open[1:]
 		if a.Close {
@@ -143,8 +144,9 @@
 	for _, q := range requests {
 		q.ended, q.outcome, q.delays = time.Now(), o, c.delays.sum()-q.delays
 		c.losses.recordRequest(q)
+		c.observations.recordSending(sending{id: q.id, node: q.node, at: q.sent, ended: q.ended})
 		if o == cut || o == gaveUp {
-			c.checks.recordAnswer(q.id, platformtest.Answer{})
+			c.checks.recordAnswer(q.id, q.node, platformtest.Answer{})
 		}
 	}
 }
--- a/app/soak/checks.go
+++ b/app/soak/checks.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/rattanfield/rattanfield/platform/platformtest"
 )
@@ -18,15 +19,30 @@
 	answered   int             // requests with status 200
 	acked      uint64          // highest number of an acknowledged plan
 	violations []string
+	clock      clock
 }
 
 func newChecks() *checks {
-	return &checks{ran: make(map[string]int), rejected: make(map[string]bool)}
+	return &checks{ran: make(map[string]int), rejected: make(map[string]bool), clock: clock{start: time.Now()}}
 }
 
-// addViolation records a violated guarantee. The caller holds mu.
+// setClock sets the clock of the violations that are found from now on.
+func (c *checks) setClock(of clock) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clock = of
+}
+
+// addViolation records a guarantee that was found to be violated now. The caller holds mu.
 func (c *checks) addViolation(format string, args ...any) {
-	c.violations = append(c.violations, fmt.Sprintf(format, args...))
+	c.violations = append(c.violations, c.clock.at(time.Now())+": "+fmt.Sprintf(format, args...))
+}
+
+// add is addViolation for callers that do not hold mu.
+func (c *checks) add(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation(format, args...)
 }
 
 func (c *checks) addViolations(texts []string) {
@@ -35,16 +51,16 @@
 	c.violations = append(c.violations, texts...)
 }
 
-// recordRun records that an upstream began to run a request.
-func (c *checks) recordRun(id string) {
+// recordRun records that the upstream of a node began to run a request.
+func (c *checks) recordRun(id string, node int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ran[id]++
 	if c.ran[id] > 1 && isWrite(id) {
-		c.addViolation("request %s ran %d times", id, c.ran[id])
+		c.addViolation("request %s ran %d times, the last time at the upstream of node %d", id, c.ran[id], node)
 	}
 	if c.rejected[id] {
-		c.addViolation("request %s ran after it was rejected as not run", id)
+		c.addViolation("request %s ran at the upstream of node %d after it was rejected as not run", id, node)
 	}
 }
 
@@ -64,26 +80,27 @@
 	return false
 }
 
-// recordAnswer records the answer that a client received; status 0 stands for none.
-func (c *checks) recordAnswer(id string, a platformtest.Answer) {
+// recordAnswer records the answer that a client received from a node; status 0 stands for none.
+func (c *checks) recordAnswer(id string, node int, a platformtest.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
 	if isRejection(a.Status) && !a.Signed {
 		c.rejected[id] = true
 		if c.ran[id] > 0 {
-			c.addViolation("request %s was rejected as not run, but it had run", id)
+			c.addViolation("request %s to node %d was rejected as not run with status %d, but it had run", id, node, a.Status)
 		}
 	}
 	switch {
 	case a.Status == http.StatusOK:
 		c.answered++
 		if !a.Signed || a.Body != "body-"+id {
-			c.addViolation("request %s received an answer that is not its own: signed %v, body %q", id, a.Signed, a.Body)
+			c.addViolation("request %s to node %d received an answer that is not its own: signed %v, body %q", id, node, a.Signed, a.Body)
 		}
 	case a.Status == http.StatusTooManyRequests && isWrite(id):
+	case isKeyed(id): // see keyCheck
 	case a.Status >= 400 && a.Status < 500:
-		c.addViolation("request %s: status %d for an allowed request", id, a.Status)
+		c.addViolation("request %s to node %d: status %d for an allowed request", id, node, a.Status)
 	}
 }
 
--- a/app/soak/crash.go
+++ b/app/soak/crash.go
@@ -38,8 +38,8 @@
 	c.at[path] = append(c.at[path], time.Now())
 }
 
-// violations names the requests that ran too often after they had crashed three upstreams.
-func (c *crashes) violations() []string {
+// violations names the requests that ran too often after they had crashed three upstreams, and the nodes whose upstreams received them.
+func (c *crashes) violations(of clock, arrivals []arrival) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
@@ -51,7 +51,14 @@
 			}
 		}
 		if late > maxLateRuns {
-			out = append(out, fmt.Sprintf("request %s ran %d times, %d of them later than %v after it had crashed three upstreams", path, len(at), late, contactTime))
+			var got []arrival
+			for _, a := range arrivals {
+				if a.path == path {
+					got = append(got, a)
+				}
+			}
+			out = append(out, fmt.Sprintf("request %s ran %d times, %d of them later than %v after it had crashed three upstreams, the last time %s; arrivals by node: %v",
+				path, len(at), late, contactTime, of.at(at[len(at)-1]), nodesOf(got)))
 		}
 	}
 	return out
@@ -63,9 +70,12 @@
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(e.At)))
 	var sent sync.WaitGroup
 	for i, end := 0, time.Now().Add(e.Length); time.Now().Before(end); i++ {
-		c := platformtest.NewClient(platformtest.EntryAddress(r.nodes[random.IntN(len(r.nodes))].host.IP))
+		node, id := random.IntN(len(r.nodes)), fmt.Sprintf("r-%s%v-%d", crashPrefix, e.At, i)
+		c := platformtest.NewClient(platformtest.EntryAddress(r.nodes[node].host.IP))
 		sent.Go(func() {
-			platformtest.SendRequest(c, path, fmt.Sprintf("r-%s%v-%d", crashPrefix, e.At, i), clientTimeout)
+			at := time.Now()
+			a := platformtest.SendRequest(c, path, id, clientTimeout)
+			r.observations.recordSending(sending{id: id, node: node, at: at, ended: time.Now(), status: a.Status})
 		})
 		time.Sleep(crashInterval)
 	}
--- a/app/soak/doc.go
+++ b/app/soak/doc.go
@@ -1,6 +1,6 @@
 // Package soak runs the real processes on loopback addresses under a seeded
 // schedule of signals, restarts, planned stops of one or more nodes, and disturbed connections
-// (from clients to nodes, and from nodes to their upstreams). From the observations of clients and
+// (from clients to nodes, and from nodes to their upstreams). Plans have organisations whose keys change. From the observations of clients and
 // upstreams it checks these guarantees:
 //
 //   - A write, a request that must not be repeated, runs at most once.
@@ -10,5 +10,9 @@
 //     users' rules on planned stops name the exceptions, see losses.
 //   - A process that receives SIGTERM ends by itself within the grace time.
 //   - An acknowledged plan is neither lost nor followed by a read of an older one.
-//   - Every node serves again after the last fault.
+//   - Every node serves again after the last fault, and every upstream runs requests again.
+//   - A key that a plan withdrew is rejected by nodes in touch (see touch), a request without a key of any plan never runs, and
+//     a key of the plan is accepted. An upstream learns the organisation of a request and never a key; no log contains a key.
+//
+// A violation names the seed, the time since the begin of the schedule and the nodes.
 package soak
--- a/app/soak/losses.go
+++ b/app/soak/losses.go
@@ -83,6 +83,7 @@
 	stops        []span
 	disturbances []span
 	pauses       []span // of processes; among the disturbances too
+	clock        clock
 	overdue      []span // stops of processes that were killed at the end of the grace time
 }
 
@@ -173,8 +174,8 @@
 		last := runs[len(runs)-1]
 		why = fmt.Sprintf("upstream %d began it after %.3f s and needs %.3f s", last.node, last.began.Sub(q.sent).Seconds(), last.until.Sub(last.began).Seconds())
 	}
-	return fmt.Sprintf("request %s to node %d was %s after %.3f s of %.3f s (%s), although %s",
-		q.id, q.node, q.outcome, q.ended.Sub(q.sent).Seconds(), q.limit.Seconds(), cmp.Or(stop, "no stop"), why)
+	return fmt.Sprintf("request %s to node %d was %s %s after %.3f s of %.3f s (%s), although %s",
+		q.id, q.node, q.outcome, l.clock.at(q.ended), q.ended.Sub(q.sent).Seconds(), q.limit.Seconds(), cmp.Or(stop, "no stop"), why)
 }
 
 // StopCounts are the counts of a run's stops and of the requests that were sent during them.
@@ -198,7 +199,7 @@
 	for _, s := range l.overdue {
 		paused := slices.ContainsFunc(l.pauses, func(p span) bool { return p.node == s.node && p.from.Before(s.to) && p.to.After(s.from) })
 		if !paused {
-			violations = append(violations, fmt.Sprintf("node %d had to be killed %v after SIGTERM", s.node, platformtest.Grace))
+			violations = append(violations, fmt.Sprintf("node %d had to be killed %v after SIGTERM %s", s.node, platformtest.Grace, l.clock.at(s.from)))
 		}
 	}
 	n.Stops = len(l.stops)
--- a/app/soak/losses_test.go
+++ b/app/soak/losses_test.go
@@ -67,7 +67,7 @@
 func TestCrashExcusesBeforeTheUpstreamIsBack(t *testing.T) {
 	r := &run{losses: newLosses(), crashes: &crashes{at: make(map[string][]time.Time)}}
 	sent := time.Now().Add(-time.Millisecond)
-	r.upstreamCrashed(1, "/read/crash-1")
+	nodeObserver{run: r, node: 1}.crashed("/read/crash-1")
 	if !r.losses.isDisturbed([]int{0, 1}, sent, time.Now().Add(time.Millisecond)) {
 		t.Error("the crash is no disturbance of the node")
 	}
--- a/app/soak/process.go
+++ b/app/soak/process.go
@@ -31,6 +31,8 @@
 	killed     bool      // kill was called for the process that runs
 	closed     bool      // the run has ended
 	selfEnds   []string  // ends of processes that were neither stopped nor killed
+	// restarted is told when the process ended by itself and when it was started again; nil: nobody.
+	restarted func(ended, started time.Time)
 
 	delaysBefore time.Duration // sum of the delays when it was sent
 }
@@ -46,6 +48,10 @@
 	}
 	if role == "control" {
 		h.DataDir = filepath.Join(dir, "data")
+		// The data of an earlier run that violated a guarantee would contradict the checks.
+		if err := os.RemoveAll(h.DataDir); err != nil {
+			return nil, eris.Wrap(err, "delete the data of an earlier run")
+		}
 	}
 	return &process{binary: binary, role: role, dir: dir, host: h, log: log, delays: d}, nil
 }
@@ -77,13 +83,18 @@
 		p.command = nil
 		again := p.terminated.IsZero() && !p.killed && !p.closed
 		if again && !endedByEarlyReload(c.ProcessState, time.Since(started)) {
-			p.selfEnds = append(p.selfEnds, fmt.Sprintf("%s %s ended by itself after %v: %v", p.role, p.host.IP, time.Since(started).Round(time.Millisecond), c.ProcessState))
+			p.selfEnds = append(p.selfEnds, fmt.Sprintf("%s %s ended by itself at %s after %v: %v",
+				p.role, p.host.IP, time.Now().Format(time.StampMilli), time.Since(started).Round(time.Millisecond), c.ProcessState))
 		}
 		p.mu.Unlock()
 		close(ended)
 		if again {
+			ended := time.Now()
 			time.Sleep(restartDelay)
 			_ = p.start() // an error repeats as a node that does not serve
+			if p.restarted != nil {
+				p.restarted(ended, time.Now())
+			}
 		}
 	}()
 	return nil
@@ -163,11 +174,23 @@
 // 460 to 670 ms.
 type timerDelays struct {
 	total, longest atomic.Int64 // in nanoseconds
+
+	mu      sync.Mutex
+	history []timerDelay
+}
+
+// timerDelay is the delay of a timer that ran out at a time.
+type timerDelay struct {
+	at    time.Time
+	delay time.Duration
 }
 
 const (
 	timerInterval = 10 * time.Millisecond
 	minTimerDelay = 5 * time.Millisecond // shorter delays are usual on an idle machine
+	// minStall is the least delay that extends the bounds of nodes in touch. Shorter ones add up to seconds on a busy machine
+	// and would hide violations: a node applies a plan or an evacuation within a small part of its bound.
+	minStall = 100 * time.Millisecond
 )
 
 // run measures until the context ends.
@@ -184,7 +207,23 @@
 	if delay >= minTimerDelay {
 		d.total.Add(int64(delay))
 		d.longest.Store(max(d.longest.Load(), int64(delay)))
+		d.mu.Lock()
+		d.history = append(d.history, timerDelay{at: time.Now(), delay: delay})
+		d.mu.Unlock()
+	}
+}
+
+// stalls returns the sum of the delays of at least minStall of timers that ran out between two times.
+func (d *timerDelays) stalls(from, to time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := time.Duration(0)
+	for _, h := range d.history {
+		if h.delay >= minStall && h.at.After(from) && !h.at.After(to) {
+			sum += h.delay
+		}
 	}
+	return sum
 }
 
 func (d *timerDelays) sum() time.Duration { return time.Duration(d.total.Load()) }
--- a/app/soak/schedule.go
+++ b/app/soak/schedule.go
@@ -81,6 +81,15 @@
 	return false
 }
 
+// stopsProcesses reports whether the event kills, pauses or stops processes.
+func (e Event) stopsProcesses() bool {
+	switch e.Kind {
+	case Kill, Wipe, Stop, StopDomain, StopSite, Pause, KillAllControls:
+		return true
+	}
+	return false
+}
+
 // Schedule returns the faults of a seed in the order of their times, with stops of several nodes and crashing requests
 // between them. Faults may overlap, but at most one control host is disturbed at a time, except by
 // KillAllControls, which kills all of them and keeps their data directories.
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -9,7 +8,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,6 +39,13 @@
 	Requests, Answered int      // requests that clients sent, and those with status 200
 	NewestPlan         uint64   // highest number of an acknowledged plan
 	Stops              StopCounts
+	Coverage           Coverage
+	Settled            time.Duration // from the last fault until every node served and every upstream ran requests again
+}
+
+// Coverage tells how much the check of organisations had to judge.
+type Coverage struct {
+	Denied, Withdrawn int // requests without a key of a plan, and with a withdrawn key at nodes that must know it
 }
 
 const (
@@ -53,6 +58,9 @@
 	planInterval   = 300 * time.Millisecond
 )
 
+// failureDomains are those of the hosts.
+var failureDomains = []string{"d0", "d1"}
+
 // run is the state of a run.
 type run struct {
 	options    Options
@@ -66,13 +74,28 @@
 	ready      *readiness
 	delays     timerDelays
 	faults     sync.WaitGroup
+	clock      clock
+
+	observations *observations
+	touch        *touch
+	keys         *keyring
+}
+
+// newRun returns the state of a run that has not begun.
+func newRun(o Options) *run {
+	r := &run{
+		options: o, checks: newChecks(), losses: newLosses(), crashes: &crashes{at: make(map[string][]time.Time)},
+		observations: &observations{}, keys: newKeyring(o.Seed),
+	}
+	r.touch = &touch{controls: o.Controls, delays: r.delays.stalls}
+	return r
 }
 
 // Run starts the system, runs the schedule of a seed under load and returns the
 // observations. The error tells why a run could not be carried out; violated
 // guarantees are no error.
 func Run(ctx context.Context, o Options) (Result, error) {
-	r := &run{options: o, checks: newChecks(), losses: newLosses(), crashes: &crashes{at: make(map[string][]time.Time)}}
+	r := newRun(o)
 	defer r.close()
 	if err := r.start(); err != nil {
 		return Result{}, err
@@ -81,34 +104,71 @@
 	defer cancel()
 	var clients sync.WaitGroup
 	clients.Go(func() { r.replacePlans(ctx) })
-	if !r.awaitServing(ctx) {
-		return Result{}, eris.New("a node does not serve before the first fault")
+	if node, ok := r.awaitServing(ctx); !ok {
+		return Result{}, eris.Errorf("node %d does not serve before the first fault", node)
+	}
+	r.startClients(ctx, &clients)
+	if err := r.runSchedule(ctx); err != nil {
+		return Result{}, err
 	}
-	for i := range o.Nodes * clientsPerNode {
+	ended := time.Now()
+	r.settle(ctx, ended)
+	settled := time.Since(ended)
+	cancel()
+	clients.Wait()
+	r.readBack()
+	result := r.judge()
+	result.Settled = settled
+	return result, nil
+}
+
+// startClients starts all clients and what is measured beside them.
+func (r *run) startClients(ctx context.Context, clients *sync.WaitGroup) {
+	for i := range len(r.nodes) * clientsPerNode {
 		clients.Go(func() { r.client(ctx, i) })
 	}
 	r.ready = newReadiness(r.nodes)
 	clients.Go(func() { r.ready.run(ctx) })
 	clients.Go(func() { r.delays.run(ctx) })
-	for i := range o.Nodes * callersPerNode {
+	for i := range len(r.nodes) * callersPerNode {
 		c := newCaller(r, i)
 		clients.Go(func() { c.run(ctx) })
 	}
-	if err := r.runSchedule(ctx); err != nil {
-		return Result{}, err
+	for i := range len(r.nodes) * keyClientsPerNode {
+		clients.Go(func() { r.keyClient(ctx, i) })
+	}
+}
+
+// settle waits until every node serves after the last fault, which ended at a time, and every upstream runs requests
+// again. It records a violation if that takes too long.
+func (r *run) settle(ctx context.Context, ended time.Time) {
+	if node, ok := r.awaitServing(ctx); !ok {
+		r.checks.add("node %d does not serve %v after the last fault", node, settleTime)
 	}
-	if !r.awaitServing(ctx) {
-		r.checks.mu.Lock()
-		r.checks.addViolation("a node does not serve %v after the last fault", settleTime)
-		r.checks.mu.Unlock()
+	for i := range r.nodes {
+		for !r.observations.ranSince(i, ended) {
+			if time.Since(ended) > 2*settleTime {
+				r.checks.add("the upstream of node %d runs no request %v after the last fault", i, 2*settleTime)
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
 	}
-	cancel()
-	clients.Wait()
-	r.readBack()
+}
+
+// judge checks the observations of a run that has ended.
+func (r *run) judge() Result {
+	r.losses.clock = r.clock
 	lost, stops := r.losses.judge()
 	stops.Delay = time.Duration(r.delays.longest.Load())
-	r.checks.addViolations(lost)
-	r.checks.addViolations(r.crashes.violations())
+	sendings, arrivals := r.observations.all()
+	var n Coverage
+	var keys []string
+	keys, n.Denied, n.Withdrawn = keyCheck{clock: r.clock, touch: r.touch, keys: r.keys.all()}.violations(sendings, arrivals)
+	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys} {
+		r.checks.addViolations(violations)
+	}
+	r.checks.addViolations(r.keysInLogs())
 	for _, p := range append(append([]*process{}, r.nodes...), r.controls...) {
 		p.mu.Lock()
 		r.checks.addViolations(p.selfEnds)
@@ -116,8 +176,18 @@
 	}
 	requests, answered := r.checks.counts()
 	return Result{
-		Violations: r.checks.allViolations(), Requests: requests, Answered: answered, NewestPlan: r.checks.newestAcknowledged(), Stops: stops,
-	}, nil
+		Violations: r.withSeed(r.checks.allViolations()), Requests: requests, Answered: answered, NewestPlan: r.checks.newestAcknowledged(),
+		Stops: stops, Coverage: n,
+	}
+}
+
+// withSeed returns violations with the seed of the run.
+func (r *run) withSeed(violations []string) []string {
+	var out []string
+	for _, v := range violations {
+		out = append(out, fmt.Sprintf("seed %d: %s", r.options.Seed, v))
+	}
+	return out
 }
 
 func (r *run) ip(region, n int) string {
@@ -132,31 +202,31 @@
 		seeds = append(seeds, r.ip(1, i+1))
 	}
 	for i := range o.Controls {
-		h := platformtest.Host{IP: r.ip(1, i+1), FailureDomain: fmt.Sprint("d", i%2), Region: "r", FirstStart: true, Seeds: seeds}
+		h := platformtest.Host{
+			IP: r.ip(1, i+1), FailureDomain: fmt.Sprint("d", i%2), Region: "r", FirstStart: true, Seeds: seeds, FailureDomains: failureDomains,
+		}
 		p, err := newProcess(o.Binary, "control", o.Dir, h, &r.delays)
 		if err != nil {
 			return err
 		}
+		p.restarted = func(ended, started time.Time) { r.touch.record(true, []int{i}, ended, started) }
 		r.controls = append(r.controls, p)
 	}
 	for i := range o.Nodes {
 		ip := r.ip(2, i+1)
-		h := platformtest.Host{IP: ip, FailureDomain: fmt.Sprint("d", i%2), Region: "r", Service: service, Seeds: seeds}
+		h := platformtest.Host{IP: ip, FailureDomain: fmt.Sprint("d", i%2), Region: "r", Service: service, Seeds: seeds, FailureDomains: failureDomains}
 		p, err := newProcess(o.Binary, "node", o.Dir, h, &r.delays)
 		if err != nil {
 			return err
 		}
+		p.restarted = func(ended, started time.Time) { r.touch.record(false, []int{i}, ended, started) }
 		r.nodes = append(r.nodes, p)
 		k, err := startLink(net.JoinHostPort(ip, "0"), platformtest.EntryAddress(ip))
 		if err != nil {
 			return err
 		}
 		r.entryLinks = append(r.entryLinks, k)
-		u, err := startUpstream(ip, h.FailureDomain, o.Seed, func(id string, work time.Duration) {
-			now := time.Now()
-			r.losses.recordExecution(id, execution{node: i, began: now, until: now.Add(work)})
-			r.checks.recordRun(id)
-		}, func(path string) func() { return r.upstreamCrashed(i, path) })
+		u, err := startUpstream(ip, h.FailureDomain, o.Seed, nodeObserver{run: r, node: i})
 		if err != nil {
 			return err
 		}
@@ -167,27 +237,21 @@
 			return err
 		}
 	}
+	for i := range r.nodes {
+		r.touch.record(false, []int{i}, time.Time{}, time.Now())
+	}
 	return nil
 }
 
-// upstreamCrashed records the end of an upstream by a request. It returns the function to call once the upstream is back.
-func (r *run) upstreamCrashed(node int, path string) (restarted func()) {
-	from := time.Now()
-	r.crashes.record(path)
-	record := func() { r.losses.recordDisturbance(node, Crash, from) }
-	record() // the run may end before the upstream is back
-	return record
-}
-
-// awaitServing waits until each node is ready and answers a request. It reports false when
-// that takes longer than settleTime.
-func (r *run) awaitServing(ctx context.Context) bool {
+// awaitServing waits until each node is ready and answers a request. It returns false and the first node that does not
+// when that takes longer than settleTime.
+func (r *run) awaitServing(ctx context.Context) (node int, ok bool) {
 	end := time.Now().Add(settleTime)
 	for i, p := range r.nodes {
 		c := platformtest.NewClient(platformtest.EntryAddress(p.host.IP))
 		for n := 0; ; n++ {
 			if time.Now().After(end) || ctx.Err() != nil {
-				return false
+				return i, false
 			}
 			id := fmt.Sprintf("r-check-%d-%d-%d", time.Now().UnixNano(), i, n)
 			if platformtest.Ready(p.host.IP) && platformtest.SendRequest(c, platformtest.ReadPath+id, id, clientTimeout).Status == 200 {
@@ -196,7 +260,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	return true
+	return 0, true
 }
 
 // client sends requests until the context ends and reuses its connection. Half of the
@@ -209,60 +273,14 @@
 		if random.IntN(2) == 0 {
 			id, path = fmt.Sprintf("%s%d-%d", writePrefix, n, i), platformtest.WritePath
 		}
-		r.checks.recordAnswer(id, platformtest.SendRequest(c, path+id, id, clientTimeout))
+		at := time.Now()
+		a := platformtest.SendRequest(c, path+id, id, clientTimeout)
+		r.observations.recordSending(sending{id: id, node: n % len(r.nodes), at: at, ended: time.Now(), status: a.Status})
+		r.checks.recordAnswer(id, n%len(r.nodes), a)
 		time.Sleep(clientInterval)
 	}
 }
 
-// replacePlans replaces the plan until the context ends. It resends a plan without a clear
-// answer to a randomly chosen control host, and reads the plan back from another.
-func (r *run) replacePlans(ctx context.Context) {
-	random := rand.New(rand.NewPCG(r.options.Seed, 1<<40))
-	base, number := uint64(0), uint64(1)
-	for ctx.Err() == nil {
-		plan := platformtest.Plan(number, base, service, int(number%5))
-		status := 0
-		for status == 0 && ctx.Err() == nil {
-			status = platformtest.ReplacePlan(r.controls[random.IntN(len(r.controls))].host.IP, plan)
-		}
-		switch status {
-		case 200:
-			r.checks.recordAcknowledged(number)
-			base = number
-		case 0:
-		default:
-			r.checks.mu.Lock()
-			r.checks.addViolation("plan %d based on plan %d was rejected with status %d", number, base, status)
-			r.checks.mu.Unlock()
-			return
-		}
-		number += uint64(1 + random.IntN(3))
-		ip := r.controls[random.IntN(len(r.controls))].host.IP
-		before := r.checks.newestAcknowledged()
-		if got := platformtest.ReadPlan(ip); got > 0 {
-			r.checks.checkRead(ip, got, before)
-		}
-		time.Sleep(planInterval)
-	}
-}
-
-// readBack waits for an answer of any control host and checks that its plan is not
-// older than the newest acknowledged one.
-func (r *run) readBack() {
-	before := r.checks.newestAcknowledged()
-	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		for _, p := range r.controls {
-			if got := platformtest.ReadPlan(p.host.IP); got > 0 {
-				r.checks.checkRead(p.host.IP, got, before)
-				return
-			}
-		}
-	}
-	r.checks.mu.Lock()
-	defer r.checks.mu.Unlock()
-	r.checks.addViolation("no control host answers a read of plan %d", before)
-}
-
 // events returns the schedule of the run.
 func (r *run) events() []Event {
 	o := r.options
@@ -279,6 +297,8 @@
 // returns the first error of a fault that could not be carried out.
 func (r *run) runSchedule(ctx context.Context) error {
 	started := time.Now()
+	r.clock = clock{start: started}
+	r.checks.setClock(r.clock)
 	failed := make(chan error, 1)
 	for _, e := range r.events() {
 		select {
@@ -305,112 +325,6 @@
 	}
 }
 
-// inject carries out one event and waits until it ends.
-func (r *run) inject(e Event) error {
-	p := r.nodes[e.Target]
-	if e.Control {
-		p = r.controls[e.Target]
-	} else if e.isDisturbance() {
-		defer func(from time.Time) { r.losses.recordDisturbance(e.Target, e.Kind, from) }(time.Now())
-	}
-	switch e.Kind {
-	case Kill, Wipe:
-		p.kill()
-		return p.startAgain(e.Length, e.Kind == Wipe)
-	case Stop:
-		if e.Control {
-			return r.stopControl(p, e.Length)
-		}
-		return r.stopNodes(e, []int{e.Target})
-	case StopDomain, StopSite:
-		var targets []int
-		for i, n := range r.nodes {
-			if e.Kind == StopSite || n.host.FailureDomain == p.host.FailureDomain {
-				targets = append(targets, i)
-			}
-		}
-		return r.stopNodes(e, targets)
-	case Pause:
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(e.Length)
-		p.signal(syscall.SIGCONT)
-	case Reload:
-		p.signal(syscall.SIGHUP)
-	case KillAllControls:
-		return forAll(len(r.controls), func(i int) error {
-			r.controls[i].kill()
-			return r.controls[i].startAgain(e.Length, false)
-		})
-	case Replace:
-		r.upstreams[e.Target].replace(e.Length > time.Second)
-	case Leave:
-		r.upstreams[e.Target].leave()
-	case Crash:
-		r.sendCrashing(e)
-	default:
-		r.disturbLink(e)
-	}
-	return nil
-}
-
-// forAll calls f concurrently with 0 to n-1 and returns an error of any call.
-func forAll(n int, f func(i int) error) error {
-	errs := make(chan error, n)
-	for i := range n {
-		go func() { errs <- f(i) }()
-	}
-	var first error
-	for range n {
-		first = cmp.Or(first, <-errs)
-	}
-	return first
-}
-
-// stopNodes stops nodes within e.Spread and starts each again e.Length after its end. With e.Again
-// each is then stopped and started once more.
-func (r *run) stopNodes(e Event, targets []int) error {
-	return forAll(len(targets), func(i int) error {
-		time.Sleep(e.Spread * time.Duration(i) / time.Duration(len(targets)))
-		node := targets[i]
-		for again := e.Again; ; again = false {
-			if signalled, killed := r.nodes[node].stop(); !signalled.IsZero() {
-				r.losses.recordStop(node, signalled, killed)
-			}
-			if err := r.nodes[node].startAgain(e.Length, false); err != nil || !again {
-				return err
-			}
-			time.Sleep(e.Length)
-		}
-	})
-}
-
-// stopControl stops a control host and starts it again. No other fault disturbs it meanwhile.
-func (r *run) stopControl(p *process, down time.Duration) error {
-	if _, killed := p.stop(); killed {
-		r.checks.addViolations([]string{fmt.Sprintf("control host %s had to be killed %v after SIGTERM", p.host.IP, platformtest.Grace)})
-	}
-	return p.startAgain(down, false)
-}
-
-// disturbLink carries out a connection fault on the link from callers to a node, or from
-// the node to its upstream.
-func (r *run) disturbLink(e Event) {
-	k := r.upstreams[e.Target].link
-	if e.Callers {
-		k = r.entryLinks[e.Target]
-	}
-	switch e.Kind {
-	case SlowLink:
-		k.slow(e.Length)
-	case HoldAnswers:
-		k.holdAnswers(e.Length)
-	case Silence:
-		k.silence()
-	case Reset:
-		k.reset()
-	}
-}
-
 func (r *run) close() {
 	for _, p := range append(append([]*process{}, r.nodes...), r.controls...) {
 		p.close()
--- a/app/soak/soak_test.go
+++ b/app/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -25,18 +26,27 @@
 }
 
 // Guards against violated guarantees, which come about by killing, pausing, stopping
-// and wiping real processes. The seed and the schedule are fixed; longer runs are
+// and wiping real processes. The seeds and the schedule are fixed; longer runs are
 // started by hand with rattanfield-soak.
 func TestShortSoak(t *testing.T) {
-	is := is.New(t)
-	r, err := Run(context.Background(), Options{
-		Binary: buildBinary(t), Dir: filepath.Join(t.TempDir(), "run"), Seed: 1, Length: 6 * time.Second, Nodes: 3, Controls: 3,
-		Subnet: 10 + os.Getpid()%40, Out: t.Output(),
-	})
-	is.NoErr(err)
-	is.Equal(r.Violations, nil)
-	is.True(r.Answered > 0 && r.NewestPlan > 0)
-	t.Logf("%d of %d requests answered, newest plan %d", r.Answered, r.Requests, r.NewestPlan)
+	binary := buildBinary(t)
+	for _, seed := range []uint64{1, 16584} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			r, err := Run(context.Background(), Options{
+				Binary: binary, Dir: filepath.Join(t.TempDir(), "run"), Seed: seed, Length: 6 * time.Second, Nodes: 3, Controls: 3,
+				Subnet: 10 + os.Getpid()%40, Out: t.Output(),
+			})
+			is.NoErr(err)
+			is.Equal(r.Violations, nil)
+			is.True(r.Answered > 0 && r.NewestPlan > 0)
+			is.True(r.Coverage.Denied > 0)
+			if seed != 1 { // in the schedule of seed 1, nodes are in touch for too short a time
+				is.True(r.Coverage.Withdrawn > 0)
+			}
+			t.Logf("%d of %d requests answered, newest plan %d, %+v", r.Answered, r.Requests, r.NewestPlan, r.Coverage)
+		})
+	}
 }
 
 // Guards against requests that are lost at planned stops, and against stops that last longer than
@@ -98,6 +108,20 @@
 	is.True(signalled.IsZero()) // it does not run any more
 }
 
+// Guards against a run on the data of an earlier one: plans were rejected with status 412, because a newer one was in force.
+func TestRunBeginsWithoutData(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	data := filepath.Join(dir, "127.0.0.1", "data")
+	is.NoErr(os.MkdirAll(data, 0o700))
+	p, err := newProcess("", "control", dir, platformtest.Host{IP: "127.0.0.1"}, &timerDelays{})
+	is.NoErr(err)
+	p.close()
+	is.Equal(p.host.DataDir, data)
+	_, err = os.Stat(data)
+	is.True(errors.Is(err, os.ErrNotExist))
+}
+
 // Guards against a grace time that delays of the machine make endless, and against one that is
 // extended without them.
 func TestGraceTimeLeft(t *testing.T) {
@@ -121,16 +145,16 @@
 func TestChecksReportViolations(t *testing.T) {
 	is := is.New(t)
 	for name, act := range map[string]func(*checks){
-		"ran twice":        func(c *checks) { c.recordRun("w-1"); c.recordRun("w-1") },
-		"ran after":        func(c *checks) { c.recordAnswer("w-1", platformtest.Answer{Status: 503}); c.recordRun("w-1") },
-		"rejected read":    func(c *checks) { c.recordRun("r-1"); c.recordAnswer("r-1", platformtest.Answer{Status: 503}) },
-		"read ran after":   func(c *checks) { c.recordAnswer("r-1", platformtest.Answer{Status: 503}); c.recordRun("r-1") },
-		"rejected and ran": func(c *checks) { c.recordRun("w-1"); c.recordAnswer("w-1", platformtest.Answer{Status: 429}) },
-		"unsigned":         func(c *checks) { c.recordAnswer("r-1", platformtest.Answer{Status: 200, Body: "body-r-1"}) },
+		"ran twice":        func(c *checks) { c.recordRun("w-1", 0); c.recordRun("w-1", 0) },
+		"ran after":        func(c *checks) { c.recordAnswer("w-1", 0, platformtest.Answer{Status: 503}); c.recordRun("w-1", 0) },
+		"rejected read":    func(c *checks) { c.recordRun("r-1", 0); c.recordAnswer("r-1", 0, platformtest.Answer{Status: 503}) },
+		"read ran after":   func(c *checks) { c.recordAnswer("r-1", 0, platformtest.Answer{Status: 503}); c.recordRun("r-1", 0) },
+		"rejected and ran": func(c *checks) { c.recordRun("w-1", 0); c.recordAnswer("w-1", 0, platformtest.Answer{Status: 429}) },
+		"unsigned":         func(c *checks) { c.recordAnswer("r-1", 0, platformtest.Answer{Status: 200, Body: "body-r-1"}) },
 		"another's answer": func(c *checks) {
-			c.recordAnswer("r-1", platformtest.Answer{Status: 200, Signed: true, Body: "body-r-2"})
+			c.recordAnswer("r-1", 0, platformtest.Answer{Status: 200, Signed: true, Body: "body-r-2"})
 		},
-		"denied":     func(c *checks) { c.recordAnswer("r-1", platformtest.Answer{Status: 404}) },
+		"denied":     func(c *checks) { c.recordAnswer("r-1", 0, platformtest.Answer{Status: 404}) },
 		"older plan": func(c *checks) { c.recordAcknowledged(5); c.checkRead("h", 4, c.newestAcknowledged()) },
 	} {
 		c := newChecks()
@@ -140,11 +164,11 @@
 		}
 	}
 	c := newChecks()
-	c.recordRun("r-1")
-	c.recordRun("r-1")
-	c.recordAnswer("r-1", platformtest.Answer{Status: 200, Signed: true, Body: "body-r-1"})
-	c.recordAnswer("w-2", platformtest.Answer{Status: 502})
-	c.recordRun("w-2")
+	c.recordRun("r-1", 0)
+	c.recordRun("r-1", 0)
+	c.recordAnswer("r-1", 0, platformtest.Answer{Status: 200, Signed: true, Body: "body-r-1"})
+	c.recordAnswer("w-2", 0, platformtest.Answer{Status: 502})
+	c.recordRun("w-2", 0)
 	is.Equal(c.allViolations(), nil)
 }
 
@@ -173,10 +197,10 @@
 		}
 		return c
 	}
-	is.Equal(len(runs(0, 0.1, 9, 9.5, 10, 11).violations()), 0)                                          // the third crash is at 9 s
-	is.Equal(len(runs(0, 0.1, 0.2, 1, 2, 3, 5, 6, 7).violations()), 0)                                   // three of them late
-	is.Equal(len(runs(0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6).violations()), 1)                                 // four
-	is.Equal(runs(0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6).violations()[0][:28], "request /read/crash-1 ran 7 ") // names it
+	is.Equal(len(runs(0, 0.1, 9, 9.5, 10, 11).violations(clock{}, nil)), 0)                                          // the third crash is at 9 s
+	is.Equal(len(runs(0, 0.1, 0.2, 1, 2, 3, 5, 6, 7).violations(clock{}, nil)), 0)                                   // three of them late
+	is.Equal(len(runs(0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6).violations(clock{}, nil)), 1)                                 // four
+	is.Equal(runs(0, 0.1, 0.2, 3.3, 3.4, 3.5, 3.6).violations(clock{}, nil)[0][:28], "request /read/crash-1 ran 7 ") // names it
 }
 
 // Checks that a seed always gives the same planned work, and that it holds no disturbance, which
--- a/app/soak/upstream.go
+++ b/app/soak/upstream.go
@@ -27,9 +27,8 @@
 // each other at one address.
 type upstream struct {
 	ip, domain string
-	seed       uint64                               // of the work times
-	record     func(id string, work time.Duration)  // called when a request begins to run
-	crashed    func(path string) (restarted func()) // called when a crashing request begins to run
+	seed       uint64 // of the work times
+	observer   upstreamObserver
 
 	mu             sync.Mutex
 	instance       string
@@ -43,10 +42,17 @@
 	link           *link // listens at the address of the application and forwards to listener
 }
 
+// upstreamObserver is told what happens to an upstream.
+type upstreamObserver interface {
+	received(s platformtest.ReceivedRequest)
+	began(id string, work time.Duration)    // a request begins to run
+	crashed(path string) (restarted func()) // a crashing request begins to run
+}
+
 // startUpstream starts an upstream that announces itself to the node with the given IP
 // address.
-func startUpstream(ip, domain string, seed uint64, record func(id string, work time.Duration), crashed func(path string) (restarted func())) (*upstream, error) {
-	u := &upstream{ip: ip, domain: domain, seed: seed, record: record, crashed: crashed, stop: make(chan struct{})}
+func startUpstream(ip, domain string, seed uint64, o upstreamObserver) (*upstream, error) {
+	u := &upstream{ip: ip, domain: domain, seed: seed, observer: o, stop: make(chan struct{})}
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, eris.Wrap(err, "upstream")
@@ -56,7 +62,8 @@
 		return nil, err
 	}
 	u.replace(false)
-	s := &fasthttp.Server{Handler: platformtest.UpstreamHandler(u.currentInstance, u.run), NoDefaultServerHeader: true}
+	handler := platformtest.Upstream{Instance: u.currentInstance, Received: o.received, Run: u.run}.Handler()
+	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
 	go func() { _ = s.Serve(l) }()
 	go u.sendAnnouncements()
 	return u, nil
@@ -106,13 +113,13 @@
 // run runs a request for its work time, or until its deadline if that comes first.
 func (u *upstream) run(s platformtest.ReceivedRequest) (string, int) {
 	if isCrashing(s.Path) {
-		restarted := u.crashed(s.Path)
+		restarted := u.observer.crashed(s.Path)
 		u.end(workTime(u.seed, s))
 		restarted()
 		return "", http.StatusInternalServerError // not seen by anybody
 	}
 	work := workTime(u.seed, s)
-	u.record(s.ID, work)
+	u.observer.began(s.ID, work)
 	if s.Remaining > 0 && work > s.Remaining {
 		time.Sleep(s.Remaining)
 		return "deadline", http.StatusGatewayTimeout
--- a/cmd/rattanfield-platform/mesh_test.go
+++ b/cmd/rattanfield-platform/mesh_test.go
@@ -88,7 +88,7 @@
 
 // plan returns a plan with a limit for request bodies; 0: the usual one.
 func (m *mesh) plan(bodyBytes int) []byte {
-	plan := platformtest.Plan(1, 0, "s", 0)
+	plan := platformtest.Plan{Number: 1, Service: "s"}.Encode()
 	if bodyBytes == 0 {
 		return plan
 	}
--- a/cmd/rattanfield-soak/main.go
+++ b/cmd/rattanfield-soak/main.go
@@ -50,11 +50,14 @@
 			Binary: a.Binary, Dir: filepath.Join(dir, fmt.Sprint("seed-", seed)), Seed: seed, Length: a.Length,
 			Nodes: a.Nodes, Controls: a.Controls, Subnet: 60 + int(seed%60), StopsOnly: a.Stops, Out: os.Stdout,
 		})
-		fmt.Printf("seed %d: %d of %d requests answered, newest plan %d, %d guarantees violated, error: %v\n",
-			seed, r.Answered, r.Requests, r.NewestPlan, len(r.Violations), err)
+		fmt.Printf("seed %d: %d of %d requests answered, newest plan %d, settled after %v, %d guarantees violated, error: %v\n",
+			seed, r.Answered, r.Requests, r.NewestPlan, r.Settled.Round(time.Millisecond), len(r.Violations), err)
 		n := r.Stops
 		fmt.Printf("  %d stops, the longest %v (longest delay of a timer %v); after SIGTERM: %d requests sent, %d of them executed, %d refused, %d cut; %d requests lost\n",
 			n.Stops, n.Longest.Round(time.Millisecond), n.Delay.Round(time.Millisecond), n.Sent, n.Executed, n.Refused, n.Cut, n.Lost)
+		c := r.Coverage
+		fmt.Printf("  %d requests without a key of a plan, %d with a withdrawn key at nodes in touch\n",
+			c.Denied, c.Withdrawn)
 		for _, violation := range r.Violations {
 			fmt.Println("  BROKEN:", violation)
 		}
