app/soak: check quotas

Change: an organisation has a quota of 20 requests/s and a burst of 10. Eight clients together send up to 10 times that, fall silent now and then, and move to another node after 0.2 to 2 s. In any 5 s at most (rate x 5 + burst) x 1.1 + 20 = 141 of its requests run, over all nodes. A request that is repeated counts once in a window.

--- a/app/soak/doc.go
+++ b/app/soak/doc.go
@@ -13,6 +13,7 @@
 //   - Every node serves again after the last fault, and every upstream runs requests again.
 //   - A key that a plan withdrew is rejected by nodes in touch (see touch), a request without a key of any plan never runs, and
 //     a key of the plan is accepted. An upstream learns the organisation of a request and never a key; no log contains a key.
+//   - The requests of an organisation that run stay within its quota, over all nodes, in touch or not.
 //
 // A violation names the seed, the time since the begin of the schedule and the nodes.
 package soak
--- a/app/soak/keycheck.go
+++ b/app/soak/keycheck.go
@@ -124,7 +124,7 @@
 		if c.isHeld(q, inTouch) {
 			return fmt.Sprintf("status 401, but the plans have key %d of organisation %s", k.held.number, k.held.organisation)
 		}
-	case q.status == http.StatusTooManyRequests:
+	case q.status == http.StatusTooManyRequests && k.held.organisation != limitedOrganisation:
 		return "status 429 without a quota"
 	}
 	return ""
--- a/app/soak/keycheck_test.go
+++ b/app/soak/keycheck_test.go
@@ -85,6 +85,7 @@
 		"unknown key denied":             {use: unknownUse, sent: 10, status: denied},
 		"unknown key, node without plan": {use: unknownUse, sent: 10, status: unavailable, killed: true},
 		"unknown key without an answer":  {use: unknownUse, sent: 10},
+		"quota":                          {use: validUse, organisation: limitedOrganisation, sent: 10, status: http.StatusTooManyRequests},
 		"public":                         {use: publicUse, sent: 10, arrived: 10.01, status: ok},
 	} {
 		if out := c.violations(); len(out) != 0 {
@@ -129,5 +130,5 @@
 			is.True(!held.accepted.IsZero())
 		}
 	}
-	is.Equal(len(k.all()), 2+20/rotateEvery)
+	is.Equal(len(k.all()), 3+20/rotateEvery)
 }
--- a/app/soak/organisations.go
+++ b/app/soak/organisations.go
@@ -15,6 +15,7 @@
 const (
 	steadyOrganisation   = "steady"   // its key is in all plans
 	rotatingOrganisation = "rotating" // its keys change
+	limitedOrganisation  = "limited"  // it has a quota, and its key is in all plans
 )
 
 const (
@@ -60,7 +61,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.plans == 0 {
-		for _, o := range []string{steadyOrganisation, rotatingOrganisation} {
+		for _, o := range []string{steadyOrganisation, limitedOrganisation, rotatingOrganisation} {
 			k.add(o)
 		}
 	}
@@ -70,7 +71,9 @@
 			k.keys[i].withdrawing = time.Now()
 		}
 	}
-	organisations := []platformtest.Organisation{{Name: steadyOrganisation}, {Name: rotatingOrganisation}}
+	organisations := []platformtest.Organisation{
+		{Name: steadyOrganisation}, {Name: rotatingOrganisation}, {Name: limitedOrganisation, Rate: quotaRate, Burst: quotaBurst},
+	}
 	for i, o := range organisations {
 		for _, held := range k.keys {
 			if held.organisation == o.Name && held.withdrawing.IsZero() {
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -43,9 +43,10 @@
 	Settled            time.Duration // from the last fault until every node served and every upstream ran requests again
 }
 
-// Coverage tells how much the check of organisations had to judge.
+// Coverage tells how much the checks of organisations and quotas had to judge.
 type Coverage struct {
 	Denied, Withdrawn int // requests without a key of a plan, and with a withdrawn key at nodes that must know it
+	MostOfQuota       int // most requests of the organisation with a quota in a window
 }
 
 const (
@@ -137,6 +138,9 @@
 	for i := range len(r.nodes) * keyClientsPerNode {
 		clients.Go(func() { r.keyClient(ctx, i) })
 	}
+	for i := range quotaClients {
+		clients.Go(func() { r.quotaClient(ctx, i) })
+	}
 }
 
 // settle waits until every node serves after the last fault, which ended at a time, and every upstream runs requests
@@ -163,9 +167,10 @@
 	stops.Delay = time.Duration(r.delays.longest.Load())
 	sendings, arrivals := r.observations.all()
 	var n Coverage
-	var keys []string
+	var keys, quota []string
 	keys, n.Denied, n.Withdrawn = keyCheck{clock: r.clock, touch: r.touch, keys: r.keys.all()}.violations(sendings, arrivals)
-	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys} {
+	quota, n.MostOfQuota = quotaViolations(r.clock, arrivals)
+	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys, quota} {
 		r.checks.addViolations(violations)
 	}
 	r.checks.addViolations(r.keysInLogs())
--- a/app/soak/soak_test.go
+++ b/app/soak/soak_test.go
@@ -40,7 +40,7 @@
 			is.NoErr(err)
 			is.Equal(r.Violations, nil)
 			is.True(r.Answered > 0 && r.NewestPlan > 0)
-			is.True(r.Coverage.Denied > 0)
+			is.True(r.Coverage.Denied > 0 && r.Coverage.MostOfQuota > 0)
 			if seed != 1 { // in the schedule of seed 1, nodes are in touch for too short a time
 				is.True(r.Coverage.Withdrawn > 0)
 			}
