app/soak: check evacuations

Change: new kind Evacuate. From 5 s after the acknowledgement until it is withdrawn, no request reaches an upstream of the failure domain whose gate is in touch, or that was sent later than the bound to an entry in touch. That also finds an order that is lost when control hosts are killed; an end that is lost is found by the wait for requests at every upstream.

--- a/app/soak/doc.go
+++ b/app/soak/doc.go
@@ -1,5 +1,5 @@
 // Package soak runs the real processes on loopback addresses under a seeded
-// schedule of signals, restarts, planned stops of one or more nodes, and disturbed connections
+// schedule of signals, restarts, planned stops of one or more nodes, evacuations of failure domains, and disturbed connections
 // (from clients to nodes, and from nodes to their upstreams). Plans have organisations whose keys change. From the observations of clients and
 // upstreams it checks these guarantees:
 //
@@ -14,6 +14,7 @@
 //   - A key that a plan withdrew is rejected by nodes in touch (see touch), a request without a key of any plan never runs, and
 //     a key of the plan is accepted. An upstream learns the organisation of a request and never a key; no log contains a key.
 //   - The requests of an organisation that run stay within its quota, over all nodes, in touch or not.
+//   - An acknowledged evacuation stays in force until it is withdrawn: no node in touch sends requests to the failure domain.
 //
 // A violation names the seed, the time since the begin of the schedule and the nodes.
 package soak
--- a/app/soak/faults.go
+++ b/app/soak/faults.go
@@ -47,6 +47,8 @@
 		r.upstreams[e.Target].leave()
 	case Crash:
 		r.sendCrashing(e)
+	case Evacuate:
+		r.evacuate(e)
 	default:
 		r.disturbLink(e)
 	}
--- a/app/soak/schedule.go
+++ b/app/soak/schedule.go
@@ -27,6 +27,7 @@
 	HoldAnswers     Kind = "hold-answers" // data from the target is held for Length
 	Silence         Kind = "silence"      // open connections drop all further data
 	Reset           Kind = "reset"        // open connections are reset
+	Evacuate        Kind = "evacuate"     // the evacuation of the target's failure domain is ordered, and withdrawn Length after it was acknowledged
 	Crash           Kind = "crash"        // for Length, a request comes again and again that ends the upstreams which run it
 )
 
@@ -90,12 +91,13 @@
 	return false
 }
 
-// Schedule returns the faults of a seed in the order of their times, with stops of several nodes and crashing requests
-// between them. Faults may overlap, but at most one control host is disturbed at a time, except by
+// Schedule returns the faults of a seed in the order of their times, with stops of several nodes, crashing requests and
+// evacuations between them. Faults may overlap, but at most one control host is disturbed at a time, except by
 // KillAllControls, which kills all of them and keeps their data directories.
 func Schedule(seed uint64, length time.Duration, nodes, controls int) []Event {
 	events := append(randomFaults(seed, length, nodes, controls), randomStops(seed, length, nodes, maxStopGap, []Kind{StopDomain, StopSite})...)
 	events = append(events, randomCrashes(seed, length)...)
+	events = append(events, randomEvacuations(seed, length, nodes)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -43,10 +43,12 @@
 	Settled            time.Duration // from the last fault until every node served and every upstream ran requests again
 }
 
-// Coverage tells how much the checks of organisations and quotas had to judge.
+// Coverage tells how much the checks of organisations, quotas and evacuations had to judge.
 type Coverage struct {
-	Denied, Withdrawn int // requests without a key of a plan, and with a withdrawn key at nodes that must know it
-	MostOfQuota       int // most requests of the organisation with a quota in a window
+	Denied, Withdrawn int           // requests without a key of a plan, and with a withdrawn key at nodes that must know it
+	MostOfQuota       int           // most requests of the organisation with a quota in a window
+	Evacuations       int           // evacuations that were ordered
+	Evacuated         time.Duration // time after the bound in which a failure domain was evacuated and one of its nodes in touch
 }
 
 const (
@@ -80,6 +82,7 @@
 	observations *observations
 	touch        *touch
 	keys         *keyring
+	evacuations  evacuations
 }
 
 // newRun returns the state of a run that has not begun.
@@ -144,7 +147,7 @@
 }
 
 // settle waits until every node serves after the last fault, which ended at a time, and every upstream runs requests
-// again. It records a violation if that takes too long.
+// again, also those of failure domains that were evacuated. It records a violation if that takes too long.
 func (r *run) settle(ctx context.Context, ended time.Time) {
 	if node, ok := r.awaitServing(ctx); !ok {
 		r.checks.add("node %d does not serve %v after the last fault", node, settleTime)
@@ -166,11 +169,19 @@
 	lost, stops := r.losses.judge()
 	stops.Delay = time.Duration(r.delays.longest.Load())
 	sendings, arrivals := r.observations.all()
-	var n Coverage
+	domains := make([]string, len(r.nodes))
+	for i, n := range r.nodes {
+		domains[i] = n.host.FailureDomain
+	}
+	list := r.evacuations.all()
+	n := Coverage{Evacuations: len(list)}
 	var keys, quota []string
 	keys, n.Denied, n.Withdrawn = keyCheck{clock: r.clock, touch: r.touch, keys: r.keys.all()}.violations(sendings, arrivals)
 	quota, n.MostOfQuota = quotaViolations(r.clock, arrivals)
-	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys, quota} {
+	check := evacuationCheck{clock: r.clock, touch: r.touch, domains: domains}
+	evacuated := check.violations(list, sendings, arrivals)
+	n.Evacuated = check.judgedTime(list)
+	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys, quota, evacuated} {
 		r.checks.addViolations(violations)
 	}
 	r.checks.addViolations(r.keysInLogs())
--- a/cmd/rattanfield-soak/main.go
+++ b/cmd/rattanfield-soak/main.go
@@ -56,8 +56,9 @@
 		fmt.Printf("  %d stops, the longest %v (longest delay of a timer %v); after SIGTERM: %d requests sent, %d of them executed, %d refused, %d cut; %d requests lost\n",
 			n.Stops, n.Longest.Round(time.Millisecond), n.Delay.Round(time.Millisecond), n.Sent, n.Executed, n.Refused, n.Cut, n.Lost)
 		c := r.Coverage
-		fmt.Printf("  %d requests without a key of a plan, %d with a withdrawn key at nodes in touch; at most %d requests of a quota in its window\n",
-			c.Denied, c.Withdrawn, c.MostOfQuota)
+		fmt.Printf("  %d requests without a key of a plan, %d with a withdrawn key at nodes in touch; at most %d requests of a quota in its window; "+
+			"%d evacuations, judged for %v\n",
+			c.Denied, c.Withdrawn, c.MostOfQuota, c.Evacuations, c.Evacuated.Round(time.Millisecond))
 		for _, violation := range r.Violations {
 			fmt.Println("  BROKEN:", violation)
 		}
