app/soak: check cold upstreams

Change: an upstream that was replaced or has crashed is cold for 4 s: it states cold_left in announcements and X-Cold-Ms at the health path. The plan has cold_per_s 17, so at most 33.5 requests may arrive in any second, health probes included, answers with status 421 not.

--- a/app/soak/observer.go
+++ b/app/soak/observer.go
@@ -32,3 +32,9 @@
 	record() // the run may end before the upstream is back
 	return record
 }
+
+func (o nodeObserver) replaced(sameID bool, coldUntil time.Time) {
+	o.run.coldPhases.replaced(o.node, sameID, coldUntil)
+}
+
+func (o nodeObserver) announcedCold(until time.Time) { o.run.coldPhases.begin(o.node, until) }
--- a/app/soak/plans.go
+++ b/app/soak/plans.go
@@ -16,6 +16,7 @@
 	for ctx.Err() == nil {
 		plan := platformtest.Plan{
 			Number: number, Base: base, Service: service, Extra: int(number % 5), Organisations: r.keys.nextPlan(),
+			ColdStart: coldStart, ColdPerSecond: coldPerSecond,
 		}.Encode()
 		status := 0
 		for status == 0 && ctx.Err() == nil {
--- a/app/soak/soak.go
+++ b/app/soak/soak.go
@@ -43,12 +43,14 @@
 	Settled            time.Duration // from the last fault until every node served and every upstream ran requests again
 }
 
-// Coverage tells how much the checks of organisations, quotas and evacuations had to judge.
+// Coverage tells how much the checks of organisations, quotas, evacuations and cold upstreams had to judge.
 type Coverage struct {
 	Denied, Withdrawn int           // requests without a key of a plan, and with a withdrawn key at nodes that must know it
 	MostOfQuota       int           // most requests of the organisation with a quota in a window
 	Evacuations       int           // evacuations that were ordered
 	Evacuated         time.Duration // time after the bound in which a failure domain was evacuated and one of its nodes in touch
+	ColdPhases        int           // times in which an upstream was cold
+	MostCold          int           // most requests that a cold upstream got in a second
 }
 
 const (
@@ -83,6 +85,7 @@
 	touch        *touch
 	keys         *keyring
 	evacuations  evacuations
+	coldPhases   coldPhases
 }
 
 // newRun returns the state of a run that has not begun.
@@ -173,15 +176,16 @@
 	for i, n := range r.nodes {
 		domains[i] = n.host.FailureDomain
 	}
-	list := r.evacuations.all()
-	n := Coverage{Evacuations: len(list)}
-	var keys, quota []string
+	list, phases := r.evacuations.all(), r.coldPhases.all()
+	n := Coverage{Evacuations: len(list), ColdPhases: len(phases)}
+	var keys, quota, cold []string
 	keys, n.Denied, n.Withdrawn = keyCheck{clock: r.clock, touch: r.touch, keys: r.keys.all()}.violations(sendings, arrivals)
 	quota, n.MostOfQuota = quotaViolations(r.clock, arrivals)
+	cold, n.MostCold = coldViolations(r.clock, phases, arrivals)
 	check := evacuationCheck{clock: r.clock, touch: r.touch, domains: domains}
 	evacuated := check.violations(list, sendings, arrivals)
 	n.Evacuated = check.judgedTime(list)
-	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys, quota, evacuated} {
+	for _, violations := range [][]string{lost, r.crashes.violations(r.clock, arrivals), keys, quota, evacuated, cold} {
 		r.checks.addViolations(violations)
 	}
 	r.checks.addViolations(r.keysInLogs())
--- a/app/soak/soak_test.go
+++ b/app/soak/soak_test.go
@@ -28,7 +28,7 @@
 // Guards against violated guarantees, which come about by killing, pausing, stopping
 // and wiping real processes. The seeds and the schedule are fixed; longer runs are
 // started by hand with rattanfield-soak. In the schedule of the second seed, all control hosts are killed during an
-// evacuation, a node of the other failure domain is killed.
+// evacuation, a node of the other failure domain is killed, and three upstreams are replaced by cold ones.
 func TestShortSoak(t *testing.T) {
 	binary := buildBinary(t)
 	for _, seed := range []uint64{1, 16584} {
@@ -41,9 +41,9 @@
 			is.NoErr(err)
 			is.Equal(r.Violations, nil)
 			is.True(r.Answered > 0 && r.NewestPlan > 0)
-			is.True(r.Coverage.Denied > 0 && r.Coverage.MostOfQuota > 0)
+			is.True(r.Coverage.Denied > 0 && r.Coverage.MostOfQuota > 0 && r.Coverage.ColdPhases > 0)
 			if seed != 1 { // in the schedule of seed 1, nodes are in touch for too short a time, and there is no evacuation
-				is.True(r.Coverage.Withdrawn > 0 && r.Coverage.Evacuated > 0)
+				is.True(r.Coverage.Withdrawn > 0 && r.Coverage.Evacuated > 0 && r.Coverage.MostCold > 0)
 			}
 			t.Logf("%d of %d requests answered, newest plan %d, %+v", r.Answered, r.Requests, r.NewestPlan, r.Coverage)
 		})
--- a/app/soak/upstream.go
+++ b/app/soak/upstream.go
@@ -37,6 +37,8 @@
 	instanceNumber int    // distinguishes the instance ids
 	draining       bool
 	down           bool // it has crashed and announces nothing
+	coldUntil      time.Time
+	coldUnknown    bool // its node has not received an announcement of the process that replaced another with the same id
 	stop           chan struct{}
 	listener       net.Listener
 	link           *link // listens at the address of the application and forwards to listener
@@ -47,6 +49,8 @@
 	received(s platformtest.ReceivedRequest)
 	began(id string, work time.Duration)    // a request begins to run
 	crashed(path string) (restarted func()) // a crashing request begins to run
+	replaced(sameID bool, coldUntil time.Time)
+	announcedCold(until time.Time) // the node received the first announcement of a process with the id of the one before
 }
 
 // startUpstream starts an upstream that announces itself to the node with the given IP
@@ -61,8 +65,8 @@
 	if u.link, err = startLink(platformtest.AppAddress(ip), l.Addr().String()); err != nil {
 		return nil, err
 	}
-	u.replace(false)
-	handler := platformtest.Upstream{Instance: u.currentInstance, Received: o.received, Run: u.run}.Handler()
+	u.startProcess(false, 0)
+	handler := platformtest.Upstream{Instance: u.currentInstance, Received: o.received, Run: u.run, ColdLeft: u.coldLeft}.Handler()
 	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
 	go func() { _ = s.Serve(l) }()
 	go u.sendAnnouncements()
@@ -75,11 +79,24 @@
 	return u.instance
 }
 
-// replace replaces the process by one without its state, which keeps the instance id if
+func (u *upstream) coldLeft() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return max(0, time.Until(u.coldUntil))
+}
+
+// replace replaces the process by a cold one without its state, which keeps the instance id if
 // sameID is set.
-func (u *upstream) replace(sameID bool) {
+func (u *upstream) replace(sameID bool) { u.startProcess(sameID, coldStart) }
+
+// startProcess starts a process that is cold for a time.
+func (u *upstream) startProcess(sameID bool, cold time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if cold > 0 {
+		u.coldUntil, u.coldUnknown = time.Now().Add(cold), sameID
+		u.observer.replaced(sameID, u.coldUntil)
+	}
 	if !sameID {
 		u.instanceNumber++
 	}
@@ -162,10 +179,25 @@
 		return
 	}
 	u.seq++
-	a := platformtest.Announcement{Service: service, Zone: u.domain, Version: "v1", Slots: slots, Seq: u.seq, Born: u.born}
+	a := platformtest.Announcement{
+		Service: service, Zone: u.domain, Version: "v1", Slots: slots, Seq: u.seq, Born: u.born,
+		ColdLeft: fmt.Sprint(max(0, time.Until(u.coldUntil)).Milliseconds(), "ms"),
+	}
 	instance, draining := u.instance, u.draining
 	u.mu.Unlock()
-	platformtest.SendAnnouncement(u.ip, instance, a, draining) // a lost announcement is made up by the next one
+	if platformtest.SendAnnouncement(u.ip, instance, a, draining) { // a lost announcement is made up by the next one
+		u.announced(a.Born)
+	}
+}
+
+// announced records that the node received an announcement of the process that started at a time.
+func (u *upstream) announced(born int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.born == born && u.coldUnknown {
+		u.coldUnknown = false
+		u.observer.announcedCold(u.coldUntil)
+	}
 }
 
 // sendAnnouncements sends an announcement every announceInterval until the upstream
--- a/cmd/rattanfield-soak/main.go
+++ b/cmd/rattanfield-soak/main.go
@@ -57,8 +57,8 @@
 			n.Stops, n.Longest.Round(time.Millisecond), n.Delay.Round(time.Millisecond), n.Sent, n.Executed, n.Refused, n.Cut, n.Lost)
 		c := r.Coverage
 		fmt.Printf("  %d requests without a key of a plan, %d with a withdrawn key at nodes in touch; at most %d requests of a quota in its window; "+
-			"%d evacuations, judged for %v\n",
-			c.Denied, c.Withdrawn, c.MostOfQuota, c.Evacuations, c.Evacuated.Round(time.Millisecond))
+			"%d evacuations, judged for %v; %d cold upstreams, at most %d requests in a second\n",
+			c.Denied, c.Withdrawn, c.MostOfQuota, c.Evacuations, c.Evacuated.Round(time.Millisecond), c.ColdPhases, c.MostCold)
 		for _, violation := range r.Violations {
 			fmt.Println("  BROKEN:", violation)
 		}
