app/soak: more requests with withdrawn keys; a stalled machine fails no short soak

Stalls of the machine extend the bound of the evacuation, and can extend it beyond its end.

Change: clients choose among the 10 newest keys.

--- a/app/soak/organisations.go
+++ b/app/soak/organisations.go
@@ -24,8 +24,9 @@
 	// rotateEvery is the number of plans after which the oldest key of rotatingOrganisation is withdrawn and another one is
 	// added, and heldKeys the number of keys that it has.
 	rotateEvery, heldKeys = 3, 2
-	// recentKeys is the number of its newest keys that clients use. Most of them are withdrawn.
-	recentKeys = 6
+	// recentKeys is the number of its newest keys that clients use. With 6, only one or two of them had been withdrawn for longer than
+	// applyBound, and a short run judged 2 to 7 requests.
+	recentKeys = 10
 )
 
 // heldKey is a key that at least one plan held. It is never in a plan again after it was withdrawn.
