--- a/app/soak/upstream.go
+++ b/app/soak/upstream.go
@@ -27,9 +27,8 @@
 // each other at one address.
 type upstream struct {
 	ip, domain string
-	seed       uint64                               // of the work times
-	record     func(id string, work time.Duration)  // called when a request begins to run
-	crashed    func(path string) (restarted func()) // called when a crashing request begins to run
+	seed       uint64 // of the work times
+	observer   upstreamObserver
 
 	mu             sync.Mutex
 	instance       string
@@ -38,15 +37,26 @@
 	instanceNumber int    // distinguishes the instance ids
 	draining       bool
 	down           bool // it has crashed and announces nothing
+	coldUntil      time.Time
+	coldUnknown    bool // its node has not received an announcement of the process that replaced another with the same id
 	stop           chan struct{}
 	listener       net.Listener
 	link           *link // listens at the address of the application and forwards to listener
 }
 
+// upstreamObserver is told what happens to an upstream.
+type upstreamObserver interface {
+	received(s platformtest.ReceivedRequest)
+	began(id string, work time.Duration)    // a request begins to run
+	crashed(path string) (restarted func()) // a crashing request begins to run
+	replaced(sameID bool, coldUntil time.Time)
+	announcedCold(until time.Time) // the node received the first announcement of a process with the id of the one before
+}
+
 // startUpstream starts an upstream that announces itself to the node with the given IP
 // address.
-func startUpstream(ip, domain string, seed uint64, record func(id string, work time.Duration), crashed func(path string) (restarted func())) (*upstream, error) {
-	u := &upstream{ip: ip, domain: domain, seed: seed, record: record, crashed: crashed, stop: make(chan struct{})}
+func startUpstream(ip, domain string, seed uint64, o upstreamObserver) (*upstream, error) {
+	u := &upstream{ip: ip, domain: domain, seed: seed, observer: o, stop: make(chan struct{})}
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, eris.Wrap(err, "upstream")
@@ -55,8 +65,9 @@
 	if u.link, err = startLink(platformtest.AppAddress(ip), l.Addr().String()); err != nil {
 		return nil, err
 	}
-	u.replace(false)
-	s := &fasthttp.Server{Handler: platformtest.UpstreamHandler(u.currentInstance, u.run), NoDefaultServerHeader: true}
+	u.startProcess(false, 0)
+	handler := platformtest.Upstream{Instance: u.currentInstance, Received: o.received, Run: u.run, ColdLeft: u.coldLeft}.Handler()
+	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
 	go func() { _ = s.Serve(l) }()
 	go u.sendAnnouncements()
 	return u, nil
@@ -68,11 +79,24 @@
 	return u.instance
 }
 
-// replace replaces the process by one without its state, which keeps the instance id if
+func (u *upstream) coldLeft() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return max(0, time.Until(u.coldUntil))
+}
+
+// replace replaces the process by a cold one without its state, which keeps the instance id if
 // sameID is set.
-func (u *upstream) replace(sameID bool) {
+func (u *upstream) replace(sameID bool) { u.startProcess(sameID, coldStart) }
+
+// startProcess starts a process that is cold for a time.
+func (u *upstream) startProcess(sameID bool, cold time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if cold > 0 {
+		u.coldUntil, u.coldUnknown = time.Now().Add(cold), sameID
+		u.observer.replaced(sameID, u.coldUntil)
+	}
 	if !sameID {
 		u.instanceNumber++
 	}
@@ -106,13 +130,13 @@
 // run runs a request for its work time, or until its deadline if that comes first.
 func (u *upstream) run(s platformtest.ReceivedRequest) (string, int) {
 	if isCrashing(s.Path) {
-		restarted := u.crashed(s.Path)
+		restarted := u.observer.crashed(s.Path)
 		u.end(workTime(u.seed, s))
 		restarted()
 		return "", http.StatusInternalServerError // not seen by anybody
 	}
 	work := workTime(u.seed, s)
-	u.record(s.ID, work)
+	u.observer.began(s.ID, work)
 	if s.Remaining > 0 && work > s.Remaining {
 		time.Sleep(s.Remaining)
 		return "deadline", http.StatusGatewayTimeout
@@ -155,10 +179,25 @@
 		return
 	}
 	u.seq++
-	a := platformtest.Announcement{Service: service, Zone: u.domain, Version: "v1", Slots: slots, Seq: u.seq, Born: u.born}
+	a := platformtest.Announcement{
+		Service: service, Zone: u.domain, Version: "v1", Slots: slots, Seq: u.seq, Born: u.born,
+		ColdLeft: fmt.Sprint(max(0, time.Until(u.coldUntil)).Milliseconds(), "ms"),
+	}
 	instance, draining := u.instance, u.draining
 	u.mu.Unlock()
-	platformtest.SendAnnouncement(u.ip, instance, a, draining) // a lost announcement is made up by the next one
+	if platformtest.SendAnnouncement(u.ip, instance, a, draining) { // a lost announcement is made up by the next one
+		u.announced(a.Born)
+	}
+}
+
+// announced records that the node received an announcement of the process that started at a time.
+func (u *upstream) announced(born int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.born == born && u.coldUnknown {
+		u.coldUnknown = false
+		u.observer.announcedCold(u.coldUntil)
+	}
 }
 
 // sendAnnouncements sends an announcement every announceInterval until the upstream
