core/quota: end the extra of the calm state when totals of a limited organisation are old

The capacities of all nodes were 52 together, and 30 more ran as the extra of the calm state: 57 nodes may each use about one request beyond their capacities until totals say that 0.7 of the allowance is in use. 0.9 s after nodes got totals during the burst the control hosts lost their quorum. The last totals said at most 35 of 41.6, and the nodes used the extra for 1.15 s more, although the demand in the same totals was more than twice the rate. Ruled out: the scaled sums of lost control hosts (until then the totals were at most 0.2 below what nodes had reported, mostly above it); capacities above the allowance (52 of 59.5); restarted nodes (1 request of 84). Change: if the organisation was limited in the last totals and the last answer is older than 0.3 s, a node takes all demand in them to have run since. Totals of limited organisations come at most every 0.2 s, so this applies only where they are lost or late.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -67,6 +67,9 @@
 	// same for organisations with less than leastEven for each node, which many nodes could exceed by one request each.
 	inTouch      = 1800 * time.Millisecond
 	inTouchSmall = 1150 * time.Millisecond
+	// current is the time since the last answer of a control host up to which the totals of a limited organisation are taken as they
+	// are: such totals are sent at most every 200 ms, and the way takes up to 100 ms. Older ones are extrapolated.
+	current = 300 * time.Millisecond
 )
 
 // Limiter decides at one node which requests are within the quotas. It is not safe for concurrent use.
@@ -230,7 +233,7 @@
 		free := max(0, total-o.others.Capacity-o.held())
 		o.capacity = min(target, o.capacity+share*free)
 	}
-	if !o.known && !l.full(o) { // what the node may already use
+	if !o.known && !l.full(o, o.decayedAt) { // what the node may already use
 		o.capacity = max(o.capacity, min(target, unknownCapacity*total/float64(l.nodes)))
 	}
 	o.known = true
@@ -256,7 +259,7 @@
 
 // capacityOf returns the number of requests that may run in a window at this node.
 func (l *Limiter) capacityOf(o *organisation, now time.Duration) float64 {
-	if l.full(o) {
+	if l.full(o, now) {
 		return o.capacity
 	}
 	even := l.allowance(o.limit) / float64(l.nodes)
@@ -276,13 +279,29 @@
 	if !o.known {
 		return max(least, unknownCapacity*even)
 	}
-	spare := 1 - (o.others.Used+float64(o.total))/(calmShare*l.allowance(o.limit))
-	return max(o.capacity+max(least, spareCapacity*spare*even), firstCapacity*even)
+	return max(o.capacity+max(least, spareCapacity*l.spare(o, now)*even), firstCapacity*even)
 }
 
 // full reports whether the organisation is near its limit, as far as this node knows.
-func (l *Limiter) full(o *organisation) bool {
-	return o.heard && o.others.Used+float64(o.total) > calmShare*l.allowance(o.limit)
+func (l *Limiter) full(o *organisation, now time.Duration) bool {
+	return o.heard && l.spare(o, now) < 0
+}
+
+// spare returns the part of calmShare of the allowance that is not in use; negative if more is in use.
+func (l *Limiter) spare(o *organisation, now time.Duration) float64 {
+	return 1 - (l.usedByOthers(o, now)+float64(o.total))/(calmShare*l.allowance(o.limit))
+}
+
+// usedByOthers returns the use of the other nodes. If the totals of a limited organisation are not current, because messages are lost
+// or the control hosts have no quorum, all demand is taken to run since then: it may, until the other nodes learn of the use.
+func (l *Limiter) usedByOthers(o *organisation, now time.Duration) float64 {
+	d := o.others
+	age := now - l.heardAt - current
+	if !d.Limited || age <= 0 {
+		return d.Used
+	}
+	growth := max(0, d.Rate-d.Used/l.settings.Window.Seconds()) // what arrives less what leaves the window
+	return d.Used + growth*min(age, inTouch).Seconds()
 }
 
 // paced reports whether the organisation is beyond its limit, so that its requests are spread over the window.
--- a/core/quota/report.go
+++ b/core/quota/report.go
@@ -79,7 +79,7 @@
 		return Demand{}
 	}
 	return Demand{
-		Rate: l.rate(o), Capacity: o.held(), Used: float64(o.total), Allowance: l.allowance(o.limit), Nodes: 1, Limited: o.limited || l.full(o), Urgent: o.limited || l.urgent(o, l.capacityOf(o, now)),
+		Rate: l.rate(o), Capacity: o.held(), Used: float64(o.total), Allowance: l.allowance(o.limit), Nodes: 1, Limited: o.limited || l.full(o, now), Urgent: o.limited || l.urgent(o, l.capacityOf(o, now)),
 	}
 }
 
