--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -21,9 +21,6 @@
 	// prior is the number of accepted requests that are assumed beside the counted ones, so that a few
 	// rejections do not throttle a service with few requests.
 	prior = 5.0
-	// noticed is the decayed number of rejected requests from which on requests are throttled. A request in progress counts as not
-	// accepted, so without it the first requests of a route, of which none has ended, were throttled although nothing was full.
-	noticed = 1.0
 )
 
 // Throttle decides which requests of one kind are rejected without being sent. The zero value
@@ -64,9 +61,6 @@
 // RejectionProbability returns the probability, from 0 to 1, with which Offer rejects a request,
 // as of the last call of Offer or Done.
 func (t *Throttle) RejectionProbability() float64 {
-	if t.ended-t.accepted < noticed {
-		return 0
-	}
 	ratio := sendRatio
 	if share := t.accepted / max(1, t.ended); share > recovering {
 		ratio += (sendRatioAfter - sendRatio) * (share - recovering) / (1 - recovering)
