--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -15,6 +15,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(c *caseRun) (broken bool, err error){
 	"memory": manyChanges,
+	"times":  timesInSeconds,
 }
 
 func main() { os.Exit(run()) }
