--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,8 +14,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(c *caseRun) (broken bool, err error){
-	"memory": manyChanges,
-	"times":  timesInSeconds,
+	"memory":    manyChanges,
+	"times":     timesInSeconds,
+	"unordered": newVersion,
 }
 
 func main() { os.Exit(run()) }
