--- a/review/standin2/manychanges.go
+++ b/review/standin2/manychanges.go
@@ -19,7 +19,9 @@
 	// operatorsAtOnce are the orders that may be in progress at once.
 	operatorsAtOnce = 8
 	// changesTime is how long the operator changes the configuration.
-	changesTime = 108 * time.Second
+	changesTime = 106 * time.Second
+	// orderTime is how long an operator tries to get a clear answer to an order.
+	orderTime = 8 * time.Second
 	// mostOrders bounds the orders, accepted or not.
 	mostOrders = 6000
 	// restartDelay is the pause after which the platform starts an ended process again.
@@ -108,7 +110,7 @@
 			own.routes = slices.Clone(plan.routes)
 			own.routes[r.IntN(len(own.routes))] = idleRoute(r, "huvo11a")
 			pair.Go(func() {
-				switch status, answer := o.call("config.replace", own.body(), 20*time.Second); status {
+				switch status, answer := o.call("config.replace", own.body(), orderTime); status {
 				case http.StatusOK:
 					accepted.Add(1)
 					winner.Store(int32(own.number))
--- a/review/standin2/operator.go
+++ b/review/standin2/operator.go
@@ -41,7 +41,7 @@
 		}
 		fmt.Fprintf(&b, `{"name":%q,"health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false}`, s)
 	}
-	fmt.Fprintf(&b, `],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},"base_version":"r%d","hosts":[`, c.base)
+	fmt.Fprintf(&b, `],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},%q:"r%d","hosts":[`, wire.Base, c.base)
 	for i, r := range c.routes {
 		if i > 0 {
 			b.WriteByte(',')
@@ -67,7 +67,7 @@
 func (o *operator) call(call string, body []byte, limit time.Duration) (int, []byte) {
 	for end := time.Now().Add(limit); time.Now().Before(end); {
 		address := o.addresses[o.next%len(o.addresses)]
-		resp, err := o.client.Post("http://"+address+"/rattanfield/rpc?call="+call, "application/json", bytes.NewReader(body))
+		resp, err := o.client.Post(callURL(address, call), "application/json", bytes.NewReader(body))
 		if err == nil {
 			answer, readErr := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
--- a/review/standin2/process.go
+++ b/review/standin2/process.go
@@ -46,7 +46,7 @@
 	}
 	defer func() { _ = out.Close() }()
 	command := exec.Command(platformProgram, p.role)
-	command.Env = append(os.Environ(), "RATTANFIELD_NODE_FILE="+p.settings)
+	command.Env = append(os.Environ(), wire.SettingsVariable+"="+p.settings)
 	command.Stdout, command.Stderr = out, out
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -59,7 +59,7 @@
 	}
 	fmt.Fprintf(&b, "[listen]\ncontrol = %q\n", s.address(host, portControl))
 	if dataDir == "" {
-		fmt.Fprintf(&b, "inbound = %q\noutbound = %q\nready_address = %q\n", s.address(host, portGate), s.address(host, portEntry), s.address(host, portReady))
+		fmt.Fprintf(&b, "inbound = %q\noutbound = %q\n%s = %q\n", s.address(host, portGate), s.address(host, portEntry), wire.ReadySetting, s.address(host, portReady))
 	}
 	fmt.Fprintf(&b, "[limits]\ncpu_share = %v\ncores = 1\nmemory_mb = %d\nmax_fds = 4096\nlink_mbps = 1000.0\n", cores, memory)
 	fmt.Fprint(&b, "[fault_tolerance]\nmachines = 1\nzones = 0\nregions = 0\n[bounds]\nseed_lag = \"3s\"\nreuse_after = \"2s\"\ncontact = \"3000ms\"\nack = \"4000ms\"\ncatch_up = \"4s\"\n"+
--- a/review/standin2/unordered.go
+++ b/review/standin2/unordered.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,7 +47,11 @@
 	start := func(version string, count int) error {
 		for range count {
 			host := firstNode + len(backends)
-			node, err := c.startProcess(fmt.Sprintf("sidecar-%d", host), "node", s.settings(host, "", "lehu44b"))
+			settings := s.settings(host, "", "lehu44b")
+			if version != "v1" { // a machine that is added later
+				settings = strings.Replace(settings, "bootstrap = true", "bootstrap = false", 1)
+			}
+			node, err := c.startProcess(fmt.Sprintf("sidecar-%d", host), "node", settings)
 			if err != nil {
 				return err
 			}
@@ -112,7 +117,7 @@
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for i := range nodes {
-			resp, err := checkInClient.Get("http://" + s.address(firstNode+i, portReady) + "/rattanfield/readyz")
+			resp, err := checkInClient.Get("http://" + s.address(firstNode+i, portReady) + wire.ReadyPath)
 			if err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
@@ -143,7 +148,7 @@
 			return
 		}
 		r.Host = "ficu95.example"
-		r.Header.Set("X-Attempt-Id", fmt.Sprintf("a-%d-%d", host, n))
+		r.Header.Set(wire.ID, fmt.Sprintf("a-%d-%d", host, n))
 		r.Header.Set("X-Deadline-Ms", "2500")
 		resp, err := client.Do(r)
 		if err != nil {
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -48,19 +48,19 @@
 }
 
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
-	attempt := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", attempt)
+	attempt := r.Header.Get(wire.ID)
+	w.Header().Set(wire.ID, attempt)
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", b.id)
 		return
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != b.id {
+	if want := r.Header.Get(wire.ExpectedInstance); want != "" && want != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	b.onRun(b, attempt)
 	time.Sleep(b.work)
-	w.Header().Set("X-Response-Signature", "receipt-"+attempt)
+	w.Header().Set(wire.Signature, "receipt-"+attempt)
 	_, _ = fmt.Fprintf(w, "%s %s", b.id, b.version)
 }
 
@@ -92,7 +92,7 @@
 }
 
 func (b *backend) call(name, body string) bool {
-	resp, err := checkInClient.Post("http://"+b.site.address(b.host, portControl)+"/rattanfield/rpc?call="+name+"&of="+b.id, "application/json", strings.NewReader(body))
+	resp, err := checkInClient.Post(callURL(b.site.address(b.host, portControl), name)+"&of="+b.id, "application/json", strings.NewReader(body))
 	if err != nil {
 		return false
 	}
