platform: read times as exact decimals

Cause: the parsed number was multiplied by its unit in binary floating point and truncated (4.1 * 1e9 is 4099999999.9999995), then truncated again to milliseconds. Related faults of the same conversion: digits below a millisecond were cut off, so that two different configurations had one digest; the bound applied to the number instead of the time; text and exponent had no bound. Change: times are decoded as exact rational numbers with bounded text and exponent. A time that whole milliseconds do not hold is kept beside them as a decimal in the plan, is covered by the digest, returned by reads and shown by the check of a configuration. Rounding the product was ruled out: it would still lose digits below a millisecond.

--- a/core/plancheck/changes.go
+++ b/core/plancheck/changes.go
@@ -99,8 +99,8 @@
 	if a, b := c.options.body(before), c.options.body(after); a != b {
 		c.changed(e, plan.FieldMaxBody, bytes(a), bytes(b), rejectedAbove(a > b, "larger bodies", 413))
 	}
-	compare(c, e, plan.FieldHeaderTimeout, before.GetHeaderTimeoutMs(), after.GetHeaderTimeoutMs(), orDefault)
-	compare(c, e, plan.FieldIdleTimeout, before.GetIdleTimeoutMs(), after.GetIdleTimeoutMs(), orDefault)
+	compare(c, e, plan.FieldHeaderTimeout, headerTimeout(before), headerTimeout(after), orDefault)
+	compare(c, e, plan.FieldIdleTimeout, idleTimeout(before), idleTimeout(after), orDefault)
 }
 
 func rejectedAbove(smaller bool, what string, status int) string {
@@ -110,11 +110,19 @@
 	return fmt.Sprintf("requests with %s get %d", what, status)
 }
 
-func orDefault(n uint32) string {
-	if n == 0 {
+func headerTimeout(l *pb.TrafficLimits) statedTime {
+	return statedTime{l.GetHeaderTimeoutMs(), l.GetHeaderTimeoutExactMs()}
+}
+
+func idleTimeout(l *pb.TrafficLimits) statedTime {
+	return statedTime{l.GetIdleTimeoutMs(), l.GetIdleTimeoutExactMs()}
+}
+
+func orDefault(t statedTime) string {
+	if t == (statedTime{}) {
 		return "default"
 	}
-	return milliseconds(n)
+	return t.String()
 }
 
 func (c *comparison) services() {
@@ -151,7 +159,7 @@
 	compare(c, e, plan.FieldMaxConnections, a.GetMaxConnections(), b.GetMaxConnections(), text[uint32])
 	compare(c, e, plan.FieldProtocol, a.GetProtocol(), b.GetProtocol(), quote)
 	compare(c, e, plan.FieldTLS, a.GetTls(), b.GetTls(), text[bool])
-	compare(c, e, plan.FieldColdStart, a.GetColdStartMs(), b.GetColdStartMs(), milliseconds)
+	compare(c, e, plan.FieldColdStart, statedTime{a.GetColdStartMs(), a.GetColdStartExactMs()}, statedTime{b.GetColdStartMs(), b.GetColdStartExactMs()}, statedTime.String)
 	compare(c, e, plan.FieldColdRate, a.GetColdRequestsPerSecond(), b.GetColdRequestsPerSecond(), number)
 }
 
--- a/core/plancheck/limits.go
+++ b/core/plancheck/limits.go
@@ -56,6 +56,19 @@
 	return key + name + c.options.HeaderLinesBytes
 }
 
+// statedTime is a time as the operator stated it, see PlanService in the protocol.
+type statedTime struct {
+	ms      uint32
+	exactMs string
+}
+
+func (t statedTime) String() string {
+	if t.exactMs != "" {
+		return t.exactMs + "ms"
+	}
+	return milliseconds(t.ms)
+}
+
 func milliseconds(n uint32) string {
 	return strconv.FormatInt((time.Duration(n)*time.Millisecond).Milliseconds(), 10) + "ms"
 }
