proxy: read time limits in headers as decimal numbers only

Callers saw: a request whose time limit was NaN was not rejected; its time limit became the largest negative duration on x86-64, and the conversion is left to the processor.

Cause: strconv.ParseFloat also reads NaN, hexadecimal numbers and underscores, and no comparison bounds NaN. The product with the unit was truncated as well, by a nanosecond. Change: texts with other characters than those of decimal numbers are rejected with 400; the product is rounded.

--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bytes"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -138,10 +140,11 @@
 // missing, not a number, negative or above maxMs.
 func parseMs(v []byte) (d time.Duration, ok bool) {
 	n, err := strconv.ParseFloat(string(v), 64)
-	if err != nil || n < 0 || n > maxMs {
+	// ParseFloat also reads NaN, hexadecimal numbers and underscores.
+	if err != nil || len(bytes.Trim(v, "0123456789.eE+-")) > 0 || n < 0 || n > maxMs {
 		return 0, false
 	}
-	return time.Duration(n * float64(time.Millisecond)), true
+	return time.Duration(math.Round(n * float64(time.Millisecond))), true
 }
 
 const maxMs = 1 << 31
