rollout: compute canary shares without a truncated product

Cause: the share of a canary stage was the truncated product of two binary numbers, so that a bound of 0.11 gave 43 permille in place of 44. Change: a rounding error is added before the product is truncated. Measured: 14 of 242 shares of bounds from 0.080 to 0.200 were one permille too low -> 0 (go test -run CanaryShares ./core/rollout). The same was computed for the other products of stated decimals and found no difference: retry budget, 1,000 ratios; bound of the slow start, 79,600 combinations; extra retries, 19,701.

--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -30,7 +30,7 @@
 // bad version may receive; 0 stands for DefaultBound.
 func newSchedule(bound float64) schedule {
 	scale := min(max(cmp.Or(bound, DefaultBound)/DefaultBound, minScale), maxScale)
-	share := func(permille float64) uint32 { return uint32(permille * scale) }
+	share := func(permille float64) uint32 { return uint32(permille*scale + roundingError) }
 	// beforeCompletion returns the start of a stage of the ramp: completeAt minus a fraction of
 	// the duration, which grows with the bound.
 	beforeCompletion := func(fraction float64) float64 { return completeAt - fraction*scale }
@@ -52,6 +52,8 @@
 	// below the first share of the ramp.
 	minScale = 0.8
 	maxScale = 2.0
+	// roundingError exceeds the binary rounding error of a share of decimal numbers: 40 * (0.11 / 0.1) is below 44.
+	roundingError = 1e-6
 	// completeAt is the fraction of the duration from which a rollout may complete. It leaves
 	// time for a few decisions after the last step.
 	completeAt = 0.92
