--- a/cmd/rattanfield-platform/crowd_test.go
+++ b/cmd/rattanfield-platform/crowd_test.go
@@ -34,7 +34,12 @@
 // testCrowd runs all forms against a listener, one behind the other. After each, the process must live, its memory and its
 // descriptors must have stayed within their bounds, and an ordinary request must be answered.
 func testCrowd(t *testing.T, target crowdTarget) {
-	for _, form := range requesttest.CrowdForms(crowdBodyBytes) {
+	testCrowdForms(t, target, requesttest.CrowdForms(crowdBodyBytes))
+}
+
+// testCrowdForms is testCrowd for some forms.
+func testCrowdForms(t *testing.T, target crowdTarget, forms []requesttest.CrowdForm) {
+	for _, form := range forms {
 		t.Run(form.Name, func(t *testing.T) {
 			files := runCrowd(t, target, form)
 			if !reached(target.ordinary) {
--- a/cmd/rattanfield-platform/memory_test.go
+++ b/cmd/rattanfield-platform/memory_test.go
@@ -20,6 +20,8 @@
 	endless        = "endless"
 	largePage      = "large"
 	largePageBytes = 32 << 10
+	// upstreamBufferBytes is more than the largest legal header.
+	upstreamBufferBytes = 64 << 10
 )
 
 // names are the header names of the platform.
@@ -28,7 +30,7 @@
 // serveUpstream answers ordinary requests, and those for endless paths with bytes until the connection is closed.
 func serveUpstream(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	br := bufio.NewReader(c)
+	br := bufio.NewReaderSize(c, upstreamBufferBytes)
 	for {
 		var r fasthttp.Request
 		if err := r.Read(br); err != nil {
