meshhttp: count the decoded fields of a header

Callers saw: a node of 64 MB whose clients send headers of legal size made of thousands of lines, cookies or list elements used up to 871 MB; on its host it would have ended with the requests of all its clients.

Cause: the account counted a header by its bytes. Decoded, each field is a value of its own, at the entry and in up to three copies on its way to the upstream: a header of 15 KiB takes over 2 MB. It was decoded anew with each part that arrived, too. Change: a header is awaited whole before it is decoded, and its fields beyond 64 are taken from the account first, with 640 bytes for each, as part of what large messages may hold together. Without room the request is answered with 503 and has not run; silent clients with such headers give way. No limit of lines was added: a single request of legal size is still served. Pools of decoded headers were ruled out as the cause, since what they hold is freed by two collections.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/rattanfield/rattanfield/adapters/body"
 	"github.com/rattanfield/rattanfield/adapters/memory"
 	"github.com/rattanfield/rattanfield/adapters/request"
@@ -217,36 +214,6 @@
 	}
 }
 
-// readHeader reads a header into a buffer that grows as needed.
-func (c *conn) readHeader(h *fasthttp.RequestHeader) error {
-	err := h.Read(c.br)
-	var small *fasthttp.ErrSmallBuffer
-	most := c.maxHeader()
-	if !errors.As(err, &small) || c.br.Size() >= most {
-		return err
-	}
-	if !c.take(int64(most)) {
-		return body.ErrTooLarge
-	}
-	begin, err := c.br.Peek(c.br.Buffered())
-	if err != nil {
-		return err
-	}
-	c.holder.Add(-c.grown, false, time.Time{})
-	c.br, c.grown = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(begin)), c.input), most), int64(most)
-	return h.Read(c.br)
-}
-
-// shrinkBuffer replaces a read buffer that has grown once it is empty.
-func (c *conn) shrinkBuffer() {
-	if c.br == c.usual || c.br.Buffered() > 0 {
-		return
-	}
-	c.holder.Add(-c.grown, false, time.Time{})
-	c.usual.Reset(c.input)
-	c.br, c.grown = c.usual, 0
-}
-
 // readRequest reads one request and starts its handler. It returns nil when the connection ends.
 func (c *conn) readRequest() *Exchange {
 	limits := c.server.options.Limits()
@@ -261,7 +228,7 @@
 		return c.respondReadError(x, body.ErrTooLarge)
 	}
 	x.held = exchangeBytes
-	if err := c.readHeader(&x.Request.Header); err != nil {
+	if err := c.readHeader(x); err != nil {
 		return c.respondReadError(x, err)
 	}
 	if c.rejectsEarly(x) {
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -74,6 +74,7 @@
 	conn         *conn
 	requestLease *body.Lease   // holds the memory of the request body until the handler has ended; nil: none is held
 	held         int64         // memory of the exchange itself and of a response body without a lease
+	heldFields   int64         // memory of the fields of the request beyond coveredFields
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 	unread       int           // length of the body that is discarded behind an early response, see AdmitHeader; negative: in chunks
@@ -96,6 +97,10 @@
 	}
 	x.conn.holder.Add(-x.held, false, time.Time{})
 	x.held = 0
+	if x.heldFields > 0 {
+		x.conn.holder.Add(-x.heldFields, true, time.Time{})
+		x.heldFields = 0
+	}
 }
 
 // ResponseLease returns a lease for the body of a response that a pool reads for this exchange. It counts for the client.
