httpproxy: count the decoded fields of headers

Callers saw: a node of 64 MB with the older entry used up to 94 MB while clients sent headers of legal size made of very many lines.

Cause: as in meshhttp, decoded fields were not in the account. Here the HTTP library decodes a header with each part that arrives, and keeps the slices until the connection closes. Change: the fields are counted in what is read from the connection, before the library decodes it, and their memory is held until the connection closes. Bytes between two headers of one read count too if they may hold a header. The cost of a field is shared with meshhttp in adapters/request.

--- a/adapters/httpproxy/serverconn.go
+++ b/adapters/httpproxy/serverconn.go
@@ -21,7 +21,9 @@
 	slot   *memory.Holder // its place among the open connections
 	holder *memory.Holder // its memory
 
-	counted bool // the memory of the connection itself is held; only the reader uses it
+	counted    bool         // the memory of the connection itself is held; only the reader uses it, like the next two
+	fields     fieldCounter // of the headers that arrive
+	fieldsHeld int64        // memory of decoded fields
 
 	mu sync.Mutex
 	// answered is true between a response and the first byte of the next request, as seen by
@@ -50,7 +52,11 @@
 		c.counted = true
 	}
 	c.markIdle()
+	inHeader := c.input.InHeader()
 	n, err := c.input.Read(b)
+	if !c.takeFields(c.fields.count(b[:n], inHeader, c.input.InHeader())) {
+		n, err = 0, body.ErrTooLarge
+	}
 	if errors.Is(err, request.ErrInvalid) && !c.input.Begun() {
 		n, err = copy(b, invalidLine), nil
 	}
--- a/adapters/meshhttp/header.go
+++ b/adapters/meshhttp/header.go
@@ -7,15 +7,7 @@
 	"time"
 
 	"github.com/rattanfield/rattanfield/adapters/body"
-)
-
-const (
-	// coveredFields is the number of fields of a header that exchangeBytes covers. Clients and the system send fewer.
-	coveredFields = 64
-	// fieldBytes is the memory of one more field while its request is handled: 90 bytes where it is decoded and in each of up to three
-	// copies (the request that is sent on, its copy at a gate in the same process, and the one for the upstream), and as much
-	// again as garbage of the slices that grew while it was decoded.
-	fieldBytes = 640
+	"github.com/rattanfield/rattanfield/adapters/request"
 )
 
 // readHeader reads the header of an exchange into a buffer that grows as needed, and takes the memory of its decoded form before it
@@ -25,7 +17,7 @@
 	if err != nil {
 		return err
 	}
-	if n := int64(countFields(header)-coveredFields) * fieldBytes; n > 0 {
+	if n := request.FieldMemory(request.CountFields(header)); n > 0 {
 		if !body.Take(c.server.options.Account, c.holder, n, true) {
 			c.server.count(noMemory)
 			return body.ErrTooLarge
@@ -86,13 +78,3 @@
 	c.usual.Reset(c.input)
 	c.br, c.grown = c.usual, 0
 }
-
-// countFields returns how many fields, cookies and elements of lists a header may have. Each is decoded to a value of its own.
-func countFields(header []byte) (n int) {
-	for _, b := range header {
-		if b == '\n' || b == ';' || b == ',' {
-			n++
-		}
-	}
-	return n
-}
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -74,7 +74,7 @@
 	conn         *conn
 	requestLease *body.Lease   // holds the memory of the request body until the handler has ended; nil: none is held
 	held         int64         // memory of the exchange itself and of a response body without a lease
-	heldFields   int64         // memory of the fields of the request beyond coveredFields
+	heldFields   int64         // see request.FieldMemory
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 	unread       int           // length of the body that is discarded behind an early response, see AdmitHeader; negative: in chunks
--- a/cmd/rattanfield-node/crowd_test.go
+++ b/cmd/rattanfield-node/crowd_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -187,3 +189,16 @@
 	}
 	return int(value)
 }
+
+// Guards against requests of legal size that are made of very many header lines and that end the older entry, or make it stop
+// answering, because the decoded lines take many times the memory of the header.
+func TestCrowdOfHeaderLinesOnTheOlderEntry(t *testing.T) {
+	const memoryMB = 64
+	n := startNode(t, fmt.Sprintf(`"memory_mb": %d,`, memoryMB))
+	fillers := requesttest.HeaderFillers()
+	for _, name := range slices.Sorted(maps.Keys(fillers)) {
+		for _, form := range requesttest.HeaderForms(name, fillers[name]) {
+			t.Run(form.Name, func(t *testing.T) { n.testCrowd(t, form, memoryMB*1_000_000) })
+		}
+	}
+}
