httpproxy: count the fields of each request alone

Cause: when a read ended with the end of a header, the counter went on with the same header, so that the fields of all requests of a kept connection added up until it was refused. Change: the end of a header ends its count, wherever the read ends.

--- a/adapters/httpproxy/fields.go
+++ b/adapters/httpproxy/fields.go
@@ -21,23 +21,20 @@
 func (f *fieldCounter) count(b []byte, inHeader, inHeaderAfter bool) int {
 	most := 0
 	if inHeader {
-		end := len(b)
-		if i := bytes.Index(append(f.tail, b...), headerEnd); i >= 0 {
-			end = min(end, i+len(headerEnd)-len(f.tail))
-		}
-		f.fields += request.CountFields(b[:end])
-		most = f.fields
-		if inHeaderAfter && end == len(b) {
-			f.tail = append(f.tail, b[max(0, len(b)-len(headerEnd)+1):]...)
-			f.tail = bytes.Clone(f.tail[max(0, len(f.tail)-len(headerEnd)+1):])
-			return most
+		i := bytes.Index(append(f.tail, b...), headerEnd)
+		if i < 0 {
+			f.fields += request.CountFields(b)
+			f.keepTail(b)
+			return f.fields
 		}
+		end := max(0, i+len(headerEnd)-len(f.tail))
+		most = f.fields + request.CountFields(b[:end])
 		b = b[end:]
 	}
 	f.fields, f.tail = 0, nil
 	if inHeaderAfter {
 		f.fields = request.CountFields(b)
-		f.tail = bytes.Clone(b[max(0, len(b)-len(headerEnd)+1):])
+		f.keepTail(b)
 		return max(most, f.fields)
 	}
 	if bytes.Contains(b, headerEnd) {
@@ -46,6 +43,12 @@
 	return most
 }
 
+// keepTail keeps the last bytes that were read.
+func (f *fieldCounter) keepTail(b []byte) {
+	f.tail = append(f.tail, b[max(0, len(b)-len(headerEnd)+1):]...)
+	f.tail = bytes.Clone(f.tail[max(0, len(f.tail)-len(headerEnd)+1):])
+}
+
 // takeFields takes the memory of decoded fields. It is held until the connection closes, because the HTTP library keeps
 // the slices for the next request.
 func (c *serverConn) takeFields(fields int) bool {
--- a/adapters/httpproxy/fields_test.go
+++ b/adapters/httpproxy/fields_test.go
@@ -41,3 +41,25 @@
 		}
 	})
 }
+
+// Guards against a connection on which the fields of all its requests add up until it is refused.
+func TestFieldsOfEachRequestCountAlone(t *testing.T) {
+	const fields = 10
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", fields) + "\r\n"
+	for _, read := range []int{len(head), len(head) / 2, len(head) - 1, 3, 1} {
+		input := request.Reader{Source: strings.NewReader(strings.Repeat(head, 20))}
+		var counter fieldCounter
+		for {
+			b := make([]byte, read)
+			inHeader := input.InHeader()
+			n, err := input.Read(b)
+			if err != nil {
+				break
+			}
+			// A read may hold the end of one header and the begin of the next one.
+			if got, want := counter.count(b[:n], inHeader, input.InHeader()), request.CountFields([]byte(head)); got > want {
+				t.Fatalf("reads of %d bytes: %d fields were counted, a header has %d", read, got, want)
+			}
+		}
+	}
+}
