--- a/review/standin3/departed.go
+++ b/review/standin3/departed.go
@@ -17,7 +17,7 @@
 // runDeparted lets an upstream leave. Its node is stopped and started again on its own, and an announcement that the upstream sent before it
 // left arrives late. No request may reach the upstream later than the drain bound after the departure was acknowledged.
 func runDeparted(s *site, trouble bool) error {
-	if err := s.start(serviceDesk, serviceLedger, serviceDesk, serviceLedger); err != nil {
+	if err := s.start(2, serviceDesk, serviceLedger, serviceDesk, serviceLedger); err != nil {
 		return err
 	}
 	if err := s.configure(); err != nil {
--- a/review/standin3/powerloss.go
+++ b/review/standin3/powerloss.go
@@ -23,7 +23,7 @@
 // runPowerLoss sends changes of the configuration until each control host has removed two segments of its log without a sync of the
 // folder. Then all control hosts lose power, and on two of them one of the two removals is lost. What was acknowledged must be there.
 func runPowerLoss(s *site, trouble bool) error {
-	if err := s.start(); err != nil {
+	if err := s.start(1); err != nil {
 		return err
 	}
 	var disks []*diskWatcher
--- a/review/standin3/site.go
+++ b/review/standin3/site.go
@@ -66,7 +66,7 @@
 }
 
 // maxHosts bounds the hosts of a site, whose ports are checked before the first one starts.
-const maxHosts = 12
+const maxHosts = 20
 
 // newSite finds a network and a base port of which all ports are free.
 func newSite(program, dir string, r *record) (*site, error) {
@@ -97,11 +97,8 @@
 
 func (s *site) ip(i int) string { return s.network + "." + strconv.Itoa(i+1) }
 
-// hostsPerZone is the number of hosts with nodes in each zone at the start.
-const hostsPerZone = 2
-
-// start starts the control hosts and a node for each of the services, one host each.
-func (s *site) start(services ...string) error {
+// start starts the control hosts and a node for each of the services, one host each, with so many of them in a zone.
+func (s *site) start(perZone int, services ...string) error {
 	for i := range controlHosts {
 		h := &host{site: s, name: "core-" + strconv.Itoa(i+1), ip: s.ip(i), zone: i, control: true}
 		s.hosts = append(s.hosts, h)
@@ -112,7 +109,7 @@
 		}
 	}
 	for i, service := range services {
-		if _, err := s.addNode(service, i/hostsPerZone, true); err != nil {
+		if _, err := s.addNode(service, i/perZone, true); err != nil {
 			return err
 		}
 	}
