review: case 11, a host with an outdated member set of two overwrites what was acknowledged

Cause: an election counts the vote of an empty disk if all voters of the candidate's member set have granted theirs, also if that set is outdated.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -19,15 +19,16 @@
 
 // cases are the cases by name. Each gets a site without processes and whether to cause the disruption.
 var cases = map[string]func(s *site, trouble bool) error{
-	"departed":  runDeparted,
-	"powerloss": runPowerLoss,
+	"departed":   runDeparted,
+	"powerloss":  runPowerLoss,
+	"stalegroup": runStaleGroup,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin3 departed|powerloss RECORD")
+		fmt.Fprintln(os.Stderr, "usage: standin3 departed|powerloss|stalegroup RECORD")
 		return exitFailed
 	}
 	record, err := newRecord(os.Args[2])
--- a/review/standin3/powerloss.go
+++ b/review/standin3/powerloss.go
@@ -85,11 +85,11 @@
 	number, base := uint64(3), uint64(0)
 	start := time.Now()
 	for time.Since(start) < changesFor {
-		b, err := json.Marshal(largePlan(number, base))
+		b, err := json.Marshal(largePlan(number, base, idleRoutes+addedRoutes))
 		if err != nil {
 			return 0, err
 		}
-		if err := s.replace(number, b); err != nil {
+		if err := s.replace(number, b, s.hosts); err != nil {
 			return 0, err
 		}
 		if done() {
@@ -102,10 +102,10 @@
 	return 0, fmt.Errorf("after %v the control hosts had not removed %d segments", changesFor, unsyncedNames)
 }
 
-// replace sends a configuration to the control hosts in turn until one acknowledges it.
-func (s *site) replace(number uint64, b []byte) error {
+// replace sends a configuration to control hosts in turn until one acknowledges it.
+func (s *site) replace(number uint64, b []byte, hosts []*host) error {
 	for i := range 50 {
-		h := s.hosts[i%controlHosts]
+		h := hosts[i%len(hosts)]
 		status := post(h.address(offsetControl), "config.replace", "", b, 3*callTimeout)
 		s.record.log("operator: version r%d (%d bytes) sent to %s, answered with %d", number, len(b), h.name, status)
 		if status == http.StatusOK {
@@ -116,17 +116,16 @@
 	return fmt.Errorf("version r%d was not accepted", number)
 }
 
-// largePlan returns a configuration with the routes of the largest site and those of the largest growth. Its numbers differ only in
-// the timeout of one route.
-func largePlan(number, base uint64) map[string]any {
+// largePlan returns a configuration with a number of routes. Its versions differ only in the timeout of one route.
+func largePlan(number, base uint64, count int) map[string]any {
 	route := func(i int) map[string]any {
 		return map[string]any{
 			"name": "r-" + name(2*i), "path_prefix": "/" + name(2*i+1) + "/", "kind": "idempotent", "timeout": "1200ms", "slo": "400ms", "priority": 2,
 			"service": serviceDesk, "max_attempts": 2,
 		}
 	}
-	routes := make([]any, 0, idleRoutes+addedRoutes)
-	for i := range idleRoutes + addedRoutes {
+	routes := make([]any, 0, count)
+	for i := range count {
 		routes = append(routes, route(i))
 	}
 	routes[0].(map[string]any)["timeout"] = strconv.FormatUint(1000+number, 10) + "ms"
--- a/review/standin3/process.go
+++ b/review/standin3/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"syscall"
 )
 
 // process is a process of the project.
@@ -35,6 +36,8 @@
 
 func (p *process) id() int { return p.cmd.Process.Pid }
 
+func (p *process) signal(n syscall.Signal) error { return p.cmd.Process.Signal(n) }
+
 // kill ends the process and waits for its end.
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
