--- a/review/standin3/clients.go
+++ b/review/standin3/clients.go
@@ -59,8 +59,8 @@
 		return
 	}
 	r.Host = routeHost
-	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(timeLimit.Milliseconds(), 10))
+	r.Header.Set(wire.ID, id)
+	r.Header.Set(wire.Deadline, strconv.FormatInt(timeLimit.Milliseconds(), 10))
 	c.mu.Lock()
 	c.sent[id] = sentRequest{at: time.Now(), from: h}
 	c.mu.Unlock()
--- a/review/standin3/operator.go
+++ b/review/standin3/operator.go
@@ -40,7 +40,7 @@
 		return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false}
 	}
 	return s.order("config.replace", map[string]any{
-		"version": "r3", "base_version": "r0",
+		"version": "r3", wire.Base: "r0",
 		"services": []any{service(serviceDesk), service(serviceLedger)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"hosts": []any{map[string]any{"host": routeHost, "paths": []any{map[string]any{
@@ -63,7 +63,7 @@
 func (h *host) awaitReady() error {
 	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get("http://" + h.address(offsetReady) + "/rattanfield/readyz")
+		resp, err := client.Get("http://" + h.address(offsetReady) + wire.ReadyPath)
 		if err != nil {
 			continue
 		}
