raft: let known members, not only voters of a set, decide unanimous elections

Cause: a candidate that had the votes of all voters of its own member set led, also with votes of empty disks. The set may be outdated: a newer one, with a former standby as a voter, had been committed by the host whose disk was lost, and the standby, which alone held what followed, was not asked. Besides, a group of two with one lost disk elected a leader each second that could never commit, because the replaced disk does not count and the change that admits it needs a commit. Ruled out: votes of full majorities (single changes of voters meet in a disk that is not lost) and the disk check (A held what it had acknowledged). Change: a unanimous election needs the votes of all members of the sets of which one is the newest committed set of the candidate's log; its winner writes the disks that voted into the member set, with the same voters; a standby that is ahead of a candidate campaigns too, but leads only unanimously; only members become voters. A candidate counts its own vote anew with each reply, and a sole voter has completed its disk check, so that restarts need no unanimity. A group whose majority includes lost disks waits for all known members.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -7,6 +7,10 @@
 	pb "github.com/rattanfield/rattanfield/gen/rattanfield/v1"
 )
 
+// aheadTimeouts is the number of election timeouts for which a member that is no voter may campaign after it has
+// rejected a candidate. It covers the candidate's next attempt.
+const aheadTimeouts = 4
+
 // vote is the reply of a voter to a request for its vote, or the candidate's vote for itself.
 type vote struct {
 	granted     bool
@@ -58,14 +62,22 @@
 	n.resetElectionDeadline()
 }
 
-// canCampaign reports whether this host is a voter that may become leader. A
-// host with a replaced disk must be admitted first: as a leader its own
-// acknowledgements would not count.
+// canCampaign reports whether this host may become leader: as a voter whose disk is admitted, or as any member that
+// holds entries which a candidate lacks. The latter leads only if all known members vote for it, see wonUnanimously.
 func (n *Node) canCampaign() bool {
 	m := findMember(n.members(), n.config.ID)
-	return m != nil && m.GetVoter() && (n.lacksMemberSet() || n.admittedAsVoter())
+	return m != nil && (n.campaignsAsVoter(m) || n.aheadOfCandidate())
+}
+
+// campaignsAsVoter reports whether this host, with its member record, is a voter that may lead with the votes of a
+// majority. A host with a replaced disk must be admitted first: its own acknowledgements would not count.
+func (n *Node) campaignsAsVoter(m *pb.Member) bool {
+	return m.GetVoter() && (n.lacksMemberSet() || n.admittedAsVoter())
 }
 
+// aheadOfCandidate reports whether this host has lately rejected a candidate whose log lacks entries of its own.
+func (n *Node) aheadOfCandidate() bool { return n.now < n.aheadUntil }
+
 // campaign starts a pre-vote (PreCandidate) or an election (Candidate).
 func (n *Node) campaign(role Role, force bool) {
 	leaderless := n.role == PreCandidate && role == Candidate && n.allAnswered()
@@ -81,15 +93,14 @@
 		// The first pre-vote often comes before the other hosts notice that the leader is gone.
 		n.electionDeadline = n.now + n.preVoteDelay()
 	}
-	n.votes = map[string]vote{n.config.ID: {
-		granted: true, provisional: !n.eligible(), starting: role == PreCandidate && n.starting(), diskID: n.state.Incarnation,
-	}}
+	n.votes = make(map[string]vote)
+	n.countOwnVote()
 	if n.won() {
 		n.winElection(role)
 		return
 	}
-	for _, m := range n.members() {
-		if m.GetVoter() && m.GetId() != n.config.ID {
+	for _, m := range n.knownMembers() {
+		if m.GetId() != n.config.ID {
 			n.sendVote(role, &pb.RaftMessage{
 				Kind: kind, To: m.GetId(), Term: term, Force: force, Leaderless: leaderless,
 				LogIndex: n.log.last(), LogTerm: n.log.lastTerm(), Acknowledged: n.acknowledgedBy(m.GetId()),
@@ -112,15 +123,31 @@
 	}
 	n.checkDiskAgainstPeer(m)
 	votedForOther := m.GetTerm() == n.state.Term && n.state.Vote != "" && n.state.Vote != m.GetFrom()
-	grant := !votedForOther && n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	upToDate := n.log.upToDate(m.GetLogIndex(), m.GetLogTerm())
+	grant := !votedForOther && upToDate
 	n.replyPreVote(m, grant)
-	if grant && n.role == PreCandidate && (m.GetFrom() < n.config.ID || m.GetLogIndex() > n.log.last()) {
+	from := findMember(n.members(), m.GetFrom())
+	switch {
+	case !upToDate:
+		n.noteCandidateBehind()
+	case grant && n.role == PreCandidate && from.GetVoter() && (m.GetFrom() < n.config.ID || m.GetLogIndex() > n.log.last()):
 		// Two hosts that campaign at once would split the votes.
 		n.role, n.votes = Follower, nil
 		n.electionDeadline = n.now + n.preVoteDelay()
 	}
 }
 
+// noteCandidateBehind lets a member that is no voter campaign for a while. The candidate may be unable to win without
+// its vote, and no voter may hold what it holds.
+func (n *Node) noteCandidateBehind() {
+	m := findMember(n.members(), n.config.ID)
+	if m == nil || n.campaignsAsVoter(m) {
+		return
+	}
+	n.aheadUntil = n.now + aheadTimeouts*n.config.ElectionTimeout
+	n.electionDeadline = min(n.electionDeadline, n.now+n.preVoteDelay())
+}
+
 func (n *Node) replyPreVote(m *pb.RaftMessage, grant bool) {
 	reply := &pb.RaftMessage{
 		Kind: pb.RaftKind_RAFT_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !grant, LogIndex: n.log.last(),
@@ -157,7 +184,15 @@
 	}
 }
 
+// countOwnVote records the candidate's vote for itself. Replies may have completed its disk check since the last one.
+func (n *Node) countOwnVote() {
+	n.votes[n.config.ID] = vote{
+		granted: true, provisional: !n.eligible(), starting: n.role == PreCandidate && n.starting(), diskID: n.state.Incarnation,
+	}
+}
+
 func (n *Node) countVote(m *pb.RaftMessage) {
+	n.countOwnVote()
 	n.votes[m.GetFrom()] = vote{
 		granted: !m.GetReject(), provisional: m.GetProvisional(), starting: m.GetStarting(), diskID: m.GetIncarnation(),
 	}
@@ -189,21 +224,23 @@
 	n.becomeLeader()
 }
 
-// won reports whether the candidate has a majority of full votes, or the votes
-// of all voters.
+// won reports whether the candidate may lead.
+func (n *Node) won() bool { return n.wonByMajority() || n.wonUnanimously() }
+
+// wonByMajority reports whether the candidate is a voter and has a majority of full votes.
 //
 // A vote is full if the voter has completed its disk check and the candidate's
 // member set names that disk: the disk was then admitted when it held everything
-// that had been committed. A unanimous election also counts provisional votes:
-// if no voter's log is ahead of the candidate's, no remaining disk holds
-// anything that the candidate lacks. This covers the first election, in which
-// all disks are new.
+// that had been committed.
 //
 // The vote of a host that is still starting counts as a full vote only once all
 // voters have answered: then none of them leads, so no lease that the host
 // confirmed before its start is still valid.
-func (n *Node) won() bool {
-	voters, full, all := 0, 0, 0
+func (n *Node) wonByMajority() bool {
+	if !n.admittedAsVoter() {
+		return false
+	}
+	voters, full := 0, 0
 	answered := n.allAnswered()
 	for _, m := range n.members() {
 		if !m.GetVoter() {
@@ -211,15 +248,28 @@
 		}
 		voters++
 		v := n.votes[m.GetId()]
-		if !v.granted {
-			continue
-		}
-		all++
-		if (!v.starting || answered) && !v.provisional && len(v.diskID) > 0 && bytes.Equal(v.diskID, m.GetIncarnation()) {
+		if v.granted && (!v.starting || answered) && !v.provisional && len(v.diskID) > 0 && bytes.Equal(v.diskID, m.GetIncarnation()) {
 			full++
 		}
 	}
-	return voters > 0 && (full > voters/2 || all == voters)
+	return full > voters/2
+}
+
+// wonUnanimously reports whether all known members, voters or not, have voted for the candidate; provisional votes
+// count too. This covers the first election, in which all disks are new, and a group whose majority includes lost disks.
+//
+// An entry was committed by a majority of some member set, of which at least one disk is left, because that majority
+// exceeds the number of disks that the group may lose. If that set is newer than the candidate's, the host of that disk
+// is still among the known members: only members become voters, and a set follows another one only once that one is
+// committed. So no remaining disk holds anything committed that the candidate lacks.
+func (n *Node) wonUnanimously() bool {
+	known := n.knownMembers()
+	for _, m := range known {
+		if !n.votes[m.GetId()].granted {
+			return false
+		}
+	}
+	return len(known) > 0
 }
 
 // onTransferLeader starts an election at the request of the leader.
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -12,7 +12,7 @@
 
 func (n *Node) becomeLeader() {
 	members := n.members()
-	votes := n.votes
+	votes, byMajority := n.votes, n.wonByMajority()
 	n.role, n.leaderID, n.votes = Leader, n.config.ID, nil
 	n.diskCheck = diskCheck{done: true, leaderChecked: true}
 	n.leading = &leaderState{
@@ -26,17 +26,18 @@
 	own := n.leading.progress[n.config.ID]
 	own.diskID, own.match = n.state.Incarnation, n.log.stable
 	n.leading.firstIndex = n.log.last() + 1
-	if n.lacksMemberSet() {
-		n.appendMembers(bootstrapMembers(members, votes))
-	} else {
+	if byMajority {
 		n.appendEntry(pb.EntryKind_ENTRY_KIND_NOOP, nil)
+	} else {
+		n.appendMembers(membersWithVotedDisks(members, votes))
 	}
 	n.startRound()
 }
 
-// bootstrapMembers returns the first member set that is written to the log. It
-// holds the ids of the disks that took part in the first election.
-func bootstrapMembers(members []*pb.Member, votes map[string]vote) []*pb.Member {
+// membersWithVotedDisks returns the members with the ids of the disks that took part in a unanimous election. It is the
+// first member set of the log, or admits the replaced disks of voters, without which there may be no majority to commit
+// anything. The voters stay the same, so that every majority still meets those of the set before.
+func membersWithVotedDisks(members []*pb.Member, votes map[string]vote) []*pb.Member {
 	out := make([]*pb.Member, 0, len(members))
 	for _, m := range members {
 		c := proto.Clone(m).(*pb.Member)
--- a/core/raft/members.go
+++ b/core/raft/members.go
@@ -66,6 +66,31 @@
 	return n.memberSets[0].members
 }
 
+// knownMembers returns the members of the sets of which one is the newest committed set of this log: the set in force
+// and, unless it is known to be committed, the sets before it. A set with other members or voters than the one before
+// it was proposed when that one was committed, so the search ends there.
+func (n *Node) knownMembers() []*pb.Member {
+	out := slices.Clone(n.members())
+	for i := len(n.memberSets) - 1; i > 0 && n.memberSets[i].index > n.log.commit; i-- {
+		before := n.memberSets[i-1].members
+		for _, m := range before {
+			if findMember(out, m.GetId()) == nil {
+				out = append(out, m)
+			}
+		}
+		if !sameVoters(before, n.memberSets[i].members) {
+			break
+		}
+	}
+	return out
+}
+
+// sameVoters reports whether two sets have the same members and the same voters.
+func sameVoters(a, b []*pb.Member) bool {
+	return len(a) == len(b) && changedVoters(a, b) == 0 &&
+		!slices.ContainsFunc(a, func(m *pb.Member) bool { return findMember(b, m.GetId()) == nil })
+}
+
 // lacksMemberSet reports whether neither the log nor a snapshot holds a member
 // set, so that the one of Config is in force.
 func (n *Node) lacksMemberSet() bool { return n.memberSets[len(n.memberSets)-1].index == 0 }
@@ -80,7 +105,7 @@
 }
 
 // ProposeMembers appends a new member set that differs from the current one in
-// at most one voter, and returns its position. It returns ErrNotLeader,
+// at most one voter and makes only members voters, and returns its position. It returns ErrNotLeader,
 // ErrTransferring, ErrMemberPending or ErrMemberChange if the set is rejected.
 func (n *Node) ProposeMembers(members []*pb.Member) (index, term uint64, err error) {
 	switch {
@@ -90,7 +115,7 @@
 		return 0, 0, ErrTransferring
 	case !n.mayChangeMembers():
 		return 0, 0, ErrMemberPending
-	case changedVoters(n.members(), members) > 1 || voterCount(members) == 0:
+	case changedVoters(n.members(), members) > 1 || voterCount(members) == 0 || addsVoter(n.members(), members):
 		return 0, 0, ErrMemberChange
 	}
 	e := n.appendMembers(members)
@@ -126,6 +151,11 @@
 	return changed
 }
 
+// addsVoter reports whether a voter of a new set is no member of the old one.
+func addsVoter(from, to []*pb.Member) bool {
+	return slices.ContainsFunc(to, func(m *pb.Member) bool { return m.GetVoter() && findMember(from, m.GetId()) == nil })
+}
+
 func voterCount(members []*pb.Member) int {
 	count := 0
 	for _, m := range members {
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -25,6 +25,7 @@
 	startedAt        time.Duration
 	leaderSeen       bool // a leader has sent a message since the start
 	votes            map[string]vote
+	aheadUntil       time.Duration // see aheadOfCandidate
 
 	matched       uint64 // highest index known to match the log of the leader of this term
 	diskCheck     diskCheck
@@ -47,8 +48,9 @@
 		config: config, now: now, state: stored.State, savedState: stored.State, log: newLog(stored),
 		acknowledged: make(map[string]*pb.Acknowledged), forwardedReads: make(map[uint64]bool),
 	}
-	n.diskCheck.done = stored.Fresh
 	n.loadMemberSets(stored)
+	// A sole voter is a majority of its own.
+	n.diskCheck.done = stored.Fresh || (n.admittedAsVoter() && voterCount(n.members()) == 1)
 	// A vote right after a restart could elect a leader during a lease that this host confirmed before it stopped.
 	n.lastContact, n.startedAt = now, now
 	n.electionDeadline = now + n.preVoteDelay()
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -65,6 +65,7 @@
 	paused      bool
 	diskFull    bool // writes wait
 	started     bool // the disk was used before
+	replaced    bool // the disk was lost
 	diskDamaged bool // the disk was lost or replaced with an older copy, and has not been admitted since
 	undetected  bool // no disk check has detected yet that the disk is an older copy
 	seed        uint64
@@ -82,6 +83,8 @@
 	net     []simMessage
 	drop    func(m *pb.RaftMessage) bool // selects messages to lose; nil: none
 	cut     map[[2]string]bool           // cut links by sender and receiver
+	// fixedMembers reports that a host with a replaced disk is started with the initial member set, and not without one.
+	fixedMembers bool
 
 	committed []*pb.Entry // by index; the first entry has index 1, and index 0 holds nil
 	digests   []uint64
@@ -97,7 +100,7 @@
 }
 
 func newSim(t *rapid.T, voters, spares int, seed uint64) *sim {
-	s := &sim{t: t, now: time.Second, cut: make(map[[2]string]bool), leaders: make(map[uint64]string), committed: []*pb.Entry{nil}, digests: []uint64{0}}
+	s := &sim{t: t, now: time.Second, fixedMembers: true, cut: make(map[[2]string]bool), leaders: make(map[uint64]string), committed: []*pb.Entry{nil}, digests: []uint64{0}}
 	for i := range voters + spares {
 		h := &simHost{id: fmt.Sprintf("h%d", i), seed: seed + uint64(i)*1000}
 		h.disk.state.Incarnation = []byte(fmt.Sprintf("disk-%d-0", i))
@@ -116,8 +119,12 @@
 	h.seed++
 	fresh := !h.started // a new or replaced disk is used for the first time
 	h.started = true
+	members := s.initial
+	if h.replaced && !s.fixedMembers {
+		members = nil
+	}
 	h.node = New(Config{
-		ID: h.id, Members: s.initial, ElectionTimeout: simElection, HeartbeatInterval: simHeartbeat,
+		ID: h.id, Members: members, ElectionTimeout: simElection, HeartbeatInterval: simHeartbeat,
 		Rand: rand.New(rand.NewPCG(h.seed, 1)),
 	}, Stored{State: h.disk.state, Snapshot: h.disk.snap, Entries: h.disk.entries, Fresh: fresh}, s.now)
 	h.applied, h.digest = h.disk.snap.Index, 0
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -29,7 +29,7 @@
 	ErrNoLeader      = errors.New("no leader is known")
 	ErrTransferring  = errors.New("leadership is being transferred")
 	ErrMemberPending = errors.New("another membership change is not committed yet")
-	ErrMemberChange  = errors.New("a membership change adds, removes or changes exactly one voter")
+	ErrMemberChange  = errors.New("a membership change changes at most one voter, and only members become voters")
 )
 
 // Bounds of one append message, and of the unacknowledged append messages per member.
