voters: leave at most one seat vacant

Cause: a voter that could not store the log (a full disk) was demoted although another seat was vacant. Of three voters one was left, which accepts alone; with its disk lost, what it accepted is gone. Change: a lost voter is demoted ahead of its successor only while no seat is vacant; otherwise the successor of the first one comes first. Measured: TestSecondLostVoterKeepsItsVoteUntilTheFirstIsReplaced on the code before: {b [c d] } != { [c d] }; passes now.

--- a/core/voters/voters.go
+++ b/core/voters/voters.go
@@ -8,6 +8,8 @@
 //   - A host that lost its vote remains a member for a while and, if it comes back, is a standby.
 //   - A voter that is lost is demoted before its successor is promoted, because a change must not wait for a host
 //     that may be lost too. A voter that runs is demoted after its successor was promoted.
+//   - At most one seat is vacant. A second lost voter keeps its vote until the first one has a successor: with two
+//     vacant seats of three, one host would accept alone what its disk may lose.
 //
 // The package does no I/O, starts no goroutine and reads no clock.
 package voters
@@ -72,7 +74,7 @@
 }
 
 func (g *group) next() Change {
-	wanted := g.wanted()
+	wanted, size := g.wanted()
 	isWanted := func(h Host) bool { return slices.ContainsFunc(wanted, func(w Host) bool { return w.ID == h.ID }) }
 	var c Change
 	pending := false
@@ -85,8 +87,9 @@
 			c.Promote = append(c.Promote, h.ID)
 		}
 	}
+	voting := len(slices.DeleteFunc(slices.Clone(g.hosts), func(h Host) bool { return !h.Voter }))
 	for _, h := range g.hosts {
-		lostVoter := h.Voter && !g.reachable(h)
+		lostVoter := h.Voter && !g.reachable(h) && voting >= size
 		if (lostVoter || h.Joining) && !isWanted(h) {
 			c.Demote = h.ID
 			return c
@@ -114,8 +117,8 @@
 // available reports whether a host may keep a vote or get one.
 func (g *group) available(h Host) bool { return g.reachable(h) && !(h.Leaving && h.ID != g.leader) }
 
-// wanted returns the hosts that are to vote.
-func (g *group) wanted() []Host {
+// wanted returns the hosts that are to vote, and the number of seats. There may be fewer hosts than seats.
+func (g *group) wanted() (voting []Host, size int) {
 	var seats, standbys, lost []Host
 	present := 0 // voters that are not given up
 	for _, h := range g.hosts {
@@ -133,7 +136,7 @@
 			standbys = append(standbys, h)
 		}
 	}
-	size := min(g.settings.MaxVoters, max(minVoters, odd(len(seats)+len(standbys)), odd(present)))
+	size = min(g.settings.MaxVoters, max(minVoters, odd(len(seats)+len(standbys)), odd(present)))
 	for len(seats) > size {
 		seats = g.withoutWorst(seats)
 	}
@@ -145,9 +148,9 @@
 	// The voters that were heard last are the likeliest to come back.
 	slices.SortStableFunc(lost, func(a, b Host) int { return cmp.Compare(a.Silent, b.Silent) })
 	if missing := size - len(seats); missing > 0 {
-		return append(seats, lost[:min(missing, len(lost))]...)
+		return append(seats, lost[:min(missing, len(lost))]...), size
 	}
-	return g.spread(seats, standbys)
+	return g.spread(seats, standbys), size
 }
 
 // odd returns the largest odd number up to n, or 0.
--- a/core/voters/voters_test.go
+++ b/core/voters/voters_test.go
@@ -28,6 +28,17 @@
 	is.True(Next("a", []Host{voter("a", "1"), silent, voter("c", "2")}, testSettings).None())
 }
 
+// Guards against a single voter left by two losses, whose disk alone would hold what it accepts.
+func TestSecondLostVoterKeepsItsVoteUntilTheFirstIsReplaced(t *testing.T) {
+	is := is.New(t)
+	full := voter("b", "2")
+	full.Behind = 3 * time.Second
+	hosts := []Host{voter("a", "1"), full, standby("c", "3"), standby("d", "4")}
+	is.Equal(Next("a", hosts, testSettings), Change{Promote: []string{"c", "d"}})
+	hosts[2].Voter = true
+	is.Equal(Next("a", hosts, testSettings), Change{Demote: "b", Promote: []string{"d"}})
+}
+
 func TestChanges(t *testing.T) {
 	silent := func(h Host, d time.Duration) Host { h.Silent = d; return h }
 	leaving := func(h Host) Host { h.Leaving = true; return h }
