--- a/adapters/disk/load.go
+++ b/adapters/disk/load.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,14 @@
 	return r.entries[len(r.entries)-1].GetIndex()
 }
 
+// startIndex returns the index before the first entry, or baseIndex when there is none.
+func (r *replay) startIndex() uint64 {
+	if len(r.entries) == 0 {
+		return r.baseIndex
+	}
+	return r.entries[0].GetIndex() - 1
+}
+
 // term returns the term of the entry at an index, if it is known.
 func (r *replay) term(index uint64) (uint64, bool) {
 	if index == r.baseIndex {
@@ -83,7 +92,7 @@
 }
 
 // load reads meta, the newest snapshot and the log. It removes unfinished
-// temporary files.
+// temporary files, and segments whose removal was lost.
 func (s *Store) load() (raft.Stored, error) {
 	var stored raft.Stored
 	names, err := s.fs.ReadDir(s.dir)
@@ -113,7 +122,8 @@
 		}
 		s.snapshots = snapshots
 	}
-	if err := s.checkSegmentNumbers(segments); err != nil {
+	obsolete, segments, err := s.splitAtGap(segments)
+	if err != nil {
 		return stored, err
 	}
 	r := &replay{}
@@ -122,6 +132,11 @@
 			return stored, err
 		}
 	}
+	if len(obsolete) > 0 {
+		if err := s.removeBeforeGap(obsolete, r); err != nil {
+			return stored, err
+		}
+	}
 	stored.Entries, s.rebase, err = s.entriesContinuing(stored.Snapshot, r)
 	return stored, err
 }
@@ -131,29 +146,61 @@
 // crashed just after it installed a snapshot over a conflicting log; rebase is
 // then true and the log has to restart after the snapshot.
 func (s *Store) entriesContinuing(snap raft.Snapshot, r *replay) (entries []*pb.Entry, rebase bool, err error) {
-	if len(r.entries) > 0 && snap.Index == 0 && r.entries[0].GetIndex() != 1 {
-		return nil, false, &CorruptionError{File: s.path(s.segments[0].name), Reason: "the log starts after index 1 and there is no snapshot"}
+	if start := r.startIndex(); start > snap.Index {
+		reason := fmt.Sprintf("the log starts after index %d, and the newest snapshot ends at %d", start, snap.Index)
+		return nil, false, &CorruptionError{File: s.path(s.segments[0].name), Reason: reason}
 	}
 	t, ok := r.term(snap.Index)
-	if (ok && t == snap.Term) || (len(r.entries) > 0 && r.entries[0].GetIndex() == snap.Index+1) {
+	if (ok && t == snap.Term) || (len(r.entries) > 0 && r.startIndex() == snap.Index) {
 		return r.entries, false, nil
 	}
 	return nil, true, nil
 }
 
-// checkSegmentNumbers reports a gap in the numbers of the segments as corruption.
-func (s *Store) checkSegmentNumbers(names []string) error {
+// splitAtGap splits the segments at the last gap in their numbers. removeObsolete does not sync the directory, so after
+// a loss of power any of the segments that it removed may be there again.
+func (s *Store) splitAtGap(names []string) (before, after []string, err error) {
 	var last uint64
 	for i, n := range names {
-		var number uint64
-		if _, err := fmt.Sscanf(n, segmentPrefix+"%x", &number); err != nil || (i > 0 && number != last+1) {
-			return &CorruptionError{File: s.path(n), Reason: "the preceding segment is missing"}
+		number, err := numberOf(n, segmentPrefix)
+		if err != nil {
+			return nil, nil, &CorruptionError{File: s.path(n), Reason: "the name has no number"}
+		}
+		if i > 0 && number != last+1 {
+			before, after = names[:i], names[i:]
 		}
 		last = number
 	}
+	if after == nil {
+		after = names
+	}
+	return before, after, nil
+}
+
+// removeBeforeGap removes the segments before a gap. It reports the gap as corruption unless the log after it, in r,
+// reaches from a stored snapshot on: segments are removed only if they hold nothing but entries before a snapshot.
+func (s *Store) removeBeforeGap(names []string, r *replay) error {
+	covered := slices.ContainsFunc(s.snapshots, func(name string) bool {
+		index, err := numberOf(name, snapshotPrefix)
+		return err == nil && r.startIndex() <= index && index <= r.lastIndex()
+	})
+	if !covered {
+		return &CorruptionError{File: s.path(s.segments[0].name), Reason: "the preceding segment is missing"}
+	}
+	for _, n := range names {
+		if err := s.fs.Remove(s.path(n)); err != nil {
+			return eris.Wrap(err, "remove a log segment")
+		}
+	}
+	s.removedAtOpen = len(names)
 	return nil
 }
 
+// numberOf returns the hexadecimal number in the name of a file.
+func numberOf(name, prefix string) (uint64, error) {
+	return strconv.ParseUint(strings.TrimPrefix(name, prefix), 16, 64)
+}
+
 // loadMeta reads meta. It creates meta in a new data directory; when there is
 // other data, a missing meta is corruption.
 func (s *Store) loadMeta(hasData bool) (raft.HardState, error) {
--- a/adapters/disk/snapshot.go
+++ b/adapters/disk/snapshot.go
@@ -45,7 +45,8 @@
 }
 
 // removeObsolete removes the oldest segments that hold only entries before
-// keepFrom, and all but the newest keptSnapshots snapshots.
+// keepFrom, and all but the newest keptSnapshots snapshots. The removals are not synced:
+// a loss of power may undo each of them, which Open expects.
 func (s *Store) removeObsolete(keepFrom uint64) error {
 	for len(s.segments) > 1 && s.segments[0].lastIndex < keepFrom {
 		if err := s.fs.Remove(s.path(s.segments[0].name)); err != nil {
--- a/adapters/disk/store.go
+++ b/adapters/disk/store.go
@@ -54,6 +54,7 @@
 	snapshots      []string  // names of the files, oldest first
 	file           File
 	tornBytes      int  // bytes that Open truncated
+	removedAtOpen  int  // segments that Open removed
 	rebase         bool // the log does not continue the newest snapshot and has to restart after it
 	syncs          uint64
 	firstError     error // every later write returns it
@@ -108,6 +109,9 @@
 // TornBytes returns the number of bytes of a torn tail that Open truncated.
 func (s *Store) TornBytes() int { return s.tornBytes }
 
+// RemovedAtOpen returns the number of log segments that Open removed because a loss of power had brought them back.
+func (s *Store) RemovedAtOpen() int { return s.removedAtOpen }
+
 // Syncs returns the number of successful fsync calls on the log.
 func (s *Store) Syncs() uint64 { return s.syncs }
 
@@ -236,10 +240,11 @@
 func (s *Store) addSegment() error {
 	number := uint64(1)
 	if n := len(s.segments); n > 0 {
-		if _, err := fmt.Sscanf(s.segments[n-1].name, segmentPrefix+"%x", &number); err != nil {
+		last, err := numberOf(s.segments[n-1].name, segmentPrefix)
+		if err != nil {
 			return s.fail(err, "read the number of a log segment")
 		}
-		number++
+		number = last + 1
 	}
 	name := fmt.Sprintf("%s%016x", segmentPrefix, number)
 	f, err := s.create(s.path(name))
--- a/app/consensus/host.go
+++ b/app/consensus/host.go
@@ -106,6 +106,9 @@
 	if store.TornBytes() > 0 {
 		_ = h.logger.Log("event", "cut off a torn tail of the log", "bytes", store.TornBytes())
 	}
+	if n := store.RemovedAtOpen(); n > 0 {
+		_ = h.logger.Log("event", "removed log segments that a loss of power had brought back", "segments", n)
+	}
 	h.machine = state.New(o.Members)
 	if stored.Snapshot.Index > 0 {
 		if h.machine, err = state.Decode(stored.Snapshot.Data); err != nil {
