meshnode: store departures of upstreams in the replicated log

Cause: that a process of an upstream is leaving or has left was known only to the process of its node, which has no disk. After a restart the first check-in that arrived, from before the departure, counted as the newest. Ruled out: the record at the control hosts (the new process replaces it with its first poll, they hold it in memory, and it has no time of birth). Change: a departure is a command of the replicated log and is acknowledged once it is accepted; without a quorum the answer is 503, and the gate stops sending all the same. A node that starts asks for the departures of its host, which a quorum confirms, and holds back announcements of upstreams that serve until then. Later births are not affected. Run closes its listeners when it ends.

--- a/app/controlclient/client.go
+++ b/app/controlclient/client.go
@@ -66,6 +66,8 @@
 	logger        log.Logger
 	recordChanged chan struct{}
 	view          atomic.Pointer[View]
+	hostOrder     atomic.Pointer[[]string] // addresses of the control hosts, the current one first; nil before the first poll
+	departures    departures
 
 	mu   sync.Mutex
 	self *pb.NodeRecord
--- a/app/controlclient/hosts.go
+++ b/app/controlclient/hosts.go
@@ -24,7 +24,10 @@
 	if c.hostIndex > 0 && c.failures == 0 && time.Since(c.lastSwitch) > preferredRetry {
 		c.hostIndex = 0
 	}
-	if next := addresses[c.hostIndex%len(addresses)]; next != c.host {
+	at := c.hostIndex % len(addresses)
+	order := append(slices.Clone(addresses[at:]), addresses[:at]...)
+	c.hostOrder.Store(&order)
+	if next := addresses[at]; next != c.host {
 		c.host, c.lastSwitch = next, time.Now()
 		c.pollDeadline.Reset()
 		c.raiseSeq()
--- a/app/controlserver/odd_test.go
+++ b/app/controlserver/odd_test.go
@@ -23,6 +23,7 @@
 
 // fixedState is a replicated state that does not change. It records the members that join.
 type fixedState struct {
+	ports.Proposer
 	ports.QuorumReader
 	ports.Leadership
 	admitted []*pb.Member
--- a/app/controlserver/server.go
+++ b/app/controlserver/server.go
@@ -44,6 +44,7 @@
 
 // State is the access to the replicated state that the server needs.
 type State interface {
+	ports.Proposer
 	ports.StateReader
 	ports.QuorumReader
 	ports.Leadership
--- a/app/meshnode/cluster_test.go
+++ b/app/meshnode/cluster_test.go
@@ -45,6 +45,10 @@
 	history history
 	log     lines // of the nodes
 	control atomic.Pointer[consensus.Host]
+
+	controlHosts [clusterDomains]atomic.Pointer[consensus.Host]
+	startControl []func() (stop func())
+	stopControl  []func()
 }
 
 // lines keeps the log lines of the nodes, to explain requests that were not served.
@@ -120,6 +124,8 @@
 	address string // of the upstream
 	process atomic.Pointer[Process]
 
+	stopNode func()
+
 	mu       sync.Mutex
 	server   *http.Server
 	instance string
@@ -154,21 +160,24 @@
 		ips = append(ips, newHost())
 		c.seeds = append(c.seeds, at(ips[len(ips)-1], portPeer))
 	}
-	var hosts [clusterDomains]atomic.Pointer[consensus.Host]
 	for i, address := range c.seeds {
 		dir := t.TempDir()
-		c.run(func(ctx context.Context) error {
-			return meshcontrol.Run(ctx, meshcontrol.Options{
-				PeerAddress: address, MetricsAddress: at(ips[i], portMetrics), FailureDomain: fmt.Sprint("d", i), Region: "r", DataDir: dir,
-				Founders: c.seeds, Seeds: func() []string { return c.seeds },
-				ExtraHandlers: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
-					hosts[i].Store(p.Host)
-					c.control.Store(p.Host)
-					return map[string]fasthttp.RequestHandler{}
-				},
-			}, log.NewNopLogger())
+		c.startControl = append(c.startControl, func() (stop func()) {
+			return c.run(func(ctx context.Context) error {
+				return meshcontrol.Run(ctx, meshcontrol.Options{
+					PeerAddress: address, MetricsAddress: at(ips[i], portMetrics), FailureDomain: fmt.Sprint("d", i), Region: "r", DataDir: dir,
+					Founders: c.seeds, Seeds: func() []string { return c.seeds },
+					ExtraHandlers: func(p *meshcontrol.Process) map[string]fasthttp.RequestHandler {
+						c.controlHosts[i].Store(p.Host)
+						c.control.Store(p.Host)
+						return map[string]fasthttp.RequestHandler{}
+					},
+				}, log.NewNopLogger())
+			})
 		})
+		c.stopControl = append(c.stopControl, c.startControl[i]())
 	}
+	hosts := &c.controlHosts
 	eventually(t, "the plan is accepted", func() bool {
 		h := hosts[0].Load()
 		return h != nil && h.Submit(t.Context(), clusterPlan(t)).GetOutcome() == pb.Outcome_OUTCOME_ACCEPTED
@@ -206,8 +215,8 @@
 	}
 }
 
-// run runs f until the test ends.
-func (c *cluster) run(f func(ctx context.Context) error) {
+// run runs f until the test ends or stop is called.
+func (c *cluster) run(f func(ctx context.Context) error) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -216,7 +225,9 @@
 			c.t.Error(err)
 		}
 	}()
-	c.t.Cleanup(func() { cancel(); <-done })
+	stop = func() { cancel(); <-done }
+	c.t.Cleanup(stop)
+	return stop
 }
 
 func clusterPlan(t *testing.T) *pb.Command {
@@ -236,7 +247,7 @@
 
 // startNode starts the process of a node.
 func (n *clusterNode) startNode() {
-	n.cluster.run(func(ctx context.Context) error {
+	n.stopNode = n.cluster.run(func(ctx context.Context) error {
 		return Run(ctx, Options{
 			EntryAddress: n.entry, GateAddress: at(n.host, portGate), PeerAddress: at(n.host, portPeer), MetricsAddress: at(n.host, portMetrics),
 			FailureDomain: n.domain, Region: "r", Service: "a",
@@ -327,7 +338,7 @@
 			}
 			n.mu.Unlock()
 			if p := n.process.Load(); p != nil && a.GetInstance() != "" {
-				p.Announce(a)
+				_ = p.Announce(ctx, a)
 			}
 		}
 		select {
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -157,9 +157,15 @@
 	}, client, logger)
 	gate = proxy.NewGate(proxy.GateOptions{
 		Headers: o.Headers, DrainBound: o.DrainBound, LinkMbps: o.LinkMbps, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
-		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
+		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, AwaitDepartures: true, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
 	set.NewGauge("rattanfield_upstream_cold_seconds", func() float64 { return gate.ColdLeft().Seconds() })
+	set.NewGauge("rattanfield_departures_known", func() float64 {
+		if gate.DeparturesKnown() {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("rattanfield_evacuated_domains", func() float64 { return float64(len(control.View().Evacuated)) })
 	entry := proxy.NewEntry(proxy.EntryOptions{
 		Headers: o.Headers, Service: o.Service, Node: o.GateAddress,
@@ -270,8 +276,25 @@
 	return l
 }
 
-// Announce accepts an announcement of the upstream on this host.
-func (p *Process) Announce(a *pb.Announcement) { p.gate.Announce(a) }
+// Announce accepts an announcement of the upstream on this host. It returns an error, after which the announcement must not
+// be acknowledged, unless a departure is stored durably before ctx ends: a process of this node that is started later would
+// otherwise take an older announcement for the newest one.
+func (p *Process) Announce(ctx context.Context, a *pb.Announcement) error {
+	d := p.gate.Announce(a)
+	if d == nil {
+		return nil
+	}
+	return p.control.RecordDeparture(ctx, d)
+}
+
+// learnDepartures tells the gate which upstreams have left before this process started.
+func (p *Process) learnDepartures(ctx context.Context) error {
+	departures, err := p.control.Departures(ctx)
+	if err == nil {
+		p.gate.SetDepartures(departures)
+	}
+	return nil // an error only tells that ctx has ended
+}
 
 // Ready reports whether callers should send requests to this node.
 func (p *Process) Ready() bool {
@@ -285,8 +308,10 @@
 }
 
 // Announce accepts an announcement of the local upstream that a control host forwards.
-func (s announceService) Announce(_ context.Context, req *connect.Request[pb.AnnounceRequest]) (*connect.Response[pb.AnnounceResponse], error) {
-	s.p.Announce(req.Msg.GetAnnouncement())
+func (s announceService) Announce(ctx context.Context, req *connect.Request[pb.AnnounceRequest]) (*connect.Response[pb.AnnounceResponse], error) {
+	if err := s.p.Announce(ctx, req.Msg.GetAnnouncement()); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	return connect.NewResponse(&pb.AnnounceResponse{}), nil
 }
 
@@ -309,10 +334,12 @@
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", address)
 		}
+		defer func() { _ = l.Close() }()
 		servers.Go("server on "+address, func(context.Context) error { return serveFuncs[i](l) })
 	}
 	tasks.Go("refusals", func(ctx context.Context) error { return p.resources.Run(ctx, p.logger) })
 	tasks.Go("attachment", p.control.Run)
+	tasks.Go("departures", p.learnDepartures)
 	tasks.Go("connections", p.entry.Run)       // probes unreachable nodes, closes connections to unknown ones
 	tasks.Go("upstream condition", p.gate.Run) // reports whether the local upstream is slow or failing
 	_ = p.logger.Log("event", "started", "entry", o.EntryAddress, "gate", o.GateAddress, "peer", o.PeerAddress, "service", o.Service)
--- a/app/proxy/announce.go
+++ b/app/proxy/announce.go
@@ -10,13 +10,27 @@
 
 // Announce applies an announcement or a leave message of an upstream on this host. A
 // change of the current upstream is logged and published to other nodes. One that is not
-// valid changes nothing: it comes from another writer.
-func (g *Gate) Announce(a *pb.Announcement) {
+// valid changes nothing: it comes from another writer. Announce returns what the announcement
+// says about processes that leave, or nil if there is nothing.
+//
+// Until SetDepartures, announcements of upstreams that serve are held back.
+func (g *Gate) Announce(a *pb.Announcement) *pb.Departure {
 	now := time.Now()
 	if err := nodetable.CheckAnnouncement(a, now.UnixMilli()); err != nil {
 		_ = g.logger.Log("event", "announcement ignored", "instance", a.GetInstance(), "err", err)
-		return
+		return nil
 	}
+	if g.hold(now, a) {
+		return nil
+	}
+	g.apply(now, a)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.processes.Departure(a)
+}
+
+// apply applies a valid announcement.
+func (g *Gate) apply(now time.Time, a *pb.Announcement) {
 	g.mu.Lock()
 	changed := g.processes.Apply(a, now.UnixMilli())
 	current, before := g.processes.Current(), g.activeUpstream
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -43,6 +43,9 @@
 	// AwaitPlan lets the gate start no request before the node has a plan, and with it the evacuations and the bounds of
 	// slow starts.
 	AwaitPlan bool
+	// AwaitDepartures lets the gate use no upstream before SetDepartures, because it may have left before this process
+	// started.
+	AwaitDepartures bool
 	// ColdExcess and ColdSlack bound the requests to an upstream in its slow start, see coldstart.NewBound.
 	ColdExcess, ColdSlack float64
 	// Suspects are the suspects of the node, which its entry uses as well; nil stands for an empty list.
@@ -93,6 +96,7 @@
 	link           *transfer.Link     // schedule of the large bodies that other nodes send; nil: they are not scheduled
 	evacuated      bool               // whether the failure domain is evacuated, see followView
 	cold           gateCold
+	held           heldAnnouncements
 }
 
 const bytesPerMbit = 1e6 / 8
--- a/core/nodetable/upstream.go
+++ b/core/nodetable/upstream.go
@@ -12,9 +12,8 @@
 type Upstream struct {
 	current       *pb.Announcement
 	leftProcesses map[processKey]bool // processes that are leaving or have left; they never serve again
-	// leftAt maps an instance to the time, in Unix milliseconds, at which a process of
-	// unknown birth time announced that it has left. A process of that instance that was
-	// born at or before this time has left.
+	// leftAt maps an instance to a time in Unix milliseconds. The processes of that instance that were born at
+	// or before this time are leaving or have left.
 	leftAt map[string]int64
 }
 
@@ -39,7 +38,8 @@
 	}
 	if a.GetState() == pb.UpstreamState_UPSTREAM_STATE_GONE {
 		if a = u.completeLeave(a); a.GetBornUnixMs() == 0 {
-			u.recordUnknownLeave(a.GetInstance(), nowUnixMs)
+			// The announcement did not state the birth time, and this process, which may have just started, does not know it.
+			u.recordLeftAt(a.GetInstance(), nowUnixMs)
 		}
 	} else if at, ok := u.leftAt[a.GetInstance()]; ok && a.GetBornUnixMs() <= at {
 		return false
@@ -76,6 +76,29 @@
 	return c
 }
 
+// Departure returns what an announcement, which Apply has handled, says about processes that leave, or nil if its process
+// serves. The node is not filled in.
+func (u *Upstream) Departure(a *pb.Announcement) *pb.Departure {
+	if !isLeaving(a.GetState()) {
+		return nil
+	}
+	born := a.GetBornUnixMs()
+	if a.GetState() == pb.UpstreamState_UPSTREAM_STATE_GONE {
+		born = u.completeLeave(a).GetBornUnixMs()
+	}
+	if born == 0 {
+		born = u.leftAt[a.GetInstance()]
+	}
+	return &pb.Departure{Instance: a.GetInstance(), BornUntilUnixMs: born}
+}
+
+// RecordDeparture records a departure that an earlier process of this node acknowledged.
+func (u *Upstream) RecordDeparture(d *pb.Departure) {
+	if at, ok := u.leftAt[d.GetInstance()]; !ok || at < d.GetBornUntilUnixMs() {
+		u.recordLeftAt(d.GetInstance(), d.GetBornUntilUnixMs())
+	}
+}
+
 func isLeaving(s pb.UpstreamState) bool {
 	return s == pb.UpstreamState_UPSTREAM_STATE_LEAVING || s == pb.UpstreamState_UPSTREAM_STATE_GONE
 }
@@ -121,14 +144,12 @@
 		a.GetSlots() == b.GetSlots() && (a.GetColdMs() > 0) == (b.GetColdMs() > 0) && uint64(b.GetColdMs()) < uint64(a.GetColdMs())+coldAgainMs
 }
 
-// recordUnknownLeave records that a process whose birth time is unknown has left:
-// the announcement did not state the birth time, and this host, which may have just
-// started, does not know the process.
-func (u *Upstream) recordUnknownLeave(instance string, nowUnixMs int64) {
+// recordLeftAt records that the processes of an instance that were born at or before a time have left.
+func (u *Upstream) recordLeftAt(instance string, unixMs int64) {
 	if u.leftAt == nil || len(u.leftAt) >= maxLeft {
 		u.leftAt = make(map[string]int64)
 	}
-	u.leftAt[instance] = nowUnixMs
+	u.leftAt[instance] = unixMs
 }
 
 func (u *Upstream) recordLeave(k processKey) {
--- a/core/nodetable/valid.go
+++ b/core/nodetable/valid.go
@@ -111,6 +111,12 @@
 		validTexts(r.GetNode(), r.GetFailureDomain(), r.GetRegion(), r.GetInstance(), r.GetService(), r.GetVersion())
 }
 
+// ValidDeparture reports whether a departure names a node and an instance and has values within their bounds.
+func ValidDeparture(d *pb.Departure) bool {
+	_, err := ParseAddress(d.GetNode())
+	return err == nil && d.GetInstance() != "" && validTexts(d.GetInstance()) && d.GetBornUntilUnixMs() >= 0
+}
+
 // NamesUpstream reports whether a record describes an upstream that other nodes can use, or one that
 // leaves. A record whose node or upstream is incomplete or out of bounds names none.
 func NamesUpstream(r *pb.NodeRecord) bool {
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -33,6 +33,7 @@
 	history               []*pb.Decision
 	members               []*pb.Member
 	plans                 plans
+	departures            []*pb.Departure // of upstreams, oldest first; replaced as a whole, because views share it
 }
 
 // New returns the state before the first log entry: an empty configuration at InitialRevision.
@@ -85,6 +86,9 @@
 func (m *Machine) applyCommand(c *pb.Command) *pb.CommandResult {
 	m.clock = max(m.clock, c.GetSubmittedUnixMs())
 	m.expireResults()
+	if x, ok := c.GetCommand().(*pb.Command_RecordDeparture); ok {
+		return m.recordDeparture(x.RecordDeparture)
+	}
 	if r := m.results[c.GetCommandId()]; r != nil {
 		return r
 	}
@@ -168,6 +172,7 @@
 		Index: m.index, Configuration: m.configuration, Moves: m.sortedMoves(),
 		Members: m.members, History: m.history[:len(m.history):len(m.history)],
 		Plan: m.plans.current, Rollouts: m.plans.sortedRollouts(), Evacuations: m.plans.sortedEvacuations(), PlanChanges: m.plans.changes,
+		Departures: m.departures,
 	}
 }
 
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -16,6 +16,7 @@
 		RolloutOrders: m.plans.orders,
 		PlanChanges:   m.plans.changes,
 		Evacuations:   m.plans.sortedEvacuations(), EvacuationSerial: m.plans.evacuationSerial,
+		Departures: m.departures,
 	}
 	for _, id := range m.resultOrder {
 		s.Results = append(s.Results, m.results[id])
@@ -42,6 +43,7 @@
 	for _, r := range s.GetRollouts() {
 		m.plans.rollouts[r.GetService()] = r
 	}
+	m.departures = s.GetDepartures()
 	m.plans.evacuationSerial = s.GetEvacuationSerial()
 	for _, e := range s.GetEvacuations() {
 		m.plans.evacuations[e.GetFailureDomain()] = e
--- a/gen/rattanfield/v1/rattanfieldv1connect/mesh.connect.go
+++ b/gen/rattanfield/v1/rattanfieldv1connect/mesh.connect.go
@@ -41,6 +41,12 @@
 	MeshServiceJoinProcedure = "/rattanfield.v1.MeshService/Join"
 	// MeshServiceAnnounceProcedure is the fully-qualified name of the MeshService's Announce RPC.
 	MeshServiceAnnounceProcedure = "/rattanfield.v1.MeshService/Announce"
+	// MeshServiceRecordDepartureProcedure is the fully-qualified name of the MeshService's
+	// RecordDeparture RPC.
+	MeshServiceRecordDepartureProcedure = "/rattanfield.v1.MeshService/RecordDeparture"
+	// MeshServiceListDeparturesProcedure is the fully-qualified name of the MeshService's
+	// ListDepartures RPC.
+	MeshServiceListDeparturesProcedure = "/rattanfield.v1.MeshService/ListDepartures"
 )
 
 // MeshServiceClient is a client for the rattanfield.v1.MeshService service.
@@ -53,6 +59,10 @@
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 	// Announce passes the announcement of an upstream to the node on its host.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
+	// RecordDeparture stores a departure durably and responds once it is accepted.
+	RecordDeparture(context.Context, *connect.Request[v1.RecordDepartureRequest]) (*connect.Response[v1.RecordDepartureResponse], error)
+	// ListDepartures returns all departures of a host that were accepted before the call.
+	ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error)
 }
 
 // NewMeshServiceClient constructs a client for the rattanfield.v1.MeshService service. By default,
@@ -90,15 +100,29 @@
 			connect.WithSchema(meshServiceMethods.ByName("Announce")),
 			connect.WithClientOptions(opts...),
 		),
+		recordDeparture: connect.NewClient[v1.RecordDepartureRequest, v1.RecordDepartureResponse](
+			httpClient,
+			baseURL+MeshServiceRecordDepartureProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("RecordDeparture")),
+			connect.WithClientOptions(opts...),
+		),
+		listDepartures: connect.NewClient[v1.ListDeparturesRequest, v1.ListDeparturesResponse](
+			httpClient,
+			baseURL+MeshServiceListDeparturesProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("ListDepartures")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // meshServiceClient implements MeshServiceClient.
 type meshServiceClient struct {
-	sync     *connect.Client[v1.MeshServiceSyncRequest, v1.MeshServiceSyncResponse]
-	exchange *connect.Client[v1.MeshServiceExchangeRequest, v1.MeshServiceExchangeResponse]
-	join     *connect.Client[v1.JoinRequest, v1.JoinResponse]
-	announce *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
+	sync            *connect.Client[v1.MeshServiceSyncRequest, v1.MeshServiceSyncResponse]
+	exchange        *connect.Client[v1.MeshServiceExchangeRequest, v1.MeshServiceExchangeResponse]
+	join            *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	announce        *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
+	recordDeparture *connect.Client[v1.RecordDepartureRequest, v1.RecordDepartureResponse]
+	listDepartures  *connect.Client[v1.ListDeparturesRequest, v1.ListDeparturesResponse]
 }
 
 // Sync calls rattanfield.v1.MeshService.Sync.
@@ -121,6 +145,16 @@
 	return c.announce.CallUnary(ctx, req)
 }
 
+// RecordDeparture calls rattanfield.v1.MeshService.RecordDeparture.
+func (c *meshServiceClient) RecordDeparture(ctx context.Context, req *connect.Request[v1.RecordDepartureRequest]) (*connect.Response[v1.RecordDepartureResponse], error) {
+	return c.recordDeparture.CallUnary(ctx, req)
+}
+
+// ListDepartures calls rattanfield.v1.MeshService.ListDepartures.
+func (c *meshServiceClient) ListDepartures(ctx context.Context, req *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error) {
+	return c.listDepartures.CallUnary(ctx, req)
+}
+
 // MeshServiceHandler is an implementation of the rattanfield.v1.MeshService service.
 type MeshServiceHandler interface {
 	// Sync stores the record of a node and responds when something has changed or the wait has passed.
@@ -131,6 +165,10 @@
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 	// Announce passes the announcement of an upstream to the node on its host.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
+	// RecordDeparture stores a departure durably and responds once it is accepted.
+	RecordDeparture(context.Context, *connect.Request[v1.RecordDepartureRequest]) (*connect.Response[v1.RecordDepartureResponse], error)
+	// ListDepartures returns all departures of a host that were accepted before the call.
+	ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error)
 }
 
 // NewMeshServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -164,6 +202,18 @@
 		connect.WithSchema(meshServiceMethods.ByName("Announce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshServiceRecordDepartureHandler := connect.NewUnaryHandler(
+		MeshServiceRecordDepartureProcedure,
+		svc.RecordDeparture,
+		connect.WithSchema(meshServiceMethods.ByName("RecordDeparture")),
+		connect.WithHandlerOptions(opts...),
+	)
+	meshServiceListDeparturesHandler := connect.NewUnaryHandler(
+		MeshServiceListDeparturesProcedure,
+		svc.ListDepartures,
+		connect.WithSchema(meshServiceMethods.ByName("ListDepartures")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rattanfield.v1.MeshService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MeshServiceSyncProcedure:
@@ -174,6 +224,10 @@
 			meshServiceJoinHandler.ServeHTTP(w, r)
 		case MeshServiceAnnounceProcedure:
 			meshServiceAnnounceHandler.ServeHTTP(w, r)
+		case MeshServiceRecordDepartureProcedure:
+			meshServiceRecordDepartureHandler.ServeHTTP(w, r)
+		case MeshServiceListDeparturesProcedure:
+			meshServiceListDeparturesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -198,3 +252,11 @@
 func (UnimplementedMeshServiceHandler) Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanfield.v1.MeshService.Announce is not implemented"))
 }
+
+func (UnimplementedMeshServiceHandler) RecordDeparture(context.Context, *connect.Request[v1.RecordDepartureRequest]) (*connect.Response[v1.RecordDepartureResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanfield.v1.MeshService.RecordDeparture is not implemented"))
+}
+
+func (UnimplementedMeshServiceHandler) ListDepartures(context.Context, *connect.Request[v1.ListDeparturesRequest]) (*connect.Response[v1.ListDeparturesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rattanfield.v1.MeshService.ListDepartures is not implemented"))
+}
--- a/ports/consensus.go
+++ b/ports/consensus.go
@@ -48,6 +48,7 @@
 	Plan          *pb.StoredPlan    // services and routes of the platform; nil until the first plan is accepted
 	Rollouts      []*pb.Rollout     // rollouts of the platform, sorted by service
 	Evacuations   []*pb.Evacuation  // newest order by failure domain, sorted by it
+	Departures    []*pb.Departure   // departures of upstreams, oldest first
 	PlanChanges   uint64            // number of accepted changes of the plan, a rollout or an evacuation
 }
 
