controlclient: wait longer between failed attempts to list departures

Cause: a node that starts while all control hosts refuse connections asked all of them again every 50 ms (by reading). Change: the pause doubles up to maxRetryPause and is random, as after failed polls. Measured: not measured; tests of the package pass.

--- a/app/controlclient/departures.go
+++ b/app/controlclient/departures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -110,10 +111,11 @@
 	close(r.done)
 }
 
-// setRecorded notes that a departure is recorded. The caller must hold s.mu.
+// setRecorded notes that a departure is recorded. The caller must hold s.mu. A full map is cleared: to record a departure
+// once more changes nothing.
 func (s *departures) setRecorded(d *pb.Departure) {
 	if s.recorded == nil || len(s.recorded) >= maxDepartures {
-		s.recorded = make(map[string]int64) // what is recorded once more changes nothing
+		s.recorded = make(map[string]int64)
 	}
 	s.recorded[d.GetInstance()] = max(s.recorded[d.GetInstance()], d.GetBornUntilUnixMs())
 }
@@ -121,7 +123,7 @@
 // Departures returns the departures of this host that were acknowledged before the call. It tries until the control hosts
 // answer with a quorum, or until the context ends, when it returns an error.
 func (c *Client) Departures(ctx context.Context) ([]*pb.Departure, error) {
-	for {
+	for pause := retryPause; ; pause = min(2*pause, maxRetryPause) {
 		var mu sync.Mutex
 		var out []*pb.Departure
 		err := c.askHosts(ctx, func(ctx context.Context, host rattanfieldv1connect.MeshServiceClient) error {
@@ -137,7 +139,7 @@
 			return nil, ctx.Err()
 		}
 		if err != nil {
-			lifecycle.Pause(ctx, retryPause)
+			lifecycle.Pause(ctx, pause/2+rand.N(pause))
 			continue
 		}
 		mu.Lock()
