--- a/core/raft/doc.go
+++ b/core/raft/doc.go
@@ -9,5 +9,5 @@
 // the record of its member; in this package the word means the id of a disk, not
 // the start of a process. A host whose disk is new, or was restored from an older
 // copy, casts only provisional votes; they count only in an election in which
-// every voter grants its vote.
+// every known member, voter or not, grants its vote.
 package raft
