meshhttp, lifecycle: measure how long requests wait for the process

Cause: nothing in logs or metrics shows the time between the arrival of a request and its read, nor a process without processor time: 'after' of a rejection begins when the request is read. Change: histograms of the waits in the queue of a listener, from the read to the handler, behind earlier responses and until the write; a line once a second if one of them, the lateness of a timer or the runtime's scheduling waits reach 125 ms; queued= in the line of a request that was not answered; a count of requests that were sent although their caller had left. No logic changes.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -27,6 +27,7 @@
 	queue     chan *Exchange
 
 	accepted time.Time
+	queued   time.Duration // how long it waited to be accepted
 	// draining is set if the connection was open when Server.Drain was called; guarded by the mutex of the server.
 	draining bool
 
@@ -221,6 +222,9 @@
 		return nil
 	}
 	x := &Exchange{Received: time.Now(), Remote: c.nc.RemoteAddr(), conn: c, done: make(chan struct{})}
+	if c.requests == 0 { // only this goroutine changes it
+		x.Queued = c.queued
+	}
 	c.setReading(true)
 	defer c.setReading(false)
 	c.setRequestDeadline(x.Received.Add(limits.HeaderTimeout))
@@ -256,13 +260,16 @@
 		close(x.done)
 		return x
 	}
+	read := time.Now()
 	go func() {
 		defer close(x.done)
+		c.server.observe(StageStart, time.Since(read))
 		c.server.options.Handler(c.ctx, x)
 		if !c.server.options.keepsRequest {
 			x.releaseRequest() // before the client gets the response and sends its next body
 		}
 		c.holdAnswer(x)
+		x.completed = time.Now()
 	}()
 	return x
 }
--- a/adapters/meshhttp/conn_write.go
+++ b/adapters/meshhttp/conn_write.go
@@ -87,10 +87,15 @@
 }
 
 func (c *conn) writeResponses() {
+	written := c.accepted
 	for x := range c.queue {
 		<-x.done
+		if !x.completed.IsZero() {
+			c.server.observeWrite(x.completed, written)
+		}
 		c.setWriting(true)
 		last := c.write(x)
+		written = time.Now()
 		x.release()
 		c.mu.Lock()
 		c.outstanding--
--- a/adapters/meshhttp/meshhttp_test.go
+++ b/adapters/meshhttp/meshhttp_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -371,3 +372,42 @@
 	got, _ := readBody(t, r)
 	is.Equal(got, "/last 0")
 }
+
+// Guards against waits that are reported for the wrong stage, so that a slow process looks like slow upstreams: a response that is ready
+// waits behind an earlier one on its connection.
+func TestWaitBehindAnEarlierResponseIsReported(t *testing.T) {
+	is := is.New(t)
+	const wait = 50 * time.Millisecond
+	var mu sync.Mutex
+	longest := make(map[Stage]time.Duration)
+	second := make(chan struct{})
+	s := NewServer(ServerOptions{
+		Limits: func() Limits { return DefaultLimits },
+		Handler: func(_ context.Context, x *Exchange) {
+			if string(x.Request.Header.RequestURI()) == "/2" {
+				close(second)
+				return
+			}
+			<-second
+			time.Sleep(wait)
+		},
+		OnWait: func(stage Stage, d time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			longest[stage] = max(longest[stage], d)
+		},
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = s.Serve(l) }()
+	c, r := dial(t, l.Addr().String())
+	_, err = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	readBody(t, r)
+	readBody(t, r)
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(longest[StageOrder] >= wait/2)
+	is.Equal(len(longest), int(Stages))
+}
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -23,6 +23,7 @@
 
 	slots   chan struct{} // holds a value for each open connection; nil: they are not bounded
 	waiting atomic.Int64  // calls that wait for a slot
+	ended   atomic.Uint64 // see SentAfterEnd
 
 	mu   sync.Mutex
 	idle map[string][]*clientConn // by address; the most recently used connection is last
@@ -121,6 +122,9 @@
 		l = p.memory.Lease()
 		defer l.Release()
 	}
+	if ctx.Err() != nil {
+		p.ended.Add(1)
+	}
 	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
 	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
 	p.returnWriteBuffer(c, written)
@@ -132,6 +136,9 @@
 	return out
 }
 
+// SentAfterEnd returns the number of calls that were sent although their context had ended.
+func (p *Pool) SentAfterEnd() uint64 { return p.ended.Load() }
+
 // Preconnect opens a connection to a destination and adds it to the pool. It returns an error
 // if the destination does not accept a connection within 400 ms.
 func (p *Pool) Preconnect(ctx context.Context, address string) error {
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -62,6 +62,8 @@
 	Response fasthttp.Response
 	// Received is when the first byte of the request arrived.
 	Received time.Time
+	// Queued is how long the connection of the first request on it waited to be accepted, see StageAccept; 0 for later ones.
+	Queued time.Duration
 	// Remote is the address of the client.
 	Remote net.Addr
 	// Limit is a time limit that ServerOptions.Admit set; the zero time: none.
@@ -75,6 +77,7 @@
 	requestLease *body.Lease   // holds the memory of the request body until the handler has ended; nil: none is held
 	held         int64         // memory of the exchange itself and of a response body without a lease
 	heldFields   int64         // see request.FieldMemory
+	completed    time.Time     // when Response was complete; the zero time if no handler ran
 	done         chan struct{} // closed when Response is complete
 	close        bool          // the connection closes after the response
 	unread       int           // length of the body that is discarded behind an early response, see AdmitHeader; negative: in chunks
@@ -141,6 +144,8 @@
 	FailureDomain func(remote net.Addr) string
 	// Organisation returns the organisation whose request was read up to the end of its header, "" if it is not known; nil: none is.
 	Organisation func(h *fasthttp.RequestHeader) string
+	// OnWait is called with each wait of a request for the process; it must not block. Nil: none is measured.
+	OnWait func(stage Stage, wait time.Duration)
 	// keepsRequest lets the response share the memory of the request body, which is then released after the response was written.
 	keepsRequest bool
 	// Pipelined bounds the concurrent requests of one connection; 0: 16.
@@ -189,7 +194,11 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	var busySince time.Time // acceptance of the first connection since none waited
 	for {
+		if !socket.Pending(l) {
+			busySince = time.Time{}
+		}
 		nc, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
@@ -202,17 +211,23 @@
 			time.Sleep(acceptRetryDelay) // for example when the process has no file descriptor left
 			continue
 		}
-		s.start(nc)
+		now := time.Now()
+		if busySince.IsZero() {
+			busySince = now
+		}
+		s.observe(StageAccept, now.Sub(busySince))
+		s.start(nc, now.Sub(busySince))
 	}
 }
 
 const acceptRetryDelay = 20 * time.Millisecond
 
-// start serves a connection, unless it finds no slot.
-func (s *Server) start(nc net.Conn) {
+// start serves a connection that waited to be accepted, unless it finds no slot.
+func (s *Server) start(nc net.Conn, queued time.Duration) {
 	_ = socket.SetUserTimeout(nc, userTimeout) // without it, a partition shows only at the deadline
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newConn(s, nc, ctx, cancel)
+	c.queued = queued
 	takeSlot := func() bool { return c.slot.Add(1, false, time.Now()) }
 	if ok := takeSlot(); !ok && !takeSlot() { // the first one makes another connection give way at once
 		s.count(noSlot)
--- a/app/lifecycle/resources.go
+++ b/app/lifecycle/resources.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 	largest     int64
 	connections int
 	refusals    []*refusals
+	waits       []*Waits
 }
 
 const (
@@ -102,8 +104,11 @@
 // the log.
 const logInterval = 5 * time.Second
 
-// Run logs what was refused until the context ends.
+// Run logs what was refused and what waited for long until the context ends.
 func (r *Resources) Run(ctx context.Context, logger log.Logger) error {
+	var waits sync.WaitGroup
+	waits.Go(func() { r.logWaits(ctx, logger) })
+	defer waits.Wait()
 	ticker := time.NewTicker(logInterval)
 	defer ticker.Stop()
 	for {
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -159,6 +159,9 @@
 		Headers: o.Headers, DrainBound: o.DrainBound, LinkMbps: o.LinkMbps, LostAfter: o.LostAfter, Publish: control.Publish, Report: control.Report, Suspects: list,
 		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, AwaitDepartures: true, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
+	for name, pool := range map[string]*meshhttp.Pool{"gates": p.gates, "upstream": p.upstream} {
+		set.NewGauge(fmt.Sprintf(`rattanfield_calls_sent_after_end{pool=%q}`, name), func() float64 { return float64(pool.SentAfterEnd()) })
+	}
 	set.NewGauge("rattanfield_upstream_cold_seconds", func() float64 { return gate.ColdLeft().Seconds() })
 	set.NewGauge("rattanfield_departures_known", func() float64 {
 		if gate.DeparturesKnown() {
@@ -186,11 +189,11 @@
 	}
 	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{
 		Handler: e.Handle, Limits: p.limits, AdmitHeader: e.AdmitHeader, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
-		Account: r.Account, Slots: r.Slots(entrySlotsPercent), Organisation: p.organisationOfKey,
+		Account: r.Account, Slots: r.Slots(entrySlotsPercent), Organisation: p.organisationOfKey, OnWait: r.NewWaits(set, "entry").Observe,
 	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
 		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, AdmitBody: g.AdmitBody, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
-		Account: r.Account, Slots: r.Slots(gateSlotsPercent), FailureDomain: p.failureDomainOf, Organisation: organisationOfEntry,
+		Account: r.Account, Slots: r.Slots(gateSlotsPercent), FailureDomain: p.failureDomainOf, Organisation: organisationOfEntry, OnWait: r.NewWaits(set, "gate").Observe,
 	})
 	r.AddServer(set, "entry", p.entryServer)
 	r.AddServer(set, "gate", p.gateServer)
@@ -425,7 +428,7 @@
 func (p *Process) newCallServer(address string, h fasthttp.RequestHandler) *meshhttp.Server {
 	s := meshhttp.NewCallServer(h, meshhttp.ServerOptions{
 		Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(callSlotsPercent),
-		Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account),
+		Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account), OnWait: p.resources.NewWaits(p.set, address).Observe,
 	})
 	p.resources.AddServer(p.set, address, s)
 	return s
--- a/app/proxy/reject.go
+++ b/app/proxy/reject.go
@@ -105,6 +105,6 @@
 		"event", event, "request", f.id, "reason", reason, "detail", f.lastDetail, "status", status, "host", hostOf(&f.x.Request),
 		"route", f.route.GetName(), "service", f.service, "plan", number, "serial", serial, "view_age", f.view.Age(now).Round(time.Millisecond),
 		"endpoints", len(f.view.Endpoints[f.service]), "tried", len(f.tried), "sends", f.sends, "redirects", f.reroutes, "without_upstream", f.withoutUpstream, "not_retried", f.notRetried,
-		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "client", clientOf(f.x.Remote),
+		"may_have_run", f.mayHaveRun, "crashes", describeCrashes(f.suspicion.Crashes), "after", now.Sub(f.x.Received).Round(time.Millisecond), "queued", f.x.Queued.Round(time.Millisecond), "client", clientOf(f.x.Remote),
 	}, caller...)...)
 }
