meshhttp: do not send a request whose caller has left

Callers saw: on a busy node, upstreams began requests more than half a second after their callers had left (GONE). Cause: Pool.Do did not look at the context before it wrote the request. The end of the context only sets the deadline of the connection, in a goroutine of its own, after the request was written. A request that is read together with the end of its connection, or whose caller leaves while it waits for a connection, was therefore written in full and cut a moment later, at the entry and at the gate alike. Change: the call returns NotSent if the context has ended, before it takes a connection and before it writes. Outcome.Ended tells this apart from a destination that can't be reached; such a call marks no gate as unreachable. The metric counts calls that were not sent.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -71,7 +71,9 @@
 	Refused bool  // the destination host refused the connection (ECONNREFUSED)
 	// NoMemory is true if Failure is NotSent because this process has no memory for the buffers of the connection.
 	NoMemory bool
-	Reused   bool // the connection had been used for an earlier request
+	// Ended is true if Failure is NotSent because the context had ended, as the caller had left. It tells nothing about the destination.
+	Ended  bool
+	Reused bool // the connection had been used for an earlier request
 	// Unconfirmed is true if Failure is Answered but the response may be one to another request (it
 	// has no id, and the connection carried an earlier request or response) or not the only one to
 	// this request (more bytes follow it; without IDRequired, only if they contain the id). Such a
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -23,7 +23,7 @@
 
 	slots   chan struct{} // holds a value for each open connection; nil: they are not bounded
 	waiting atomic.Int64  // calls that wait for a slot
-	ended   atomic.Uint64 // see SentAfterEnd
+	ended   atomic.Uint64 // see EndedBeforeSend
 
 	mu   sync.Mutex
 	idle map[string][]*clientConn // by address; the most recently used connection is last
@@ -101,13 +101,16 @@
 func (p *Pool) Lease() *body.Lease { return p.memory.Lease() }
 
 // Do sends the request of a call once, over an idle or a new connection, and reads its
-// response until the deadline of the call or the end of the context.
+// response until the deadline of the call or the end of the context. It sends nothing if the context has ended.
 func (p *Pool) Do(ctx context.Context, address string, call *Call) Outcome {
+	if ctx.Err() != nil {
+		return p.callEnded(ctx)
+	}
 	c := p.getIdle(address, call.RecentlyUsedOnly)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory)}
+			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory), Ended: ctx.Err() != nil}
 		}
 	}
 	written := writeBufferBytes(call)
@@ -122,8 +125,9 @@
 		l = p.memory.Lease()
 		defer l.Release()
 	}
-	if ctx.Err() != nil {
-		p.ended.Add(1)
+	if ctx.Err() != nil { // while a connection was opened or memory was awaited
+		p.close(c)
+		return p.callEnded(ctx)
 	}
 	keep, out.Failure, out.Err = c.roundTrip(ctx, call, l)
 	out.Unconfirmed, out.Incomplete = out.Failure == Answered && !c.confirmed, c.cut
@@ -136,8 +140,14 @@
 	return out
 }
 
-// SentAfterEnd returns the number of calls that were sent although their context had ended.
-func (p *Pool) SentAfterEnd() uint64 { return p.ended.Load() }
+// callEnded returns the outcome of a call whose context ended before it was sent.
+func (p *Pool) callEnded(ctx context.Context) Outcome {
+	p.ended.Add(1)
+	return Outcome{Failure: NotSent, Err: context.Cause(ctx), Ended: true}
+}
+
+// EndedBeforeSend returns the number of calls that were not sent because their context had ended.
+func (p *Pool) EndedBeforeSend() uint64 { return p.ended.Load() }
 
 // Preconnect opens a connection to a destination and adds it to the pool. It returns an error
 // if the destination does not accept a connection within 400 ms.
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -160,7 +160,7 @@
 		FailureDomain: o.FailureDomain, AwaitPlan: o.AwaitPlan, AwaitDepartures: true, ColdExcess: o.ColdExcess, ColdSlack: o.ColdSlack,
 	}, control, p.upstream, m, logger)
 	for name, pool := range map[string]*meshhttp.Pool{"gates": p.gates, "upstream": p.upstream} {
-		set.NewGauge(fmt.Sprintf(`rattanfield_calls_sent_after_end{pool=%q}`, name), func() float64 { return float64(pool.SentAfterEnd()) })
+		set.NewGauge(fmt.Sprintf(`rattanfield_calls_ended_before_send{pool=%q}`, name), func() float64 { return float64(pool.EndedBeforeSend()) })
 	}
 	set.NewGauge("rattanfield_upstream_cold_seconds", func() float64 { return gate.ColdLeft().Seconds() })
 	set.NewGauge("rattanfield_departures_known", func() float64 {
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -312,7 +312,7 @@
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	f.countAttempt(gate, a, time.Now())
 	out := placement.Outcome{
-		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: (o.Failure == meshhttp.NotSent && !o.NoMemory) || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
+		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: (o.Failure == meshhttp.NotSent && !o.NoMemory && !o.Ended) || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (o.Incomplete && o.Failure == meshhttp.ConnectionLost) || (a.ran == ranUnknown && a.reason != reasonCancelled && a.reason != reasonMemory) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered && a.reason != reasonEvacuated { // the load of a closed gate is no measure of others
@@ -376,6 +376,8 @@
 	switch {
 	case o.NoMemory:
 		return attempt{ran: ranNo, reason: reasonMemory, detail: o.Err.Error()}
+	case o.Ended:
+		return attempt{ran: ranNo, reason: reasonCancelled}
 	case o.Failure == meshhttp.NotSent:
 		return attempt{ran: ranNo, reason: reasonUnreachable}
 	case o.Incomplete && o.Failure == meshhttp.TimedOut: // gates run only requests that they have read to the end
--- a/app/proxy/gate.go
+++ b/app/proxy/gate.go
@@ -356,6 +356,8 @@
 		x.Response.Header.Set(hopTook, strconv.FormatInt(latency.Microseconds(), 10))
 	case knownNotRun && o.Failure == meshhttp.Answered:
 		g.reject(x, req, ranNo, reasonUpstreamNotRun, strconv.Itoa(status))
+	case o.Ended:
+		g.reject(x, req, ranNo, reasonCancelled, "")
 	case o.NoMemory:
 		g.reject(x, req, ranNo, reasonMemory, o.Err.Error())
 	case knownNotRun:
