meshhttp: reject at once what waited too long to be accepted, and let requests in progress go first

Callers saw: a node that got the traffic of its whole failure domain, with clients that repeat at once, answered most requests after their time limits (CONFIG) or never; half of all requests of the site failed. Cause: a process without processor time notices nothing. Connections waited in the queue of the listener, where no time limit counts, and each new one put goroutines in front of those that serve. A rejection cost as much as a new connection with two goroutines and 18 system calls, so the queue never became shorter, clients left and came back, and by then most of what was accepted had no client any more. Change: package core/intake follows how long the queue of a listener has stood. After 100 ms all connections in it are rejected by the goroutine that accepts, with 6 system calls and no goroutine: 503, not run, with the Retry-After of a rejection for lack of capacity, also for pipelined requests. Connections whose client has left are closed unread. Nested calls, and what has not arrived whole, are served as usual. Below that time nothing is rejected, but the accepting goroutine yields to all others after each connection. It holds in the gate too; listeners for readiness, metrics and announcements reject nothing.

--- a/adapters/meshhttp/calls.go
+++ b/adapters/meshhttp/calls.go
@@ -9,7 +9,7 @@
 // NewCallServer returns a server for a handler of the HTTP library, for calls that are not proxied. It runs the calls of one
 // connection one behind the other. Handler, OnReadError and Pipelined of the options are not used.
 func NewCallServer(h fasthttp.RequestHandler, o ServerOptions) *Server {
-	o.Pipelined, o.keepsRequest = 1, true
+	o.Pipelined, o.keepsRequest, o.servesQueued = 1, true, true
 	o.OnReadError = func(x *Exchange, status int, err error) {
 		x.Response.SetStatusCode(status)
 		x.Response.SetBodyString(err.Error() + "\n")
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -132,6 +132,10 @@
 	// may wait for that. If ok is false, it has filled in the response, after which the connection closes; otherwise release is
 	// called when the body was read or has failed. Nil: all are.
 	AdmitBody func(ctx context.Context, x *Exchange) (release func(), ok bool)
+	// AdmitQueued decides whether a request is served although its connection waited too long to be accepted, see package intake. If
+	// it returns false, it has filled in the response, after which the connection closes. It must not keep the exchange, which
+	// belongs to no connection. Nil: none is, and OnReadError gets status 503 and ErrQueued.
+	AdmitQueued func(x *Exchange) bool
 	// OnReadError fills in the response to a request that could not be read; status is the HTTP status for err.
 	OnReadError func(x *Exchange, status int, err error)
 	// Memory holds large request bodies. Those that do not fit are read errors with status 503; nil: 2 GiB.
@@ -146,6 +150,8 @@
 	Organisation func(h *fasthttp.RequestHeader) string
 	// OnWait is called with each wait of a request for the process; it must not block. Nil: none is measured.
 	OnWait func(stage Stage, wait time.Duration)
+	// servesQueued serves connections however long they waited to be accepted.
+	servesQueued bool
 	// keepsRequest lets the response share the memory of the request body, which is then released after the response was written.
 	keepsRequest bool
 	// Pipelined bounds the concurrent requests of one connection; 0: 16.
@@ -194,29 +200,17 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
-	var busySince time.Time // acceptance of the first connection since none waited
+	q := newQueue(s, l)
 	for {
-		if !socket.Pending(l) {
-			busySince = time.Time{}
-		}
-		nc, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
-			}
+		err := q.serve()
+		var temporary net.Error
+		switch {
+		case err == nil, errors.As(err, &temporary) && temporary.Timeout():
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
 			time.Sleep(acceptRetryDelay) // for example when the process has no file descriptor left
-			continue
-		}
-		now := time.Now()
-		if busySince.IsZero() {
-			busySince = now
 		}
-		s.observe(StageAccept, now.Sub(busySince))
-		s.start(nc, now.Sub(busySince))
 	}
 }
 
@@ -261,10 +255,12 @@
 	slowBody                 // the body arrived too slowly
 	slowReader               // the client did not read a response
 	invalid                  // the request has no valid reading, or more than one
+	queued                   // the connection waited too long to be accepted; counts its requests
+	left                     // the client left before its connection, which waited too long, was accepted
 	reasons
 )
 
-var reasonNames = [reasons]string{"no-slot", "gave-slot", "gave-memory", "no-memory", "slow-header", "slow-body", "slow-reader", "invalid"}
+var reasonNames = [reasons]string{"no-slot", "gave-slot", "gave-memory", "no-memory", "slow-header", "slow-body", "slow-reader", "invalid", "queued", "client-left"}
 
 func (s *Server) count(r reason) { s.counts[r].Add(1) }
 
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -188,11 +188,11 @@
 		return m
 	}
 	p.entryServer = meshhttp.NewServer(meshhttp.ServerOptions{
-		Handler: e.Handle, Limits: p.limits, AdmitHeader: e.AdmitHeader, Admit: e.Admit, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
+		Handler: e.Handle, Limits: p.limits, AdmitHeader: e.AdmitHeader, Admit: e.Admit, AdmitQueued: e.AdmitQueued, OnReadError: e.RejectUnreadable, Memory: requestMemory("entry"),
 		Account: r.Account, Slots: r.Slots(entrySlotsPercent), Organisation: p.organisationOfKey, OnWait: r.NewWaits(set, "entry").Observe,
 	})
 	p.gateServer = meshhttp.NewServer(meshhttp.ServerOptions{
-		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, AdmitBody: g.AdmitBody, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
+		Handler: g.Handle, Limits: gateLimits, Admit: g.Admit, AdmitQueued: g.AdmitQueued, AdmitBody: g.AdmitBody, OnReadError: g.RejectUnreadable, Memory: requestMemory("gate"), ClosingResponse: proxy.ClosingResponse,
 		Account: r.Account, Slots: r.Slots(gateSlotsPercent), FailureDomain: p.failureDomainOf, Organisation: organisationOfEntry, OnWait: r.NewWaits(set, "gate").Observe,
 	})
 	r.AddServer(set, "entry", p.entryServer)
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -165,7 +165,7 @@
 // lacksCapacity reports whether a request was not answered for lack of capacity.
 func lacksCapacity(reason string) bool {
 	switch reason {
-	case reasonBusy, reasonFairShare, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline, reasonLink:
+	case reasonBusy, reasonFairShare, reasonEvicted, reasonFull, reasonUpstreamNotRun, reasonDeadline, reasonLink, reasonProcessor:
 		return true
 	}
 	return false
@@ -438,7 +438,7 @@
 	case a.reason == reasonFairShare && f.entry.rejectsMany(f.throttleKey()):
 		return "fair-share" // other gates are as busy
 	case a.ran == ranNo && a.reason != reasonUpstreamNotRun:
-		noCapacity := a.reason == reasonBusy || a.reason == reasonFairShare || a.reason == reasonEvicted || a.reason == reasonMemory || a.reason == reasonLink
+		noCapacity := a.reason == reasonBusy || a.reason == reasonFairShare || a.reason == reasonEvicted || a.reason == reasonMemory || a.reason == reasonLink || a.reason == reasonProcessor
 		if f.reroutes++; f.reroutes > maxReroutes || (noCapacity && !f.info.nested && !f.entry.takeReroute(f.service)) {
 			return "reroutes"
 		}
--- a/app/proxy/headers.go
+++ b/app/proxy/headers.go
@@ -71,6 +71,7 @@
 	reasonFairShare      = "fair-share" // the organisation demands more than its fair share of a busy upstream
 	reasonFull           = "full"       // all known gates reported a queue that is too long
 	reasonOverload       = "overload"   // gates rejected most requests of the route recently; this one was not sent
+	reasonProcessor      = "processor"  // connections wait too long to be accepted, because the node lacks processor time
 	reasonLink           = "link"       // the link of the gate's node is too busy for the body
 	reasonDependency     = "dependency" // a service that the request would call rejects others that are as urgent or more
 	reasonMemory         = "memory"     // other requests and connections leave too little memory for this one or its response
