meshhttp, placement: learn nothing of a gate from a call that could not be sent in its own time

Callers saw: under the crowd, rejections no-endpoint with endpoints=7 tried=0, also on routes whose upstreams were sound. Cause: a call that got no connection because its caller had left, because the pool may not open more or because less time was left than a connection takes counted as a gate that can't be reached. The gate was then avoided by all requests for up to a second. Change: Outcome.Abandoned marks such calls; the picker only forgets that they were sent.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -71,8 +71,11 @@
 	Refused bool  // the destination host refused the connection (ECONNREFUSED)
 	// NoMemory is true if Failure is NotSent because this process has no memory for the buffers of the connection.
 	NoMemory bool
-	// Ended is true if Failure is NotSent because the context had ended, as the caller had left. It tells nothing about the destination.
-	Ended  bool
+	// Ended is true if Failure is NotSent because the context had ended, as the caller had left.
+	Ended bool
+	// Abandoned is true if Failure is NotSent for a reason of this process or of the call: it ended, its deadline was too near for a new
+	// connection, or the pool may not open one. It tells nothing about the destination.
+	Abandoned bool
 	Reused bool // the connection had been used for an earlier request
 	// Unconfirmed is true if Failure is Answered but the response may be one to another request (it
 	// has no id, and the connection carried an earlier request or response) or not the only one to
--- a/adapters/meshhttp/outgoing_test.go
+++ b/adapters/meshhttp/outgoing_test.go
@@ -202,3 +202,26 @@
 		}
 	}
 }
+
+// Guards against a destination that counts as unreachable because this process may not open more connections.
+func TestCallWithoutASlotTellsNothingOfItsDestination(t *testing.T) {
+	is := is.New(t)
+	address, received, answer := holdingBackend(t)
+	p := newTestPool()
+	p.Limit(1)
+	var req fasthttp.Request
+	req.Header.SetHost("h")
+	req.Header.SetRequestURI("/")
+	first := make(chan Outcome)
+	go func() {
+		first <- p.Do(context.Background(), address, &Call{Request: &req, Response: &fasthttp.Response{}, Deadline: time.Now().Add(testWait)})
+	}()
+	<-received
+	o := p.Do(context.Background(), address, &Call{Request: &req, Response: &fasthttp.Response{}, Deadline: time.Now().Add(20 * time.Millisecond)})
+	is.Equal(o.Failure, NotSent)
+	is.True(o.Abandoned && !o.Ended)
+	answer <- "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	is.Equal((<-first).Failure, Answered)
+	o = p.Do(context.Background(), "127.0.0.1:1", &Call{Request: &req, Response: &fasthttp.Response{}, Deadline: time.Now().Add(testWait)})
+	is.True(o.Refused && !o.Abandoned)
+}
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -108,9 +108,14 @@
 	}
 	c := p.getIdle(address, call.RecentlyUsedOnly)
 	if c == nil {
+		start := time.Now()
 		var err error
 		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			return Outcome{Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory), Ended: ctx.Err() != nil}
+			ended, tooLate := ctx.Err() != nil, isTimeout(err) && call.Deadline.Before(start.Add(dialTimeout))
+			return Outcome{
+				Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory),
+				Ended: ended, Abandoned: ended || tooLate || errors.Is(err, errNoSlot),
+			}
 		}
 	}
 	written := writeBufferBytes(call)
@@ -143,7 +148,7 @@
 // callEnded returns the outcome of a call whose context ended before it was sent.
 func (p *Pool) callEnded(ctx context.Context) Outcome {
 	p.ended.Add(1)
-	return Outcome{Failure: NotSent, Err: context.Cause(ctx), Ended: true}
+	return Outcome{Failure: NotSent, Err: context.Cause(ctx), Ended: true, Abandoned: true}
 }
 
 // EndedBeforeSend returns the number of calls that were not sent because their context had ended.
--- a/app/proxy/forward.go
+++ b/app/proxy/forward.go
@@ -311,8 +311,14 @@
 	}
 	f.mayHaveRun = f.mayHaveRun || a.ran == ranUnknown
 	f.countAttempt(gate, a, time.Now())
+	if o.Abandoned {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.picker.Abandoned(gate)
+		return a
+	}
 	out := placement.Outcome{
-		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: (o.Failure == meshhttp.NotSent && !o.NoMemory && !o.Ended) || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
+		Latency: a.latency, NotRun: a.ran == ranNo, Waited: f.waitedThere(a), Unavailable: (o.Failure == meshhttp.NotSent && !o.NoMemory) || a.reason == reasonNoUpstream || a.reason == reasonNoPlan || a.reason == reasonStopping,
 		Failed: a.reason == reasonUpstreamNotRun || (o.Incomplete && o.Failure == meshhttp.ConnectionLost) || (a.ran == ranUnknown && a.reason != reasonCancelled && a.reason != reasonMemory) || a.status >= fasthttp.StatusInternalServerError,
 	}
 	if o.Failure == meshhttp.Answered && a.reason != reasonEvacuated { // the load of a closed gate is no measure of others
--- a/app/proxy/queued_test.go
+++ b/app/proxy/queued_test.go
@@ -88,3 +88,28 @@
 	is.Equal(busy.upstream.count(), before)
 	is.Equal(len(e.picker.UnavailableGates(time.Now())), 0)
 }
+
+// Guards against a gate that is avoided as unreachable because the entry could not open a connection in the time of one request: under
+// a crowd, all gates seemed unreachable (no-endpoint), and the requests of calm routes were rejected untried.
+func TestGateIsNotAvoidedForAnEntryWithoutConnections(t *testing.T) {
+	is := is.New(t)
+	m := newMesh()
+	began, end := make(chan struct{}), make(chan struct{})
+	newNode(t, m, "i1", func(x *meshhttp.Exchange) {
+		if x.Request.Header.RequestURI()[1] == 'w' {
+			close(began)
+			<-end
+		}
+		succeed(x)
+	})
+	e := newTestEntry(m)
+	e.pool.Limit(1)
+	first := make(chan int)
+	go func() { first <- send(e, "/write/1").Response.StatusCode() }()
+	<-began
+	is.Equal(send(e, "/short/1").Response.StatusCode(), fasthttp.StatusServiceUnavailable)
+	is.Equal(len(e.picker.UnavailableGates(time.Now())), 0)
+	close(end)
+	is.Equal(<-first, fasthttp.StatusOK)
+	is.Equal(send(e, "/read/1").Response.StatusCode(), fasthttp.StatusOK)
+}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -210,6 +210,12 @@
 	n.unavailableCount, n.avoidUntil = 0, time.Time{}
 }
 
+// Abandoned ends a request for which Sent was called and that tells nothing about the node.
+func (p *Picker) Abandoned(gate string) {
+	n := p.node(gate)
+	n.outstanding = max(0, n.outstanding-1)
+}
+
 // markUnavailable starts or extends the time in which the node is avoided. While it is avoided,
 // further outcomes of concurrent requests change nothing.
 func (n *node) markUnavailable(now time.Time) {
