intake: serve one of 32 connections of a queue that never empties

Cause: with more connections than the process can reject in time, the queue never empties, and no new connection is served although upstreams have room. Change: one of 32 whose client is still there is served as usual, decided in core/intake. client.go is formatted. TestQueueThatNeverEmptiesStopsNoService and TestOneOfManyRejectedConnectionsIsServed fail without it.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -76,7 +76,7 @@
 	// Abandoned is true if Failure is NotSent for a reason of this process or of the call: it ended, its deadline was too near for a new
 	// connection, or the pool may not open one. It tells nothing about the destination.
 	Abandoned bool
-	Reused bool // the connection had been used for an earlier request
+	Reused    bool // the connection had been used for an earlier request
 	// Unconfirmed is true if Failure is Answered but the response may be one to another request (it
 	// has no id, and the connection carried an earlier request or response) or not the only one to
 	// this request (more bytes follow it; without IDRequired, only if they contain the id). Such a
--- a/adapters/meshhttp/intake.go
+++ b/adapters/meshhttp/intake.go
@@ -68,7 +68,7 @@
 	return wait
 }
 
-// rejectAll rejects the connections that wait, until none does.
+// rejectAll rejects nearly all connections that wait, until none does.
 func (q *queue) rejectAll() {
 	for n := 1; ; n++ {
 		c, ok := socket.AcceptRaw(q.listener)
@@ -89,7 +89,7 @@
 }
 
 // reject answers the requests that have arrived on a connection and closes it. It returns false, and changes nothing, if the first one
-// has not arrived whole or is to be served. What follows a rejected request and is not rejected is not read.
+// has not arrived whole or the connection is to be served. What follows a rejected request and is not rejected is not read.
 func (q *queue) reject(c socket.Raw, wait time.Duration) bool {
 	n, closed := c.Peek(q.arrived[:])
 	if closed {
@@ -97,6 +97,9 @@
 		c.Close()
 		return true
 	}
+	if q.state.ServesNext() {
+		return false
+	}
 	unread, now := q.arrived[:n], time.Now()
 	next := func(i int) *Exchange {
 		x := &q.exchanges[i%len(q.exchanges)]
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -10,9 +10,14 @@
 // system shares a processor, and far below the time limits of callers.
 const MaxWait = 100 * time.Millisecond
 
+// servedEvery is the number of connections of a queue that is rejected, one of which is served: few enough to reject most in
+// time, enough to use the upstreams while a queue never empties.
+const servedEvery = 32
+
 // Queue follows the connections that wait to be accepted. The zero value is an empty queue. It is not safe for concurrent use.
 type Queue struct {
 	busySince time.Time // acceptance of the first connection since the queue was empty; zero: it is empty
+	passed    int       // connections for which ServesNext was called
 }
 
 // Empty records that no connection waits.
@@ -30,3 +35,9 @@
 func (q *Queue) Rejects(now time.Time) bool {
 	return !q.busySince.IsZero() && now.Sub(q.busySince) >= MaxWait
 }
+
+// ServesNext decides, for each connection of a queue that is rejected and whose client is still there, whether it is served all the same.
+func (q *Queue) ServesNext() bool {
+	q.passed++
+	return q.passed%servedEvery == 0
+}
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -24,3 +24,19 @@
 	is.True(!q.Rejects(at(time.Hour)))
 	is.Equal(q.Accepted(at(time.Hour)), time.Duration(0))
 }
+
+// Guards against a share of served connections that depends on when the queue was empty.
+func TestOneOfManyRejectedConnectionsIsServed(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	served := 0
+	for i := range 10 * servedEvery {
+		if i%3 == 0 {
+			q.Empty()
+		}
+		if q.ServesNext() {
+			served++
+		}
+	}
+	is.Equal(served, 10)
+}
--- a/core/intake/simulate_test.go
+++ b/core/intake/simulate_test.go
@@ -68,7 +68,8 @@
 		if !hasLeft {
 			r.longestWait = max(r.longestWait, now-t.arrived)
 		}
-		if rejects {
+		rejected := rejects && (hasLeft || !q.ServesNext())
+		if rejected {
 			now += rejectCost
 		} else {
 			now += serveCost
@@ -77,7 +78,7 @@
 		case hasLeft:
 			r.triesWithoutAnswer++
 			again(t, false)
-		case !rejects && float64(served) < upstreams*now.Seconds():
+		case !rejected && float64(served) < upstreams*now.Seconds():
 			served++
 			r.served++
 		default:
@@ -102,6 +103,16 @@
 	is.True(rejecting.served >= inOrder.served)
 }
 
+// Guards against a process that serves nothing while it can't reject all in time: its queue never empties. Load: 3,000 clients per second, who
+// connect nearly three times as often as it can reject.
+func TestQueueThatNeverEmptiesStopsNoService(t *testing.T) {
+	is := is.New(t)
+	const perSecond, length = 3000, 10 * time.Second
+	r := simulate(perSecond, length, true)
+	t.Logf("%+v", r)
+	is.True(r.served > upstreams*int(length/time.Second)/4)
+}
+
 // Guards against rejections by a process that keeps up, at nine tenths of what upstreams can serve.
 func TestProcessThatKeepsUpRejectsNothing(t *testing.T) {
 	is := is.New(t)
