meshhttp: notice that a client leaves while all its pipelined requests are in progress

Cause: with as many pipelined requests in progress as a connection may have, nothing is read from it, so its end is not seen until one of them is answered. All of them are worked on, and retried, for a client that has left. Change: a connection that waits for a place is looked at every 100 ms with poll(POLLRDHUP), which sees the end behind unread data.

--- a/adapters/meshhttp/conn.go
+++ b/adapters/meshhttp/conn.go
@@ -199,9 +199,7 @@
 // readRequests queues requests until no further one will be read.
 func (c *conn) readRequests() {
 	for {
-		select {
-		case c.pipelined <- struct{}{}:
-		case <-c.ctx.Done():
+		if !c.awaitPlace() {
 			return
 		}
 		x := c.readRequest()
@@ -215,6 +213,33 @@
 	}
 }
 
+// endCheckInterval is the time between two looks at a connection from which nothing is read.
+const endCheckInterval = 100 * time.Millisecond
+
+// awaitPlace waits until another request may be in progress on the connection. It returns false if the client leaves meanwhile.
+func (c *conn) awaitPlace() bool {
+	select {
+	case c.pipelined <- struct{}{}:
+		return true
+	default:
+	}
+	ticker := time.NewTicker(endCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case c.pipelined <- struct{}{}:
+			return true
+		case <-c.ctx.Done():
+			return false
+		case <-ticker.C:
+			if socket.PeerClosed(c.nc) {
+				c.cancel()
+				return false
+			}
+		}
+	}
+}
+
 // readRequest reads one request and starts its handler. It returns nil when the connection ends.
 func (c *conn) readRequest() *Exchange {
 	limits := c.server.options.Limits()
--- a/adapters/meshhttp/queue_test.go
+++ b/adapters/meshhttp/queue_test.go
@@ -41,6 +41,39 @@
 	}
 }
 
+// Guards against work for a client that has left while as many requests as allowed are in progress on its connection: nothing is read from it
+// then, so its end has to be looked for.
+func TestClientThatLeavesWithAllPipelinedRequestsInProgress(t *testing.T) {
+	is := is.New(t)
+	const pipelined = 2
+	began, ended := make(chan struct{}, pipelined), make(chan struct{}, pipelined)
+	s := NewServer(ServerOptions{
+		Limits: func() Limits { return DefaultLimits }, Pipelined: pipelined,
+		Handler: func(ctx context.Context, _ *Exchange) {
+			began <- struct{}{}
+			<-ctx.Done()
+			ended <- struct{}{}
+		},
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = s.Serve(l) }()
+	c, _ := dial(t, l.Addr().String())
+	_, err = io.WriteString(c, get("/1")+get("/2")+get("/3"))
+	is.NoErr(err)
+	<-began
+	<-began
+	_ = c.Close()
+	for range pipelined {
+		select {
+		case <-ended:
+		case <-time.After(testWait):
+			t.Fatal("the end of the client was not noticed")
+		}
+	}
+}
+
 // lateAfter is the time after which callers consider a request held: half a second past its route's timeout.
 const lateAfter = 500 * time.Millisecond
 
--- a/adapters/socket/raw.go
+++ b/adapters/socket/raw.go
@@ -46,8 +46,7 @@
 // Peek copies the data that has arrived to b and leaves it there. closed reports that the peer has closed the connection, also
 // behind data, or that it failed.
 func (r Raw) Peek(b []byte) (n int, closed bool) {
-	p := [1]unix.PollFd{{Fd: int32(r.fd), Events: unix.POLLRDHUP}}
-	if _, err := unix.Poll(p[:], 0); err == nil && p[0].Revents != 0 {
+	if has(r.fd, unix.POLLRDHUP) {
 		return 0, true
 	}
 	n, _, err := syscall.Recvfrom(r.fd, b, syscall.MSG_PEEK)
