--- a/app/lifecycle/waits.go
+++ b/app/lifecycle/waits.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// slowWait is the wait for the process that is logged: half of the shortest response-time goal that callers state.
+	// slowWait is the wait for the process that is logged: half of a short response-time goal of 250 ms.
 	slowWait = 125 * time.Millisecond
 	// waitLogInterval is the time between two lines about the same listener.
 	waitLogInterval = time.Second
-	// tickInterval is the interval of the timer whose lateness is measured. Its wake-ups take less than 0.1% of a core.
+	// tickInterval is the interval of the timer whose lateness is measured.
 	tickInterval = 100 * time.Millisecond
 )
 
