meshhttp, socket: name the reason of a client that has left, and the types of what is polled

Cause: left as the name of a constant of the package, and any as the type of a listener or a connection, stop a reader. Change: names and types only. Measured: tests of both packages pass.

--- a/adapters/meshhttp/intake.go
+++ b/adapters/meshhttp/intake.go
@@ -93,7 +93,7 @@
 func (q *queue) reject(c socket.Raw, wait time.Duration) bool {
 	n, closed := c.Peek(q.arrived[:])
 	if closed {
-		q.server.count(left)
+		q.server.count(clientLeft)
 		c.Close()
 		return true
 	}
--- a/adapters/meshhttp/server.go
+++ b/adapters/meshhttp/server.go
@@ -256,7 +256,7 @@
 	slowReader               // the client did not read a response
 	invalid                  // the request has no valid reading, or more than one
 	queued                   // the connection waited too long to be accepted; counts its requests
-	left                     // the client left before its connection, which waited too long, was accepted
+	clientLeft               // the client left before its connection, which waited too long, was accepted
 	reasons
 )
 
--- a/adapters/socket/pending.go
+++ b/adapters/socket/pending.go
@@ -1,16 +1,17 @@
 package socket
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
 // Pending reports whether a connection waits to be accepted by a listener. It is false if that is not known.
-func Pending(listener any) bool { return poll(listener, unix.POLLIN) }
+func Pending(l net.Listener) bool { return poll(l, unix.POLLIN) }
 
 // PeerClosed reports whether the peer has closed a connection, also behind data that was not read yet. It is false if that is not known.
-func PeerClosed(conn any) bool { return poll(conn, unix.POLLRDHUP) }
+func PeerClosed(conn net.Conn) bool { return poll(conn, unix.POLLRDHUP) }
 
 // poll reports whether one of some events, or a failure, has occurred on a socket.
 func poll(s any, events int16) bool {
