meshhttp: take a connection that is not opened in 100 ms as a sign of its destination

A gate that does not answer would never be noticed by calls with shorter limits, such as nested ones of 200 ms. Change: only a call that had less than 100 ms left, two round trips between regions, tells nothing.

--- a/adapters/meshhttp/client.go
+++ b/adapters/meshhttp/client.go
@@ -90,6 +90,9 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond // several round trips between regions
+	// connectTime is the time in which a destination that can be reached accepts a connection: two round trips between regions. A call
+	// with less time left shows nothing if it gets none.
+	connectTime = 100 * time.Millisecond
 	// idleLimit is lower than the idle timeout of servers in the mesh (see Limits), so that
 	// the client closes first. Upstreams state their own idle timeout in Keep-Alive.
 	idleLimit = 8 * time.Second
--- a/adapters/meshhttp/outgoing_test.go
+++ b/adapters/meshhttp/outgoing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -225,3 +226,30 @@
 	o = p.Do(context.Background(), "127.0.0.1:1", &Call{Request: &req, Response: &fasthttp.Response{}, Deadline: time.Now().Add(testWait)})
 	is.True(o.Refused && !o.Abandoned)
 }
+
+// Guards against a destination that does not answer and is never noticed, because all calls to it have short time limits, and against one
+// that counts as unreachable for a call without the time of a round trip.
+func TestShortCallWithoutAConnectionTellsNothing(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	is.NoErr(err)
+	is.NoErr(raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	is.NoErr(err)
+	p := newTestPool()
+	for p.Preconnect(context.Background(), l.Addr().String()) == nil { // until the queue of the listener is full
+	}
+	var req fasthttp.Request
+	req.Header.SetHost("h")
+	req.Header.SetRequestURI("/")
+	do := func(limit time.Duration) Outcome {
+		return newTestPool().Do(context.Background(), l.Addr().String(), &Call{Request: &req, Response: &fasthttp.Response{}, Deadline: time.Now().Add(limit)})
+	}
+	short, long := do(connectTime/2), do(2*connectTime)
+	is.Equal(short.Failure, NotSent)
+	is.True(short.Abandoned)
+	is.Equal(long.Failure, NotSent)
+	is.True(!long.Abandoned)
+}
--- a/adapters/meshhttp/pool.go
+++ b/adapters/meshhttp/pool.go
@@ -111,7 +111,7 @@
 		start := time.Now()
 		var err error
 		if c, err = p.dial(ctx, address, call.Deadline); err != nil {
-			ended, tooLate := ctx.Err() != nil, isTimeout(err) && call.Deadline.Before(start.Add(dialTimeout))
+			ended, tooLate := ctx.Err() != nil, isTimeout(err) && call.Deadline.Before(start.Add(connectTime))
 			return Outcome{
 				Failure: NotSent, Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), NoMemory: errors.Is(err, errNoMemory),
 				Ended: ended, Abandoned: ended || tooLate || errors.Is(err, errNoSlot),
