lifecycle: keep the histograms of waits for entry and gate

The histograms of all listeners made the answer of /metrics longer, of which each client that does not read holds some copies. Change: listeners for readiness, metrics, announcements and operators only log their waits.

--- a/app/lifecycle/waits.go
+++ b/app/lifecycle/waits.go
@@ -25,14 +25,18 @@
 // request takes nor the load of upstreams shows it.
 type Waits struct {
 	listener string
-	stages   [meshhttp.Stages]*metrics.Histogram
-	longest  [meshhttp.Stages]atomic.Int64 // in nanoseconds since the last line
+	stages   [meshhttp.Stages]*metrics.Histogram // nil: none
+	longest  [meshhttp.Stages]atomic.Int64       // in nanoseconds since the last line
 }
 
-// NewWaits returns the waits of the requests of a listener, with their metrics. Its method Observe is for ServerOptions.OnWait.
+// NewWaits returns the waits of the requests of a listener, with their metrics in a set; nil: they are only logged, as those of
+// listeners with few calls. Its method Observe is for ServerOptions.OnWait.
 func (r *Resources) NewWaits(set *metrics.Set, listener string) *Waits {
 	w := &Waits{listener: listener}
 	for s := range meshhttp.Stages {
+		if set == nil {
+			break
+		}
 		w.stages[s] = set.NewHistogram(fmt.Sprintf("rattanfield_wait_seconds{listener=%q,stage=%q}", listener, s))
 	}
 	r.waits = append(r.waits, w)
@@ -41,7 +45,9 @@
 
 // Observe records a wait.
 func (w *Waits) Observe(stage meshhttp.Stage, wait time.Duration) {
-	w.stages[stage].Update(wait.Seconds())
+	if h := w.stages[stage]; h != nil {
+		h.Update(wait.Seconds())
+	}
 	for {
 		longest := w.longest[stage].Load()
 		if int64(wait) <= longest || w.longest[stage].CompareAndSwap(longest, int64(wait)) {
--- a/app/lifecycle/waits_test.go
+++ b/app/lifecycle/waits_test.go
@@ -30,6 +30,10 @@
 	is.Equal(out.String(), "event=\"requests wait for the process\" listener=entry accept=125ms start=0s order=1s write=0s timer=3ms scheduling=2ms\n")
 	var text strings.Builder
 	set.WritePrometheus(&text)
+	logged := NewResources(0, 0).NewWaits(nil, "metrics")
+	logged.Observe(meshhttp.StageStart, slowWait)
+	logged.log(logger, 0, 0)
+	is.True(strings.HasSuffix(out.String(), "listener=metrics accept=0s start=125ms order=0s write=0s timer=0s scheduling=0s\n"))
 	is.True(strings.Contains(text.String(), `rattanfield_wait_seconds_count{listener="entry",stage="accept"} 2`))
 }
 
--- a/app/meshcontrol/meshcontrol.go
+++ b/app/meshcontrol/meshcontrol.go
@@ -161,7 +161,7 @@
 		s := meshhttp.NewCallServer(h, meshhttp.ServerOptions{
 			Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(slotsPercent),
 			Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account),
-			OnWait: p.resources.NewWaits(p.set, address).Observe,
+			OnWait: p.resources.NewWaits(nil, address).Observe,
 		})
 		p.resources.AddServer(p.set, address, s)
 		if err := listen(address, s.Serve); err != nil {
--- a/app/meshnode/meshnode.go
+++ b/app/meshnode/meshnode.go
@@ -428,7 +428,7 @@
 func (p *Process) newCallServer(address string, h fasthttp.RequestHandler) *meshhttp.Server {
 	s := meshhttp.NewCallServer(h, meshhttp.ServerOptions{
 		Limits: callLimits, Account: p.resources.Account, Slots: p.resources.Slots(callSlotsPercent),
-		Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account), OnWait: p.resources.NewWaits(p.set, address).Observe,
+		Memory: body.NewSharedRequestMemory(p.resources.LargestBody(), p.resources.Account), OnWait: p.resources.NewWaits(nil, address).Observe,
 	})
 	p.resources.AddServer(p.set, address, s)
 	return s
